Set down the shape: keys, blackboard sections and ports

Cause: everything later is built into one shape, so the shape comes first. Conclusion: a second writer of a section does not compile, which is what the blackboard needs.

--- /dev/null
+++ b/src/board/blackboard.rs
@@ -0,0 +1,84 @@
+use {
+    super::{
+        Arena, Branch, Digests, Fleet, Health, Members, Owners, Section, Sheet, Suspects, Writer,
+        section,
+    },
+    crate::key::BranchKey,
+};
+
+/// Read side of every section.
+#[derive(Clone, Debug)]
+pub struct Blackboard {
+    /// Branches that may send requests.
+    pub branches: Section<Arena<BranchKey, Branch>>,
+    /// Load of endpoints owned elsewhere.
+    pub digests: Section<Digests>,
+    /// Endpoints and pools.
+    pub fleet: Section<Fleet>,
+    /// State of this daemon.
+    pub health: Section<Health>,
+    /// Hosts that run daemons.
+    pub members: Section<Members>,
+    /// Owner of each endpoint.
+    pub owners: Section<Owners>,
+    /// The sheet in force.
+    pub sheet: Section<Sheet>,
+    /// Requests suspected of crashing endpoints.
+    pub suspects: Section<Suspects>,
+}
+
+/// Write side of every section; each field is moved into the one controller that writes it.
+#[derive(Debug)]
+pub struct Writers {
+    /// Written by the settings at start.
+    pub branches: Writer<Arena<BranchKey, Branch>>,
+    /// Written by the digest controller.
+    pub digests: Writer<Digests>,
+    /// Written by the fleet controller.
+    pub fleet: Writer<Fleet>,
+    /// Written by the health controller.
+    pub health: Writer<Health>,
+    /// Written by the member controller.
+    pub members: Writer<Members>,
+    /// Written by the owner controller.
+    pub owners: Writer<Owners>,
+    /// Written by the sheet controller.
+    pub sheet: Writer<Sheet>,
+    /// Written by the suspect controller.
+    pub suspects: Writer<Suspects>,
+}
+
+impl Blackboard {
+    /// Creates a blackboard of empty sections.
+    pub fn new() -> (Self, Writers) {
+        let branches = section(Arena::default());
+        let digests = section(Digests::default());
+        let fleet = section(Fleet::default());
+        let health = section(Health::default());
+        let members = section(Members::default());
+        let owners = section(Owners::default());
+        let sheet = section(Sheet::default());
+        let suspects = section(Suspects::default());
+        let writers = Writers {
+            branches: branches.0,
+            digests: digests.0,
+            fleet: fleet.0,
+            health: health.0,
+            members: members.0,
+            owners: owners.0,
+            sheet: sheet.0,
+            suspects: suspects.0,
+        };
+        let board = Self {
+            branches: branches.1,
+            digests: digests.1,
+            fleet: fleet.1,
+            health: health.1,
+            members: members.1,
+            owners: owners.1,
+            sheet: sheet.1,
+            suspects: suspects.1,
+        };
+        (board, writers)
+    }
+}
--- /dev/null
+++ b/src/board/fleet.rs
@@ -0,0 +1,13 @@
+use {
+    super::{Arena, Endpoint, Pool},
+    crate::key::{EndpointKey, PoolKey},
+};
+
+/// Endpoints and pools known from the platform's host list.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Endpoints by name.
+    pub endpoints: Arena<EndpointKey, Endpoint>,
+    /// Pools by name.
+    pub pools: Arena<PoolKey, Pool>,
+}
--- /dev/null
+++ b/src/board/mod.rs
@@ -0,0 +1,41 @@
+//! The blackboard: sections with one writer each, read through snapshots and atomics.
+
+pub use self::{
+    arena::Arena,
+    blackboard::{Blackboard, Writers},
+    branch::{Branch, Secret},
+    digests::{Digest, Digests},
+    endpoint::{Endpoint, Role},
+    endpoint_slot::EndpointSlot,
+    fleet::Fleet,
+    health::Health,
+    host::{Host, HostState},
+    members::Members,
+    owners::{Owners, Ownership},
+    pool::Pool,
+    refusal::Refusal,
+    rule::{Borrow, Repeat, Route, Rule, Target},
+    section::{Section, Writer, section},
+    sheet::Sheet,
+    suspects::{Suspect, Suspects},
+    tick::Tick,
+};
+
+mod arena;
+mod blackboard;
+mod branch;
+mod digests;
+mod endpoint;
+mod endpoint_slot;
+mod fleet;
+mod health;
+mod host;
+mod members;
+mod owners;
+mod pool;
+mod refusal;
+mod rule;
+mod section;
+mod sheet;
+mod suspects;
+mod tick;
--- /dev/null
+++ b/src/board/suspects.rs
@@ -0,0 +1,19 @@
+use {super::Tick, std::collections::HashMap};
+
+/// Requests suspected of crashing the endpoints that run them, by fingerprint.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    /// Suspect by fingerprint of branch, kind and body.
+    pub by_print: HashMap<u64, Suspect>,
+}
+
+/// One suspected request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Suspect {
+    /// Names of the endpoints that crashed while running it.
+    pub endpoints: Vec<String>,
+    /// Whether the request is refused everywhere.
+    pub refused: bool,
+    /// When the suspicion lapses.
+    pub expires: Tick,
+}
--- /dev/null
+++ b/src/border/mod.rs
@@ -0,0 +1,1 @@
+//! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,1 @@
+//! The command line, one subcommand a file.
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: no I/O, no clock, no wire type.
--- /dev/null
+++ b/src/key/mod.rs
@@ -0,0 +1,17 @@
+//! Small `Copy` keys: arena indices with generations, and identities that cross hosts.
+
+pub use self::{
+    attempt_id::AttemptId, branch_key::BranchKey, endpoint_key::EndpointKey, grant_key::GrantKey,
+    host_key::HostKey, name_hash::name_hash, pool_key::PoolKey, request_id::RequestId,
+    rule_key::RuleKey,
+};
+
+mod attempt_id;
+mod branch_key;
+mod endpoint_key;
+mod grant_key;
+mod host_key;
+mod name_hash;
+mod pool_key;
+mod request_id;
+mod rule_key;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `lentillead` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/port/mod.rs
@@ -0,0 +1,28 @@
+//! Small traits for everything outside a decision, and the messages that cross them.
+//!
+//! The messages carry no wire format: `border` turns them into what travels.
+
+pub use self::{
+    clock::Clock,
+    engine::{
+        CacheEvent, CacheEvents, Chunk, DecodeAsk, Description, Engine, EngineError, KvHandle,
+        LoadReport, Order, PrefillAsk, TokenStream,
+    },
+    mono_clock::MonoClock,
+    peer::{Peer, PeerError, PeerHandler},
+    peer_call::{
+        BranchRules, ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, Denial, EndpointNews, Grant,
+        GrantAsk, GrantEnd, GrantRelease, Heartbeat, MemberNews, PeerCall, PeerReply, SheetChange,
+        SuspectNews,
+    },
+    platform::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    service::{Service, ServiceCall, ServiceReply},
+};
+
+mod clock;
+mod engine;
+mod mono_clock;
+mod peer;
+mod peer_call;
+mod platform;
+mod service;
--- /dev/null
+++ b/src/port/mono_clock.rs
@@ -0,0 +1,38 @@
+use {
+    super::Clock,
+    crate::board::Tick,
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+    tokio::time::{Instant, sleep},
+};
+
+/// Clock of the process, driven by tokio so that tests may pause it.
+#[derive(Clone, Copy, Debug)]
+pub struct MonoClock {
+    start: Instant,
+}
+
+impl MonoClock {
+    /// Starts counting ticks.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock for MonoClock {
+    fn now(&self) -> Tick {
+        Tick::default() + self.start.elapsed()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        sleep(duration)
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! The path of a request: attempts, grants, retries, cancellation.
--- /dev/null
+++ b/tests/integration.rs
@@ -0,0 +1,1 @@
+//! Integration tests, a file for each feature.
