Add request counters, retry reasons and the line and claimer ports

Cause: the path of a request must count each refusal and retry reason and ask an owner's lines and the claims without knowing their implementation.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -4,6 +4,7 @@
     arena::Arena,
     blackboard::{Blackboard, Writers},
     branch::{Branch, Secret},
+    counters::Counters,
     digests::{Digest, Digests},
     endpoint::{Endpoint, Role},
     endpoint_slot::EndpointSlot,
@@ -14,6 +15,7 @@
     owners::{Owners, Ownership},
     pool::Pool,
     refusal::Refusal,
+    retry_reason::RetryReason,
     rule::{Borrow, Repeat, Route, Rule, Target},
     section::{Section, Writer, section},
     sheet::Sheet,
@@ -24,6 +26,7 @@
 mod arena;
 mod blackboard;
 mod branch;
+mod counters;
 mod digests;
 mod endpoint;
 mod endpoint_slot;
@@ -34,6 +37,7 @@
 mod owners;
 mod pool;
 mod refusal;
+mod retry_reason;
 mod rule;
 mod section;
 mod sheet;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -3,11 +3,13 @@
 //! The messages carry no wire format: `border` turns them into what travels.
 
 pub use self::{
+    claimer::Claimer,
     clock::Clock,
     engine::{
         CacheEvent, CacheEvents, Chunk, DecodeAsk, Description, Engine, EngineError, KvHandle,
         LoadReport, Order, PrefillAsk, TokenStream,
     },
+    line::Line,
     mono_clock::MonoClock,
     peer::{Peer, PeerError, PeerHandler},
     peer_call::{
@@ -19,8 +21,10 @@
     service::{Service, ServiceCall, ServiceReply},
 };
 
+mod claimer;
 mod clock;
 mod engine;
+mod line;
 mod mono_clock;
 mod peer;
 mod peer_call;
