Check settings as a whole and add the command tree

Cause: the daemon and every later subcommand need settings and a place on the command line; a misspelt key must be refused and every fault told at once. Change: settings are read from a YAML value tree by a reader that takes keys out, so that what is left over is unknown; faults carry path, value found and what is allowed, and never a key. Subcommands are one file each with documented statuses.

--- /dev/null
+++ b/src/border/settings_parse.rs
@@ -0,0 +1,222 @@
+use {
+    super::{
+        Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings,
+        SettingsError, Timing,
+        settings_reader::{Faults, Reader},
+    },
+    crate::board::{Branch, Secret},
+    serde_json::Value,
+    std::{
+        collections::HashSet,
+        path::{Path, PathBuf},
+    },
+};
+
+const QUEUE_BYTES: u64 = 64 << 20;
+const KEY_BYTES: usize = 16;
+
+/// Reads and checks the settings in the file `path`.
+pub async fn read_settings(path: &Path) -> Result<Settings, SettingsError> {
+    let text = tokio::fs::read_to_string(path)
+        .await
+        .map_err(|source| SettingsError::File {
+            path: path.to_owned(),
+            source,
+        })?;
+    parse_settings(&text)
+}
+
+/// Checks the settings in `text` as a whole; an error holds every fault.
+pub fn parse_settings(text: &str) -> Result<Settings, SettingsError> {
+    let value = serde_saphyr::from_str::<Value>(text)
+        .map_err(|error| SettingsError::Syntax(error.to_string()))?;
+    let faults = Faults::default();
+    let settings = read(value, &faults);
+    check(&settings, &faults);
+    let faults = faults.into_inner();
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(SettingsError::Faults(faults))
+    }
+}
+
+fn read(value: Value, faults: &Faults) -> Settings {
+    let mut top = Reader::new(String::new(), Some(value), faults);
+    let settings = Settings {
+        host: top.text("host"),
+        zone: top.text("zone"),
+        listen: read_listen(top.section("listen")),
+        advertise: top.optional_address("advertise"),
+        platform: read_platform(top.section("platform")),
+        keys: read_keys(top.section("keys")),
+        branches: top
+            .sections("branches")
+            .into_iter()
+            .map(read_branch)
+            .collect(),
+        limits: read_limits(top.section("limits")),
+        timing: read_timing(top.section("timing")),
+        claims: read_claims(top.section("claims")),
+        log: read_log(top.section("log")),
+    };
+    top.finish();
+    settings
+}
+
+fn read_listen(mut reader: Reader<'_>) -> Listen {
+    let default = Listen::default();
+    let listen = Listen {
+        callers: reader.address("callers", default.callers),
+        operators: reader.address("operators", default.operators),
+        peers: reader.address("peers", default.peers),
+    };
+    reader.finish();
+    listen
+}
+
+fn read_platform(mut reader: Reader<'_>) -> PlatformSettings {
+    let default = PlatformSettings::default();
+    let platform = PlatformSettings {
+        address: reader.required_address("address"),
+        calls: reader.number("calls", default.calls.into(), 1..=10_000) as u32,
+        timeout: reader.duration("timeout", default.timeout),
+    };
+    reader.finish();
+    platform
+}
+
+fn read_keys(mut reader: Reader<'_>) -> Keys {
+    let keys = Keys {
+        operators: Secret(reader.secret("operators")),
+        peers: Secret(reader.secret("peers")),
+    };
+    reader.finish();
+    keys
+}
+
+fn read_branch(mut reader: Reader<'_>) -> Branch {
+    let branch = Branch {
+        name: reader.text("name"),
+        secret: Secret(reader.secret("key")),
+        queue_bytes: reader.number("queue_bytes", QUEUE_BYTES, 1_024..=1 << 40),
+    };
+    reader.finish();
+    branch
+}
+
+fn read_limits(mut reader: Reader<'_>) -> Limits {
+    let default = Limits::default();
+    let limits = Limits {
+        body_bytes: reader.number("body_bytes", default.body_bytes, 1_024..=1 << 30),
+        header_bytes: reader.number("header_bytes", default.header_bytes, 1_024..=1 << 20),
+        header_time: reader.duration("header_time", default.header_time),
+        body_time: reader.duration("body_time", default.body_time),
+        connections: reader.number("connections", default.connections.into(), 1..=1_000_000) as u32,
+        request_time: reader.duration("request_time", default.request_time),
+    };
+    reader.finish();
+    limits
+}
+
+fn read_timing(mut reader: Reader<'_>) -> Timing {
+    let default = Timing::default();
+    let timing = Timing {
+        heartbeat: reader.duration("heartbeat", default.heartbeat),
+        suspect: reader.duration("suspect", default.suspect),
+        dead: reader.duration("dead", default.dead),
+        load: reader.duration("load", default.load),
+        digest: reader.duration("digest", default.digest),
+        hosts: reader.duration("hosts", default.hosts),
+        sheet: reader.duration("sheet", default.sheet),
+        progress: reader.duration("progress", default.progress),
+        peer: reader.duration("peer", default.peer),
+        drain: reader.duration("drain", default.drain),
+        strike: reader.duration("strike", default.strike),
+    };
+    reader.finish();
+    timing
+}
+
+fn read_claims(mut reader: Reader<'_>) -> Claims {
+    let default = Claims::default();
+    let claims = Claims {
+        partitions: reader.number("partitions", default.partitions.into(), 1..=65_536) as u32,
+        window: reader.duration("window", default.window),
+        retention: reader.duration("retention", default.retention),
+    };
+    reader.finish();
+    claims
+}
+
+fn read_log(mut reader: Reader<'_>) -> LogSettings {
+    let levels = [
+        ("error", LogLevel::Error),
+        ("warn", LogLevel::Warn),
+        ("info", LogLevel::Info),
+        ("debug", LogLevel::Debug),
+        ("trace", LogLevel::Trace),
+    ];
+    let log = LogSettings {
+        level: reader.choice("level", LogLevel::default(), &levels),
+        file: reader.optional_text("file").map(PathBuf::from),
+    };
+    reader.finish();
+    log
+}
+
+fn check(settings: &Settings, faults: &Faults) {
+    check_timing(&settings.timing, faults);
+    check_secret("keys.operators", &settings.keys.operators, faults);
+    check_secret("keys.peers", &settings.keys.peers, faults);
+    check_branches(&settings.branches, faults);
+    if settings.advertise.is_none() && settings.listen.peers.ip().is_unspecified() {
+        faults.add(
+            "advertise",
+            "nothing, while listen.peers is on every address",
+            "the address at which other daemons reach this one",
+        );
+    }
+}
+
+fn check_timing(timing: &Timing, faults: &Faults) {
+    let pairs = [
+        (
+            "timing.suspect",
+            timing.suspect,
+            "timing.heartbeat",
+            timing.heartbeat,
+        ),
+        ("timing.dead", timing.dead, "timing.suspect", timing.suspect),
+    ];
+    for (path, value, other, least) in pairs {
+        if value <= least && !faults.has(path) && !faults.has(other) {
+            let allowed = format!("more than {other}, which is {least:?}");
+            faults.add(path, &format!("{value:?}"), &allowed);
+        }
+    }
+}
+
+fn check_secret(path: &str, secret: &Secret, faults: &Faults) {
+    let length = secret.0.len();
+    if length > 0 && length < KEY_BYTES {
+        let allowed = format!("a key of at least {KEY_BYTES} bytes");
+        faults.add(path, &format!("a key of {length} bytes"), &allowed);
+    }
+}
+
+fn check_branches(branches: &[Branch], faults: &Faults) {
+    let mut names = HashSet::new();
+    let mut keys = HashSet::new();
+    for (i, branch) in branches.iter().enumerate() {
+        let key = format!("branches[{i}].key");
+        check_secret(&key, &branch.secret, faults);
+        if !branch.name.is_empty() && !names.insert(&branch.name) {
+            let path = format!("branches[{i}].name");
+            faults.add(&path, &format!("\"{}\"", branch.name), "a name used once");
+        }
+        if !branch.secret.0.is_empty() && !keys.insert(&branch.secret.0) {
+            faults.add(&key, "the key of another branch", "a key used once");
+        }
+    }
+}
--- /dev/null
+++ b/src/command/arguments.rs
@@ -0,0 +1,61 @@
+use {
+    super::{CommandError, ExitStatus, SettingsCommand},
+    argh::FromArgs,
+    std::{env, process::ExitCode},
+    tokio::runtime::Runtime,
+};
+
+/// Router for separate prefill and decode pools.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// Subcommands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Work on settings files.
+    Settings(SettingsCommand),
+}
+
+impl Command {
+    async fn run(self) -> Result<(), CommandError> {
+        match self {
+            Self::Settings(command) => command.run().await,
+        }
+    }
+}
+
+/// Parses the command line, runs the subcommand and returns the exit status.
+pub fn main() -> ExitCode {
+    let words = env::args().collect::<Vec<_>>();
+    let words = words.iter().map(String::as_str).collect::<Vec<_>>();
+    let rest = words.get(1..).unwrap_or_default();
+    match Arguments::from_args(&["lentillead"], rest) {
+        Ok(arguments) => run(arguments).into(),
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            ExitStatus::Done.into()
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output.trim_end());
+            ExitStatus::Usage.into()
+        }
+    }
+}
+
+fn run(arguments: Arguments) -> ExitStatus {
+    let result = Runtime::new()
+        .map_err(CommandError::from)
+        .and_then(|runtime| runtime.block_on(arguments.command.run()));
+    match result {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("error: {error}");
+            error.status()
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,10 @@
 //! The `lentillead` binary.
 
-fn main() {}
+use {mimalloc::MiMalloc, std::process::ExitCode};
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    lentillead::command::main()
+}
