Add the platform's protocol, client and stand-in

Cause: controllers and claims need versioned objects and the host list, and tests need a platform that loses answers, lags, slows down and goes away. The blackboard gains the section `hosts`. Conclusion: a lost answer is Unknown, a refused connection or 503 Unavailable.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Arena, Branch, Digests, Fleet, Health, Members, Owners, Section, Sheet, Suspects, Writer,
-        section,
+        Arena, Branch, Digests, Fleet, Health, HostList, Members, Owners, Section, Sheet, Suspects,
+        Writer, section,
     },
     crate::key::BranchKey,
 };
@@ -17,6 +17,8 @@
     pub fleet: Section<Fleet>,
     /// State of this daemon.
     pub health: Section<Health>,
+    /// Daemons of the platform's host list.
+    pub hosts: Section<HostList>,
     /// Hosts that run daemons.
     pub members: Section<Members>,
     /// Owner of each endpoint.
@@ -38,6 +40,8 @@
     pub fleet: Writer<Fleet>,
     /// Written by the health controller.
     pub health: Writer<Health>,
+    /// Written by the fleet controller.
+    pub hosts: Writer<HostList>,
     /// Written by the member controller.
     pub members: Writer<Members>,
     /// Written by the owner controller.
@@ -55,6 +59,7 @@
         let digests = section(Digests::default());
         let fleet = section(Fleet::default());
         let health = section(Health::default());
+        let hosts = section(HostList::default());
         let members = section(Members::default());
         let owners = section(Owners::default());
         let sheet = section(Sheet::default());
@@ -64,6 +69,7 @@
             digests: digests.0,
             fleet: fleet.0,
             health: health.0,
+            hosts: hosts.0,
             members: members.0,
             owners: owners.0,
             sheet: sheet.0,
@@ -74,6 +80,7 @@
             digests: digests.1,
             fleet: fleet.1,
             health: health.1,
+            hosts: hosts.1,
             members: members.1,
             owners: owners.1,
             sheet: sheet.1,
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -11,6 +11,7 @@
     fleet::Fleet,
     health::Health,
     host::{Host, HostState},
+    host_list::{HostList, ListedHost},
     members::Members,
     owners::{Owners, Ownership},
     pool::Pool,
@@ -33,6 +34,7 @@
 mod fleet;
 mod health;
 mod host;
+mod host_list;
 mod members;
 mod owners;
 mod pool;
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -1,6 +1,7 @@
 //! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
 
 pub use self::{
+    platform_client::{OBJECT_BYTES_MAX, PlatformClient},
     settings::{
         Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings, Timing,
     },
@@ -9,6 +10,7 @@
     settings_parse::{parse_settings, read_settings},
 };
 
+mod platform_client;
 mod settings;
 mod settings_builder;
 mod settings_error;
--- /dev/null
+++ b/src/border/platform_client.rs
@@ -0,0 +1,199 @@
+use {
+    crate::port::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    bytes::Bytes,
+    reqwest::{
+        Client, RequestBuilder, Response, StatusCode, Url,
+        header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH},
+    },
+    serde::de::DeserializeOwned,
+    std::time::Duration,
+};
+
+/// Greatest size of an object in bytes.
+pub const OBJECT_BYTES_MAX: usize = 1_000_000;
+
+/// Time allowed for opening a connection to the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client of the platform's protocol, see docs/PLATFORM.md.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    base: Url,
+    client: Client,
+    timeout: Duration,
+}
+
+impl PlatformClient {
+    /// Creates a client of the platform at `base`; each call may take up to `timeout`.
+    pub fn new(base: &str, timeout: Duration) -> Result<Self, PlatformError> {
+        let base = Url::parse(base)
+            .ok()
+            .filter(|url| !url.cannot_be_a_base())
+            .ok_or_else(|| {
+                PlatformError::Rejected(format!("`{base}` is no URL; use `http://ip:port`"))
+            })?;
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .build()
+            .map_err(|e| PlatformError::Rejected(format!("no HTTP client: {e}")))?;
+        Ok(Self {
+            base,
+            client,
+            timeout,
+        })
+    }
+
+    /// Returns the URL below `path`, with the segments of `name` encoded.
+    fn url(&self, path: &str, name: &str) -> Url {
+        let mut url = self.base.clone();
+        if let Ok(mut segments) = url.path_segments_mut() {
+            segments.pop_if_empty().push(path);
+            if !name.is_empty() {
+                segments.extend(name.split('/'));
+            }
+        }
+        url
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        body: Bytes,
+        condition: HeaderMap,
+    ) -> Result<u64, PlatformError> {
+        if body.len() > OBJECT_BYTES_MAX {
+            let reason = format!("`{name}` would hold {} bytes", body.len());
+            return Err(PlatformError::Rejected(format!(
+                "{reason}; the limit is {OBJECT_BYTES_MAX}"
+            )));
+        }
+        let call = self.client.put(self.url("objects", name));
+        let response = self
+            .send(call.headers(condition).body(body), self.timeout)
+            .await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::CREATED => version(&response),
+            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict {
+                name: name.into(),
+                current: version(&response)?,
+            }),
+            _ => Err(failure(response).await),
+        }
+    }
+
+    async fn get_json<T>(&self, url: Url) -> Result<T, PlatformError>
+    where
+        T: DeserializeOwned,
+    {
+        let response = self.send(self.client.get(url), self.timeout).await?;
+        if response.status() != StatusCode::OK {
+            return Err(failure(response).await);
+        }
+        response.json().await.map_err(|e| lost(&e))
+    }
+
+    async fn send(
+        &self,
+        call: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Response, PlatformError> {
+        call.timeout(timeout).send().await.map_err(|e| {
+            if e.is_connect() || e.is_builder() {
+                PlatformError::Unavailable(e.to_string())
+            } else {
+                lost(&e)
+            }
+        })
+    }
+}
+
+impl Platform for PlatformClient {
+    async fn read(&self, name: &str) -> Result<Option<Object>, PlatformError> {
+        let call = self.client.get(self.url("objects", name));
+        let response = self.send(call, self.timeout).await?;
+        match response.status() {
+            StatusCode::OK => object(response).await.map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(failure(response).await),
+        }
+    }
+
+    async fn create(&self, name: &str, body: Bytes) -> Result<u64, PlatformError> {
+        let condition = HeaderMap::from_iter([(IF_NONE_MATCH, "*".parse().map_err(invalid)?)]);
+        self.put(name, body, condition).await
+    }
+
+    async fn update(&self, name: &str, expected: u64, body: Bytes) -> Result<u64, PlatformError> {
+        let tag = format!("\"{expected}\"").parse().map_err(invalid)?;
+        self.put(name, body, HeaderMap::from_iter([(IF_MATCH, tag)]))
+            .await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<ObjectName>, PlatformError> {
+        let mut url = self.url("objects", "");
+        url.query_pairs_mut().append_pair("prefix", prefix);
+        self.get_json(url).await
+    }
+
+    async fn watch(
+        &self,
+        name: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        let mut url = self.url("objects", name);
+        url.query_pairs_mut()
+            .append_pair("after", &after.to_string())
+            .append_pair("wait_ms", &wait.as_millis().to_string());
+        let response = self.send(self.client.get(url), self.timeout + wait).await?;
+        match response.status() {
+            StatusCode::OK => object(response).await.map(Some),
+            StatusCode::NOT_MODIFIED => Ok(None),
+            _ => Err(failure(response).await),
+        }
+    }
+
+    async fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        self.get_json(self.url("hosts", "")).await
+    }
+}
+
+async fn object(response: Response) -> Result<Object, PlatformError> {
+    let version = version(&response)?;
+    let body = response.bytes().await.map_err(|e| lost(&e))?;
+    Ok(Object { version, body })
+}
+
+fn version(response: &Response) -> Result<u64, PlatformError> {
+    response
+        .headers()
+        .get(ETAG)
+        .and_then(|tag| tag.to_str().ok())
+        .and_then(|tag| tag.trim_matches('"').parse().ok())
+        .ok_or_else(|| PlatformError::Unknown("the answer has no version".into()))
+}
+
+/// Turns an answer that is no success into an error.
+async fn failure(response: Response) -> PlatformError {
+    let status = response.status();
+    let text = response.text().await.unwrap_or_default();
+    let text = format!("{status} {text}");
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        PlatformError::Unavailable(text)
+    } else if status.is_client_error() {
+        PlatformError::Rejected(text)
+    } else {
+        PlatformError::Unknown(text)
+    }
+}
+
+fn lost(error: &reqwest::Error) -> PlatformError {
+    PlatformError::Unknown(error.to_string())
+}
+
+fn invalid<E>(error: E) -> PlatformError
+where
+    E: std::error::Error,
+{
+    PlatformError::Rejected(error.to_string())
+}
--- /dev/null
+++ b/src/fake/platform_state.rs
@@ -0,0 +1,150 @@
+use {
+    super::{PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings},
+    crate::port::{HostEntry, Object, ObjectName},
+    bytes::Bytes,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Everything that the platform's stand-in holds.
+#[derive(Debug)]
+pub(super) struct PlatformState {
+    pub(super) faults: PlatformFaults,
+    pub(super) observed: PlatformObserved,
+    objects: BTreeMap<String, Stored>,
+    hosts: BTreeMap<String, HostEntry>,
+    lists: Vec<(Instant, Vec<HostEntry>)>,
+    rng: SmallRng,
+}
+
+/// An object with the version before it.
+#[derive(Debug)]
+struct Stored {
+    current: Object,
+    previous: Option<Object>,
+}
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Condition {
+    Absent,
+    Version(u64),
+}
+
+/// Result of a write.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Written {
+    Done(u64),
+    Lost,
+    Conflict(u64),
+}
+
+impl PlatformState {
+    pub(super) fn new(settings: &PlatformSettings) -> Self {
+        let hosts = settings.hosts.iter().cloned();
+        let hosts: BTreeMap<_, _> = hosts.map(|host| (host.name.clone(), host)).collect();
+        let list = hosts.values().cloned().collect();
+        Self {
+            faults: settings.faults.clone(),
+            observed: PlatformObserved::default(),
+            objects: BTreeMap::new(),
+            hosts,
+            lists: vec![(Instant::now(), list)],
+            rng: SmallRng::seed_from_u64(settings.seed),
+        }
+    }
+
+    pub(super) fn read(&mut self, name: &str) -> Option<Object> {
+        let stale = self.draw_stale();
+        let stored = self.objects.get(name)?;
+        if let Some(previous) = stored.previous.as_ref().filter(|_| stale) {
+            self.observed.stale += 1;
+            return Some(previous.clone());
+        }
+        Some(stored.current.clone())
+    }
+
+    /// Returns the object if its version is greater than `after`.
+    pub(super) fn newer(&self, name: &str, after: u64) -> Option<Object> {
+        let stored = self.objects.get(name)?;
+        (stored.current.version > after).then(|| stored.current.clone())
+    }
+
+    pub(super) fn write(&mut self, name: &str, condition: Condition, body: Bytes) -> Written {
+        let current = self.objects.get(name).map_or(0, |s| s.current.version);
+        let holds = match condition {
+            Condition::Absent => current == 0,
+            Condition::Version(version) => current != 0 && current == version,
+        };
+        if !holds {
+            self.observed.conflicts += 1;
+            return Written::Conflict(current);
+        }
+        let version = current + 1;
+        self.observed.written += body.len() as u64;
+        let previous = self.objects.remove(name).map(|stored| stored.current);
+        let current = Object { version, body };
+        self.objects
+            .insert(name.into(), Stored { current, previous });
+        if self.draw_lost() {
+            self.observed.lost += 1;
+            return Written::Lost;
+        }
+        Written::Done(version)
+    }
+
+    pub(super) fn list(&self, prefix: &str) -> Vec<ObjectName> {
+        self.objects
+            .range(prefix.to_owned()..)
+            .take_while(|(name, _)| name.starts_with(prefix))
+            .map(|(name, stored)| ObjectName {
+                name: name.clone(),
+                version: stored.current.version,
+            })
+            .collect()
+    }
+
+    /// Returns the host list as it was one lag ago.
+    pub(super) fn hosts(&mut self) -> Vec<HostEntry> {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let visible = |(since, _): &(Instant, Vec<HostEntry>)| since.elapsed() >= lag;
+        let newest = self.lists.iter().rposition(visible).unwrap_or(0);
+        self.lists[newest].1.clone()
+    }
+
+    pub(super) fn control(&mut self, control: PlatformControl) {
+        self.faults.apply(&control);
+        for host in control.add_hosts {
+            self.hosts.insert(host.name.clone(), host);
+        }
+        for name in &control.leaving_hosts {
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.leaving = true;
+            }
+        }
+        for name in &control.remove_hosts {
+            self.hosts.remove(name);
+        }
+        let list = self.hosts.values().cloned().collect();
+        self.lists.push((Instant::now(), list));
+    }
+
+    fn draw_lost(&mut self) -> bool {
+        let share = self.faults.lose_share;
+        draw(&mut self.rng, &mut self.faults.lose_next, share)
+    }
+
+    fn draw_stale(&mut self) -> bool {
+        let share = self.faults.stale_share;
+        draw(&mut self.rng, &mut self.faults.stale_next, share)
+    }
+}
+
+fn draw(rng: &mut SmallRng, next: &mut u32, share: f64) -> bool {
+    if *next > 0 {
+        *next -= 1;
+        return true;
+    }
+    share > 0.0 && rng.random_bool(share.min(1.0))
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,1 +1,3 @@
 //! Integration tests, a file for each feature.
+
+mod platform;
