Add peer calls over HTTP/2 with bincode bodies

Cause: daemons have to call each other, and a dropped call must reach the other side, because a waiting grant is withdrawn by it. Change: PeerClient keeps one connection to each peer, connects on demand with back-off, checks it by pings, and tells unsent calls from lost ones. PeerListener checks the key in constant time, bounds connections, streams, headers, bodies and their times, and drops the handler when a stream is reset. PeerTraffic counts bytes and calls with all framing.

--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -1,6 +1,10 @@
 //! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
 
 pub use self::{
+    peer_client::PeerClient,
+    peer_limits::PeerLimits,
+    peer_listener::PeerListener,
+    peer_traffic::PeerTraffic,
     platform_client::{OBJECT_BYTES_MAX, PlatformClient},
     settings::{
         Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings, Timing,
@@ -10,6 +14,16 @@
     settings_parse::{parse_settings, read_settings},
 };
 
+pub mod peer_wire;
+
+mod counted_stream;
+mod peer_body;
+mod peer_client;
+mod peer_limits;
+mod peer_link;
+mod peer_listener;
+mod peer_stream;
+mod peer_traffic;
 mod platform_client;
 mod settings;
 mod settings_builder;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,3 +1,4 @@
 //! Integration tests, a file for each feature.
 
+mod peer_listener;
 mod platform;
--- /dev/null
+++ b/tests/peer_listener.rs
@@ -0,0 +1,139 @@
+//! Calls between daemons over HTTP/2: replies, refusals, resets.
+
+use {
+    bytes::Bytes,
+    http::Request,
+    insta::assert_debug_snapshot,
+    lentillead::{
+        board::Secret,
+        border::{
+            PeerClient, PeerListener, PeerTraffic,
+            peer_wire::{MESSAGE_BYTES, encode},
+        },
+        port::{Peer, PeerCall, PeerHandler, PeerReply},
+    },
+    std::{future::pending, sync::Arc},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+const KEY: &str = "peer-key";
+
+/// Answers `Status`, and tells when the future that answers anything else starts and is dropped.
+#[derive(Clone, Debug, Default)]
+struct Echo {
+    started: Arc<Notify>,
+    dropped: Arc<Notify>,
+}
+
+struct Drops(Arc<Notify>);
+
+impl Drop for Drops {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+impl PeerHandler for Echo {
+    async fn handle(&self, call: PeerCall) -> PeerReply {
+        if call == PeerCall::Status {
+            return PeerReply::Status(String::from("well"));
+        }
+        let _drops = Drops(Arc::clone(&self.dropped));
+        self.started.notify_one();
+        pending().await
+    }
+}
+
+async fn listen(echo: Echo) -> (String, CancellationToken) {
+    let key = Secret(String::from(KEY));
+    let listener = PeerListener::bind("127.0.0.1:0", key, echo).await.unwrap();
+    let address = listener.address().unwrap().to_string();
+    let stop = CancellationToken::new();
+    tokio::spawn(listener.serve(stop.clone()));
+    (address, stop)
+}
+
+fn client(key: &str) -> PeerClient {
+    let key = Secret(String::from(key));
+    PeerClient::new(&key, 1, PeerTraffic::default()).unwrap()
+}
+
+/// Sends a body without the client's own checks and returns status and text.
+async fn post(address: &str, body: Bytes) -> (u16, String) {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let request = Request::post(format!("http://{address}/")).header("x-peer-key", KEY);
+    let request = request.body(()).unwrap();
+    let (response, mut send) = sender.send_request(request, false).unwrap();
+    send.send_data(body, true).unwrap();
+    let response = response.await.unwrap();
+    let status = response.status().as_u16();
+    let text = response.into_body().data().await.unwrap().unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let (kind, _) = text.split_once(':').unwrap_or((&text, ""));
+    (status, String::from(kind))
+}
+
+#[tokio::test]
+async fn calls_and_refusals() {
+    let (address, _stop) = listen(Echo::default()).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    let unreached = client(KEY).call(&nobody, PeerCall::Status).await;
+    let mut status = encode(&PeerCall::Status).unwrap().to_vec();
+    let mut long = status.clone();
+    long.push(0);
+    let cases = (
+        client(KEY).call(&address, PeerCall::Status).await,
+        client("other-key").call(&address, PeerCall::Status).await,
+        unreached
+            .unwrap_err()
+            .to_string()
+            .split(':')
+            .next()
+            .map(String::from),
+        post(&address, Bytes::new()).await,
+        post(&address, Bytes::from(vec![1; MESSAGE_BYTES + 1])).await,
+        post(&address, Bytes::from(long)).await,
+        post(&address, Bytes::from(vec![1, 250])).await,
+        {
+            status[0] = 9;
+            post(&address, Bytes::from(status)).await
+        },
+    );
+    assert_debug_snapshot!("peer_calls", cases);
+}
+
+#[tokio::test]
+async fn reset_drops_handler() {
+    let echo = Echo::default();
+    let (address, _stop) = listen(echo.clone()).await;
+    let client = client(KEY);
+    let call = tokio::spawn(async move {
+        let call = PeerCall::Sheet { since: 0 };
+        client.call(&address, call).await
+    });
+    echo.started.notified().await;
+    call.abort();
+    echo.dropped.notified().await;
+}
+
+#[tokio::test]
+async fn lost_after_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut connection = h2::server::handshake(stream).await.unwrap();
+        connection.accept().await.unwrap().unwrap();
+    });
+    let reply = client(KEY).call(&address, PeerCall::Status).await;
+    let kind = reply.unwrap_err().to_string();
+    assert!(kind.starts_with("the peer's reply was lost"), "{kind}");
+}
