--- a/src/board/endpoint_slot.rs
+++ b/src/board/endpoint_slot.rs
@@ -11,6 +11,8 @@
     reported: AtomicU32,
     /// Tick of the last load report in microseconds.
     heard: AtomicU64,
+    /// Requests waiting for the endpoint in this process.
+    waiting: AtomicU32,
     /// Whether the endpoint is taken out after repeated failures.
     ejected: AtomicBool,
 }
@@ -67,6 +69,16 @@
         self.heard.load(Ordering::Acquire)
     }
 
+    /// Records how many requests wait for the endpoint in this process.
+    pub fn set_waiting(&self, waiting: u32) {
+        self.waiting.store(waiting, Ordering::Release);
+    }
+
+    /// Requests waiting for the endpoint in this process.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Acquire)
+    }
+
     /// Takes the endpoint out of, or back into, the choice.
     pub fn set_ejected(&self, ejected: bool) {
         self.ejected.store(ejected, Ordering::Release);
--- a/src/board/host.rs
+++ b/src/board/host.rs
@@ -14,6 +14,8 @@
     pub address: String,
     /// Start time in milliseconds since the Unix epoch; a greater one supersedes a smaller one.
     pub incarnation: u64,
+    /// Number of suspicions that the incarnation has refuted.
+    pub round: u32,
     /// State of the membership protocol.
     pub state: HostState,
     /// When the state last changed.
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -83,6 +83,8 @@
     pub address: String,
     /// Incarnation.
     pub incarnation: u64,
+    /// Number of suspicions that the incarnation has refuted.
+    pub round: u32,
     /// State.
     pub state: HostState,
 }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,4 +1,5 @@
 //! Integration tests, a file for each feature.
 
+mod ownership;
 mod peer_listener;
 mod platform;
