Keep the sheet at the platform by branch

Readers follow by cursor and read only the parts that changed. Weighed against one object a revision (1 MB for each change) and one object a branch (not atomic over branches).

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,16 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
-pub use self::owner_controller::OwnerController;
+pub use self::{
+    owner_controller::OwnerController,
+    sheet_object::ChangeRecord,
+    sheet_store::{SheetCursor, SheetStore},
+    sheet_store_error::SheetStoreError,
+    sheet_submit::{Acceptance, Submission},
+};
 
 mod owner_controller;
+mod sheet_object;
+mod sheet_prune;
+mod sheet_store;
+mod sheet_store_error;
+mod sheet_submit;
--- /dev/null
+++ b/src/control/sheet_submit.rs
@@ -0,0 +1,247 @@
+use {
+    super::{
+        ChangeRecord, SheetStore, SheetStoreError,
+        sheet_object::{INDEX, Index, Part, PartBranch, Place, encode, part_name, split},
+    },
+    crate::{
+        board::Rule,
+        decide::by_branch,
+        port::{BranchRules, Platform, PlatformError},
+    },
+    bytes::Bytes,
+};
+
+/// Writes of the index before its outcome is given up as unknown.
+const WRITES: u32 = 4;
+const CHANGE_NAME_BYTES: usize = 64;
+
+/// A sheet to be accepted as a whole.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Revision that the operator started from; 0 for the first sheet.
+    pub base: u64,
+    /// Rules of every branch.
+    pub rules: Vec<Rule>,
+    /// Id by which a repeated submission is recognised.
+    pub change: String,
+    /// Who submits.
+    pub author: String,
+    /// Time in milliseconds since the Unix epoch.
+    pub time: u64,
+    /// Greatest revision known to the daemon; the store may have lost it.
+    pub floor: u64,
+}
+
+/// Result of a submission.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Acceptance {
+    /// Revision that holds the submitted rules.
+    pub revision: u64,
+    /// Branches that changed; 0 if the sheet was already in force.
+    pub branches: u32,
+}
+
+impl Acceptance {
+    fn new(index: &Index) -> Self {
+        let branches = index.changes.last().map_or(0, |record| record.branches);
+        Self {
+            revision: index.revision,
+            branches,
+        }
+    }
+}
+
+impl From<&ChangeRecord> for Acceptance {
+    fn from(record: &ChangeRecord) -> Self {
+        Self {
+            revision: record.revision,
+            branches: record.branches,
+        }
+    }
+}
+
+impl<P> SheetStore<P>
+where
+    P: Platform,
+{
+    /// Makes `submission` the sheet in force, as a whole, or changes nothing.
+    ///
+    /// A submission that is repeated with its change id is recognised and returns its revision.
+    pub async fn submit(&self, submission: Submission) -> Result<Acceptance, SheetStoreError> {
+        check_change_name(&submission.change)?;
+        let (version, index) = self.index().await?;
+        if let Some(record) = index.record(&submission.change) {
+            return Ok(record.into());
+        }
+        let current = index.revision.max(submission.floor);
+        check_base(submission.base, current)?;
+        let Some(branches) = self.changed(&index, &submission).await? else {
+            return Ok(Acceptance {
+                revision: current,
+                branches: 0,
+            });
+        };
+        let parts = split(submission.base, branches)?;
+        self.write_parts(&submission.change, &parts).await?;
+        let (next, dropped) = next_index(index, &submission, &parts);
+        let acceptance = self.write_index(version, &next, &submission).await?;
+        self.prune(&next, &dropped).await;
+        Ok(acceptance)
+    }
+
+    /// Returns the branches that `submission` changes, or nothing if it changes none.
+    ///
+    /// When the store has lost revisions, every branch counts as changed.
+    async fn changed(
+        &self,
+        index: &Index,
+        submission: &Submission,
+    ) -> Result<Option<Vec<PartBranch>>, SheetStoreError> {
+        let lost = submission.floor > index.revision;
+        let current = self.rules_at(&index.branches).await?;
+        let mut wanted = by_branch(submission.rules.iter().cloned());
+        for branch in current.keys() {
+            wanted.entry(branch.clone()).or_default();
+        }
+        let changed = wanted
+            .into_iter()
+            .filter(|(branch, rules)| lost || current.get(branch) != Some(rules))
+            .map(|(branch, rules)| PartBranch {
+                before: index.branches.get(&branch).cloned(),
+                rules: BranchRules { branch, rules },
+            })
+            .collect::<Vec<_>>();
+        Ok((!changed.is_empty()).then_some(changed))
+    }
+
+    async fn write_parts(&self, change: &str, parts: &[Part]) -> Result<(), SheetStoreError> {
+        for (part, number) in parts.iter().zip(0..) {
+            let name = part_name(change, number);
+            let body = encode(&name, part)?;
+            self.write_part(change, &name, body).await?;
+        }
+        Ok(())
+    }
+
+    /// Creates an object that may exist already from an earlier attempt with the same contents.
+    async fn write_part(
+        &self,
+        change: &str,
+        name: &str,
+        body: Bytes,
+    ) -> Result<(), SheetStoreError> {
+        match self.platform.create(name, body.clone()).await {
+            Ok(_) => return Ok(()),
+            Err(PlatformError::Conflict { .. } | PlatformError::Unknown(_)) => {}
+            Err(error) => return Err(error.into()),
+        }
+        match self.platform.read(name).await? {
+            Some(object) if object.body == body => Ok(()),
+            Some(_) => Err(SheetStoreError::ChangeReused(change.to_owned())),
+            None => {
+                self.platform.create(name, body).await?;
+                Ok(())
+            }
+        }
+    }
+
+    async fn write_index(
+        &self,
+        version: u64,
+        next: &Index,
+        submission: &Submission,
+    ) -> Result<Acceptance, SheetStoreError> {
+        let body = encode(INDEX, next)?;
+        let mut lost = None;
+        for _ in 0..WRITES {
+            match self.replace_index(version, &body).await {
+                Ok(_) => return Ok(Acceptance::new(next)),
+                Err(PlatformError::Conflict { .. }) => {}
+                Err(cause @ PlatformError::Unknown(_)) => lost = Some(cause),
+                Err(cause) => return Err(failed(cause, lost, &submission.change)),
+            }
+            let (seen, index) = match self.index().await {
+                Err(SheetStoreError::Platform(cause)) => {
+                    return Err(unknown(cause, &submission.change));
+                }
+                read => read?,
+            };
+            if let Some(record) = index.record(&submission.change) {
+                return Ok(record.into());
+            }
+            if seen > version {
+                check_base(submission.base, index.revision)?;
+            }
+        }
+        let cause = PlatformError::Unknown("every answer was lost".to_owned());
+        Err(unknown(cause, &submission.change))
+    }
+
+    async fn replace_index(&self, version: u64, body: &Bytes) -> Result<u64, PlatformError> {
+        if version == 0 {
+            return self.platform.create(INDEX, body.clone()).await;
+        }
+        self.platform.update(INDEX, version, body.clone()).await
+    }
+}
+
+/// Returns the index after `submission` and the records that it no longer keeps.
+fn next_index(
+    mut index: Index,
+    submission: &Submission,
+    parts: &[Part],
+) -> (Index, Vec<ChangeRecord>) {
+    let lost = submission.floor > index.revision;
+    let revision = index.revision.max(submission.floor) + 1;
+    for (part, number) in parts.iter().zip(0..) {
+        for PartBranch { rules, .. } in &part.branches {
+            let place = Place {
+                revision,
+                change: submission.change.clone(),
+                part: number,
+                gone: rules.rules.is_empty(),
+            };
+            index.branches.insert(rules.branch.clone(), place);
+        }
+    }
+    let branches = parts.iter().map(|part| part.branches.len()).sum::<usize>();
+    let record = ChangeRecord {
+        revision,
+        change: submission.change.clone(),
+        author: submission.author.clone(),
+        time: submission.time,
+        branches: branches as u32,
+        parts: parts.len() as u32,
+    };
+    let dropped = index.accept(record, lost);
+    (index, dropped)
+}
+
+fn check_change_name(change: &str) -> Result<(), SheetStoreError> {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if (1..=CHANGE_NAME_BYTES).contains(&change.len()) && change.chars().all(allowed) {
+        return Ok(());
+    }
+    Err(SheetStoreError::ChangeName(change.to_owned()))
+}
+
+fn check_base(base: u64, current: u64) -> Result<(), SheetStoreError> {
+    if base == current {
+        return Ok(());
+    }
+    Err(SheetStoreError::Conflict { base, current })
+}
+
+fn failed(cause: PlatformError, lost: Option<PlatformError>, change: &str) -> SheetStoreError {
+    match lost {
+        Some(lost) => unknown(lost, change),
+        None => cause.into(),
+    }
+}
+
+fn unknown(cause: PlatformError, change: &str) -> SheetStoreError {
+    SheetStoreError::Unknown {
+        change: change.to_owned(),
+        cause,
+    }
+}
