Add the endpoint protocol and its clients

Cause: the path of a request needs engines and plain services behind the ports Engine and Service. Change: docs/ENDPOINTS.md, a JSON Schema with generated wire types, EngineClient and ServiceClient over reqwest, ChunkCheck for the identity and index of every chunk, and the prefix hash. Conclusion: only a connection never made, or a refusal with matching status and body, counts as not run; a stream without its final chunk is an error.

--- a/justfile
+++ b/justfile
@@ -21,3 +21,7 @@
 # Run the tests.
 test:
     cargo test --locked
+
+# Generate the wire types of src/border from docs/schema; needs cargo-typify.
+generate:
+    cargo typify --no-builder --output src/border/endpoint_wire.rs docs/schema/endpoint.json
--- /dev/null
+++ b/src/border/engine_client.rs
@@ -0,0 +1,181 @@
+use {
+    super::{
+        endpoint_answer::{call_error, read, refusal},
+        endpoint_wire::{CancelRequest, CompletionRequest, KvTransferParams, PrefillReply},
+        engine_tokens::EngineTokens,
+    },
+    crate::{
+        decide::ChunkCheck,
+        key::AttemptId,
+        port::{
+            CacheEvents, DecodeAsk, Description, Engine, EngineError, KvHandle, LoadReport, Order,
+            PrefillAsk,
+        },
+    },
+    prometheus_client::metrics::counter::Counter,
+    reqwest::{Client, RequestBuilder, Response},
+};
+
+/// Client of the protocol between daemons and model engines, see docs/ENDPOINTS.md.
+///
+/// It sets no time limit of its own but for connecting; the caller drops the future.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    client: Client,
+    stray: Counter,
+}
+
+impl EngineClient {
+    /// Uses `client` for all connections and counts dropped chunks in `stray`.
+    pub fn new(client: Client, stray: Counter) -> Self {
+        Self { client, stray }
+    }
+
+    fn get(&self, address: &str, path: &str) -> RequestBuilder {
+        self.client.get(format!("http://{address}{path}"))
+    }
+
+    fn post(&self, address: &str, path: &str) -> RequestBuilder {
+        self.client.post(format!("http://{address}{path}"))
+    }
+
+    async fn stream(
+        &self,
+        call: RequestBuilder,
+        attempt: AttemptId,
+        index: u32,
+    ) -> Result<EngineTokens, EngineError> {
+        let response = send(call).await?;
+        let check = ChunkCheck::new(attempt, index);
+        Ok(EngineTokens::new(response, check, self.stray.clone()))
+    }
+}
+
+impl Engine for EngineClient {
+    type Tokens = EngineTokens;
+
+    async fn prefill(&self, address: &str, ask: &PrefillAsk) -> Result<KvHandle, EngineError> {
+        let body = prefill_body(ask);
+        let response = send(self.post(address, "/v1/completions").json(&body)).await?;
+        let reply = read::<PrefillReply>(response).await?;
+        if reply.id != body.attempt {
+            let text = format!("the prefill answer names attempt {}", reply.id);
+            return Err(EngineError::Broken(text));
+        }
+        kv_handle(reply.kv_transfer_params)
+    }
+
+    async fn decode(&self, address: &str, ask: &DecodeAsk) -> Result<EngineTokens, EngineError> {
+        let call = self
+            .post(address, "/v1/completions")
+            .json(&decode_body(ask));
+        self.stream(call, ask.attempt, 0).await
+    }
+
+    async fn resume(
+        &self,
+        address: &str,
+        attempt: AttemptId,
+        index: u32,
+    ) -> Result<EngineTokens, EngineError> {
+        let path = format!("/v1/completions/{attempt}?from={index}");
+        let call = self.get(address, &path);
+        self.stream(call, attempt, index).await
+    }
+
+    async fn cancel(&self, address: &str, attempt: AttemptId) -> Result<(), EngineError> {
+        let body = CancelRequest {
+            attempt: attempt.to_string(),
+        };
+        send(self.post(address, "/v1/cancel").json(&body)).await?;
+        Ok(())
+    }
+
+    async fn describe(&self, address: &str) -> Result<Description, EngineError> {
+        read(send(self.get(address, "/v1/describe")).await?).await
+    }
+
+    async fn load(&self, address: &str) -> Result<LoadReport, EngineError> {
+        read(send(self.get(address, "/v1/load")).await?).await
+    }
+
+    async fn events(&self, address: &str, after: u64) -> Result<CacheEvents, EngineError> {
+        let path = format!("/v1/events?after={after}");
+        read(send(self.get(address, &path)).await?).await
+    }
+
+    async fn order(&self, address: &str, order: &Order) -> Result<Description, EngineError> {
+        read(send(self.post(address, "/v1/orders").json(order)).await?).await
+    }
+}
+
+async fn send(call: RequestBuilder) -> Result<Response, EngineError> {
+    let response = call.send().await.map_err(call_error)?;
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    Err(refusal(response).await)
+}
+
+fn prefill_body(ask: &PrefillAsk) -> CompletionRequest {
+    CompletionRequest {
+        adapter: ask.adapter.clone(),
+        attempt: ask.attempt.to_string(),
+        kv_transfer_params: Some(KvTransferParams {
+            cached_tokens: None,
+            do_remote_decode: true,
+            do_remote_prefill: false,
+            expires_ms: None,
+            remote_address: None,
+            remote_handle: None,
+            remote_tokens: None,
+        }),
+        max_tokens: 0,
+        model: ask.model.clone(),
+        priority: ask.priority,
+        prompt: ask.prompt.clone(),
+        stream: false,
+    }
+}
+
+fn decode_body(ask: &DecodeAsk) -> CompletionRequest {
+    CompletionRequest {
+        adapter: ask.adapter.clone(),
+        attempt: ask.attempt.to_string(),
+        kv_transfer_params: ask.import.as_ref().map(import),
+        max_tokens: ask.max_tokens,
+        model: ask.model.clone(),
+        priority: ask.priority,
+        prompt: ask.prompt.clone(),
+        stream: true,
+    }
+}
+
+fn import(handle: &KvHandle) -> KvTransferParams {
+    KvTransferParams {
+        cached_tokens: Some(handle.cached),
+        do_remote_decode: false,
+        do_remote_prefill: true,
+        expires_ms: Some(handle.expires_ms),
+        remote_address: Some(handle.address.clone()),
+        remote_handle: Some(handle.handle.clone()),
+        remote_tokens: Some(handle.tokens),
+    }
+}
+
+fn kv_handle(params: KvTransferParams) -> Result<KvHandle, EngineError> {
+    let missing = |field: &str| EngineError::Broken(format!("the prefill answer lacks {field}"));
+    Ok(KvHandle {
+        address: params
+            .remote_address
+            .ok_or_else(|| missing("remote_address"))?,
+        handle: params
+            .remote_handle
+            .ok_or_else(|| missing("remote_handle"))?,
+        tokens: params
+            .remote_tokens
+            .ok_or_else(|| missing("remote_tokens"))?,
+        cached: params.cached_tokens.unwrap_or_default(),
+        expires_ms: params.expires_ms.unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/src/border/service_client.rs
@@ -0,0 +1,101 @@
+use {
+    super::{
+        endpoint_answer::{body_error, call_error},
+        endpoint_wire::{RefusalBody, RefusalBodyRan},
+    },
+    crate::port::{EngineError, Service, ServiceCall, ServiceReply},
+    http::{HeaderMap, HeaderName, HeaderValue, Method},
+    reqwest::{Client, Request, Response, Url},
+};
+
+/// Media type of a refusal.
+const PROBLEM: &str = "application/problem+json";
+
+/// Headers that concern one connection only, RFC 9110 section 7.6.1, and the body's length.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Client of plain services; it sets no time limit of its own but for connecting.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    client: Client,
+}
+
+impl ServiceClient {
+    /// Uses `client` for all connections.
+    pub fn new(client: Client) -> Self {
+        Self { client }
+    }
+}
+
+impl Service for ServiceClient {
+    async fn call(&self, address: &str, call: &ServiceCall) -> Result<ServiceReply, EngineError> {
+        let request = request(address, call)?;
+        let response = self.client.execute(request).await.map_err(call_error)?;
+        let reply = reply(response).await?;
+        match refused(&reply) {
+            Some(reason) => Err(EngineError::Refused(reason)),
+            None => Ok(reply),
+        }
+    }
+}
+
+fn request(address: &str, call: &ServiceCall) -> Result<Request, EngineError> {
+    let invalid = |part: &str| EngineError::Unsent(format!("the call's {part} is invalid"));
+    let method = Method::from_bytes(call.method.as_bytes()).or(Err(invalid("method")))?;
+    let url = Url::parse(&format!("http://{address}{}", call.path)).or(Err(invalid("path")))?;
+    let mut request = Request::new(method, url);
+    *request.headers_mut() = header_map(&call.headers).ok_or_else(|| invalid("headers"))?;
+    *request.body_mut() = Some(call.body.clone().into());
+    Ok(request)
+}
+
+fn header_map(headers: &[(String, String)]) -> Option<HeaderMap> {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers.iter().filter(|(name, _)| is_end_to_end(name)) {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        map.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    Some(map)
+}
+
+async fn reply(response: Response) -> Result<ServiceReply, EngineError> {
+    let status = response.status().as_u16();
+    let headers = header_list(response.headers());
+    let body = response.bytes().await.map_err(body_error)?;
+    Ok(ServiceReply {
+        status,
+        headers,
+        body,
+    })
+}
+
+fn header_list(map: &HeaderMap) -> Vec<(String, String)> {
+    map.iter()
+        .filter(|(name, _)| is_end_to_end(name.as_str()))
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
+
+fn is_end_to_end(name: &str) -> bool {
+    !HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// Reason of a refusal that states that the call did not run.
+fn refused(reply: &ServiceReply) -> Option<String> {
+    let problem = reply
+        .headers
+        .iter()
+        .any(|(name, value)| name == "content-type" && value.starts_with(PROBLEM));
+    let body = serde_json::from_slice::<RefusalBody>(&reply.body).ok()?;
+    (problem && reply.status >= 400 && body.ran == RefusalBodyRan::No).then_some(body.reason)
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,3 +14,10 @@
 mod rule_text;
 mod sheet_diff;
 mod sheet_row;
+pub use self::{
+    chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
+    prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
+};
+
+mod chunk_check;
+mod prefix_hash;
--- a/src/key/attempt_id.rs
+++ b/src/key/attempt_id.rs
@@ -1,7 +1,11 @@
 use {
     super::RequestId,
     serde::{Deserialize, Serialize},
-    std::fmt::{self, Display, Formatter},
+    std::{
+        fmt::{self, Display, Formatter},
+        str::FromStr,
+    },
+    thiserror::Error,
 };
 
 /// Identity of one attempt to run a request; every message to an endpoint carries it.
@@ -13,8 +17,37 @@
     pub number: u16,
 }
 
+/// A text that is no displayed attempt identity.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("`{0}` is no attempt identity; expected HOST-INCARNATION-SEQUENCE-NUMBER")]
+pub struct AttemptIdError(String);
+
 impl Display for AttemptId {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.request, self.number)
     }
 }
+
+impl FromStr for AttemptId {
+    type Err = AttemptIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse(text).ok_or_else(|| AttemptIdError(text.to_owned()))
+    }
+}
+
+fn parse(text: &str) -> Option<AttemptId> {
+    let mut parts = text.split('-');
+    let request = RequestId {
+        host: hex(parts.next()?)?,
+        incarnation: hex(parts.next()?)?,
+        sequence: hex(parts.next()?)?,
+    };
+    let number = parts.next()?.parse().ok()?;
+    let end = parts.next();
+    end.is_none().then_some(AttemptId { request, number })
+}
+
+fn hex(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -1,8 +1,14 @@
 //! Small `Copy` keys: arena indices with generations, and identities that cross hosts.
 
 pub use self::{
-    attempt_id::AttemptId, branch_key::BranchKey, endpoint_key::EndpointKey, grant_key::GrantKey,
-    host_key::HostKey, name_hash::name_hash, pool_key::PoolKey, request_id::RequestId,
+    attempt_id::{AttemptId, AttemptIdError},
+    branch_key::BranchKey,
+    endpoint_key::EndpointKey,
+    grant_key::GrantKey,
+    host_key::HostKey,
+    name_hash::name_hash,
+    pool_key::PoolKey,
+    request_id::RequestId,
     rule_key::RuleKey,
 };
 
