Add the path of a request and the listener for callers

Cause: the whole path comes first; everything later is built into it. Change: src/request takes a call through its places (in the lines of up to two owners at once), prefill, handover, decode and relay, with a guard for each place that frees endpoint and owner when it is dropped; services and at-most-once requests run under the same attempt states. src/border turns HTTP into calls and refusals into problem+json. Retries are decided by one pure function from what can be proved; suspects of crashes get their own section writer. Conclusion: compiles without dyn on the path; a dropped future is the one way in which a request is cancelled.

--- /dev/null
+++ b/src/border/caller_listener.rs
@@ -0,0 +1,93 @@
+use {
+    super::{
+        Caller, LimitedAcceptor, Limits,
+        caller_api::{completions, services},
+    },
+    crate::request::Parts,
+    poem::{
+        EndpointExt, Route, Server, endpoint,
+        listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
+    },
+    std::{
+        fmt::{self, Debug, Formatter},
+        io,
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time without traffic after which a connection is closed once its request has ended.
+const IDLE_TIME: Duration = Duration::from_mins(2);
+
+/// Longest time that open connections are kept after the last request in progress has ended.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// The listener for callers.
+pub struct CallerListener<P>
+where
+    P: Parts,
+{
+    acceptor: LimitedAcceptor<TcpAcceptor>,
+    caller: Caller<P>,
+    limits: Limits,
+}
+
+impl<P> CallerListener<P>
+where
+    P: Parts,
+{
+    /// Binds `address`, `ip:port`.
+    pub async fn bind(address: &str, caller: Caller<P>, limits: Limits) -> io::Result<Self> {
+        let acceptor = TcpListener::bind(address.to_owned())
+            .into_acceptor()
+            .await?;
+        let acceptor = LimitedAcceptor::new(acceptor, limits.connections as usize);
+        Ok(Self {
+            acceptor,
+            caller,
+            limits,
+        })
+    }
+
+    /// Address that is bound.
+    pub fn address(&self) -> Option<SocketAddr> {
+        let addresses = self.acceptor.local_addr();
+        addresses
+            .first()
+            .and_then(|address| address.as_socket_addr())
+            .copied()
+    }
+
+    /// Serves until `stop` is cancelled; requests in progress then end first.
+    pub async fn serve(self, stop: CancellationToken) -> io::Result<()> {
+        let completion = self.caller.clone();
+        let service = self.caller;
+        let app = Route::new()
+            .at(
+                "/v1/completions",
+                endpoint::make(move |request| completions(completion.clone(), request)),
+            )
+            .at(
+                "/v1/services/:kind/*path",
+                endpoint::make(move |request| services(service.clone(), request)),
+            )
+            .map_to_response();
+        Server::new_with_acceptor(self.acceptor)
+            .idle_timeout(IDLE_TIME)
+            .http2_max_header_list_size(self.limits.header_bytes as u32)
+            .run_with_graceful_shutdown(app, stop.cancelled_owned(), Some(CLOSE_TIME))
+            .await
+    }
+}
+
+impl<P> Debug for CallerListener<P>
+where
+    P: Parts,
+{
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerListener")
+            .field("address", &self.address())
+            .finish_non_exhaustive()
+    }
+}
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -1,6 +1,9 @@
 //! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
 
 pub use self::{
+    caller::Caller,
+    caller_listener::CallerListener,
+    completion_wire::{CompletionBody, CompletionReply},
     endpoint_answer::{
         CACHE_GONE_REASON, CACHE_GONE_STATUS, REFUSED_STATUS, UNKNOWN_ATTEMPT_REASON,
         UNKNOWN_ATTEMPT_STATUS,
@@ -8,11 +11,13 @@
     engine_client::EngineClient,
     engine_tokens::EngineTokens,
     http_client::http_client,
+    limited_acceptor::{LimitedAcceptor, LimitedIo},
     peer_client::PeerClient,
     peer_limits::PeerLimits,
     peer_listener::PeerListener,
     peer_traffic::PeerTraffic,
     platform_client::{OBJECT_BYTES_MAX, PlatformClient},
+    problem::Problem,
     service_client::ServiceClient,
     settings::{
         Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings, Timing,
@@ -22,18 +27,12 @@
     settings_parse::{parse_settings, read_settings},
 };
 
-pub mod peer_wire;
-
+mod caller;
+mod caller_api;
+mod caller_listener;
+mod completion_wire;
 mod counted_stream;
 mod endpoint_answer;
-mod peer_body;
-mod peer_client;
-mod peer_limits;
-mod peer_link;
-mod peer_listener;
-mod peer_stream;
-mod peer_traffic;
-mod platform_client;
 #[allow(
     clippy::pedantic,
     clippy::allow_attributes_without_reason,
@@ -45,6 +44,17 @@
 mod engine_client;
 mod engine_tokens;
 mod http_client;
+mod limited_acceptor;
+mod peer_body;
+mod peer_client;
+mod peer_limits;
+mod peer_link;
+mod peer_listener;
+mod peer_stream;
+mod peer_traffic;
+pub mod peer_wire;
+mod platform_client;
+mod problem;
 mod service_client;
 mod settings;
 mod settings_builder;
--- /dev/null
+++ b/src/border/problem.rs
@@ -0,0 +1,82 @@
+use {
+    crate::{
+        board::Refusal,
+        request::{Ran, Refused},
+    },
+    poem::{Response, http::StatusCode},
+    serde::Serialize,
+};
+
+/// Body of a refusal, `application/problem+json` (RFC 9457).
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    /// Kind of problem; nothing beyond the status and `reason` is defined.
+    pub r#type: String,
+    /// HTTP status.
+    pub status: u16,
+    /// Stable reason, equal to the label of the counter.
+    pub reason: String,
+    /// Whether the request ran: `no` or `unknown`.
+    pub ran: String,
+    /// Seconds until another try makes sense.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after: Option<u64>,
+    /// What to do, for people.
+    pub detail: String,
+}
+
+impl From<&Refused> for Problem {
+    fn from(refused: &Refused) -> Self {
+        let ran = match refused.ran {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        Self {
+            r#type: "about:blank".to_owned(),
+            status: status(refused.reason).as_u16(),
+            reason: refused.reason.word().to_owned(),
+            ran: ran.to_owned(),
+            retry_after: refused.retry_after.map(|wait| wait.as_secs().max(1)),
+            detail: refused.detail.clone(),
+        }
+    }
+}
+
+impl Problem {
+    /// Turns the problem into a response.
+    pub fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = Response::builder()
+            .status(status)
+            .content_type("application/problem+json");
+        if let Some(wait) = self.retry_after {
+            response = response.header("retry-after", wait);
+        }
+        response.body(self.to_json())
+    }
+
+    /// The JSON text.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// HTTP status of a refusal.
+fn status(reason: Refusal) -> StatusCode {
+    match reason {
+        Refusal::UnknownBranch => StatusCode::UNAUTHORIZED,
+        Refusal::UnknownKind => StatusCode::NOT_FOUND,
+        Refusal::BadRequest | Refusal::KeyMissing => StatusCode::BAD_REQUEST,
+        Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::KeyReused | Refusal::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::InProgress => StatusCode::CONFLICT,
+        Refusal::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Refusal::OutcomeUnknown | Refusal::Truncated => StatusCode::BAD_GATEWAY,
+        Refusal::NoEndpoint
+        | Refusal::EndpointRefused
+        | Refusal::ClaimUnavailable
+        | Refusal::RetryBudget
+        | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,16 +1,20 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
 pub use self::{
+    health_controller::{HealthController, HealthHandle, HealthNews},
     owner_controller::OwnerController,
     sheet_object::ChangeRecord,
     sheet_store::{SheetCursor, SheetStore},
     sheet_store_error::SheetStoreError,
     sheet_submit::{Acceptance, Submission},
+    suspect_controller::{SuspectController, Suspicions},
 };
 
+mod health_controller;
 mod owner_controller;
 mod sheet_object;
 mod sheet_prune;
 mod sheet_store;
 mod sheet_store_error;
 mod sheet_submit;
+mod suspect_controller;
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -144,6 +144,9 @@
     pub remaining: Duration,
     /// Endpoints to avoid.
     pub avoid: Vec<String>,
+    /// Whether the request may have crashed an endpoint; an owner runs at most one such request
+    /// at an endpoint, so that a second crash tells the suspects apart.
+    pub suspect: bool,
 }
 
 /// A granted place.
--- /dev/null
+++ b/src/request/acquire.rs
@@ -0,0 +1,169 @@
+use {
+    super::{Asking, Held, Owner, Parts, Shared},
+    crate::{
+        board::{Blackboard, Endpoint, Tick},
+        decide::{OwnerOption, order_owners},
+        key::{EndpointKey, HostKey, name_hash},
+        port::{Clock, Denial, GrantAsk},
+    },
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Wait before the blackboard is read again when no owner could be asked.
+const RETHINK: Duration = Duration::from_millis(100);
+
+/// Waits for a place at the owners of the pool that `ask` names, until `deadline`.
+///
+/// The attempt stands in the lines of the best few owners at once, takes the first grant and
+/// withdraws from the others.
+pub async fn acquire<P>(
+    shared: &Shared<P>,
+    ask: &GrantAsk,
+    deadline: Tick,
+) -> Result<Held<P>, Denial>
+where
+    P: Parts,
+{
+    let mut last = Denial::NotOwner;
+    loop {
+        let left = shared.left(deadline);
+        if left.is_zero() {
+            return Err(if last == Denial::NotOwner {
+                last
+            } else {
+                Denial::Late
+            });
+        }
+        let ask = GrantAsk {
+            remaining: left,
+            ..ask.clone()
+        };
+        for owners in owners(shared.board(), &ask).chunks(shared.options().owners) {
+            match first_grant(shared, &ask, owners).await {
+                Ok(held) => return Ok(held),
+                Err(denial) => last = denial,
+            }
+        }
+        if matches!(last, Denial::Full | Denial::Late) {
+            return Err(last);
+        }
+        shared.parts().clock().sleep(RETHINK.min(left)).await;
+    }
+}
+
+async fn first_grant<P>(
+    shared: &Shared<P>,
+    ask: &GrantAsk,
+    owners: &[Owner],
+) -> Result<Held<P>, Denial>
+where
+    P: Parts,
+{
+    let mut asking = Asking::new(shared.clone(), ask.clone(), owners.to_vec());
+    let mut replies: FuturesUnordered<_> = owners
+        .iter()
+        .map(|owner| async move { (owner, owner.acquire(shared, ask.clone()).await) })
+        .collect();
+    let mut last = Denial::NotOwner;
+    while let Some((owner, reply)) = replies.next().await {
+        match reply {
+            Ok(grant) => {
+                asking.answered(owner);
+                return Ok(Held::new(shared.clone(), grant, owner.clone()));
+            }
+            Err(denial) => last = denial,
+        }
+    }
+    Err(last)
+}
+
+/// Lists the owners of the pool's usable endpoints, best first.
+fn owners(board: &Blackboard, ask: &GrantAsk) -> Vec<Owner> {
+    let fleet = board.fleet.load();
+    let Some(pool) = fleet
+        .pools
+        .find(&ask.pool)
+        .and_then(|key| fleet.pools.get(key))
+    else {
+        return Vec::new();
+    };
+    let usable = |endpoint: &&Endpoint| {
+        !endpoint.leaving && endpoint.role == ask.role && !ask.avoid.contains(&endpoint.name)
+    };
+    let members = pool.members.iter().filter_map(|key| {
+        let endpoint = fleet.endpoints.get(*key).filter(usable)?;
+        Some((*key, endpoint))
+    });
+    let mut options = options(board, ask, members);
+    order_owners(&mut options, ask.pieces);
+    options
+        .iter()
+        .filter_map(|option| locate(board, option.host))
+        .collect()
+}
+
+fn options<'a, I>(board: &Blackboard, ask: &GrantAsk, endpoints: I) -> Vec<OwnerOption>
+where
+    I: Iterator<Item = (EndpointKey, &'a Endpoint)>,
+{
+    let owners = board.owners.load();
+    let digests = board.digests.load();
+    let members = board.members.load();
+    let zone = members.hosts.get(members.own).map(|own| own.zone.as_str());
+    let mut by_host = BTreeMap::<HostKey, OwnerOption>::new();
+    for (key, endpoint) in endpoints {
+        let Some(ownership) = owners.by_endpoint.get(key) else {
+            continue;
+        };
+        let host = ownership.owner;
+        let option = by_host.entry(host).or_insert_with(|| OwnerOption {
+            host,
+            free: 0,
+            waiting: waiting(&digests.waiting, host, &ask.pool),
+            near: members.hosts.get(host).map(|other| other.zone.as_str()) == zone,
+            tie: tie(ask, members.hosts.get(host).map_or("", |other| &other.name)),
+        });
+        option.free = option.free.max(free(
+            host == members.own,
+            endpoint,
+            digests.by_endpoint.get(key),
+        ));
+    }
+    by_host.into_values().collect()
+}
+
+fn waiting(
+    waiting: &std::collections::HashMap<(HostKey, String), u32>,
+    host: HostKey,
+    pool: &str,
+) -> u32 {
+    waiting.get(&(host, pool.to_owned())).copied().unwrap_or(0)
+}
+
+/// Pieces believed free: exact for an endpoint owned here, optimistic where nothing was heard.
+fn free(own: bool, endpoint: &Endpoint, digest: Option<&crate::board::Digest>) -> u32 {
+    if own {
+        return endpoint.pieces.saturating_sub(endpoint.slot.granted());
+    }
+    digest.map_or(endpoint.pieces, |digest| digest.free)
+}
+
+fn tie(ask: &GrantAsk, host: &str) -> u64 {
+    let request = ask.attempt.request;
+    let seed = request.sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ request.host;
+    (name_hash(host) ^ seed)
+        .wrapping_mul(0xff51_afd7_ed55_8ccd)
+        .rotate_left(31)
+}
+
+fn locate(board: &Blackboard, host: HostKey) -> Option<Owner> {
+    let members = board.members.load();
+    if host == members.own {
+        return Some(Owner::Own);
+    }
+    members
+        .hosts
+        .get(host)
+        .map(|other| Owner::Other(other.address.clone()))
+}
--- /dev/null
+++ b/src/request/model_path.rs
@@ -0,0 +1,300 @@
+use {
+    super::{
+        CallerGone, Completion, Failed, Held, Parts, Progress, Ran, Refused, Relay, RelayEnd,
+        Shared, Sink, acquire, denied, exhausted, late,
+    },
+    crate::{
+        board::{Refusal, RetryReason, Role, Route},
+        decide::{count_tokens, prefixes},
+        key::AttemptId,
+        port::{
+            Clock, DecodeAsk, Denial, Engine, EngineError, GrantAsk, GrantEnd, KvHandle, PrefillAsk,
+        },
+    },
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// Wait before an attempt that follows a refusal by an endpoint.
+const REFUSED_WAIT: Duration = Duration::from_millis(25);
+
+/// One completion on its way: decode place, prefill, handover, decode, relay.
+#[derive(Debug)]
+pub struct ModelPath<'a, P>
+where
+    P: Parts,
+{
+    shared: &'a Shared<P>,
+    ask: &'a Completion,
+    prefill: &'a str,
+    decode: &'a str,
+    avoid: Vec<String>,
+    progress: Progress,
+}
+
+/// Why an attempt ended without the whole answer.
+#[derive(Debug)]
+enum Ended {
+    /// The caller has gone.
+    Gone,
+    /// No place was granted.
+    Denied(Denial),
+    /// A call to an endpoint failed.
+    Failed(Failed),
+}
+
+impl From<CallerGone> for Ended {
+    fn from(_: CallerGone) -> Self {
+        Self::Gone
+    }
+}
+
+impl<'a, P> ModelPath<'a, P>
+where
+    P: Parts,
+{
+    /// Prepares a completion that `route` sends to model pools.
+    pub fn new(shared: &'a Shared<P>, ask: &'a Completion, route: &'a Route) -> Option<Self> {
+        let Route::Model { prefill, decode } = route else {
+            return None;
+        };
+        Some(Self {
+            shared,
+            ask,
+            prefill,
+            decode,
+            avoid: Vec::new(),
+            progress: Progress::default(),
+        })
+    }
+
+    /// Runs the completion until the whole answer is relayed, the caller goes or it is refused.
+    pub async fn run<K>(mut self, sink: &mut K) -> Result<Progress, Refused>
+    where
+        K: Sink,
+    {
+        let left = self.shared.left(self.ask.call.deadline);
+        match timeout(left, self.attempts(sink)).await {
+            Ok(Ok(())) => Ok(self.progress),
+            Ok(Err(refused)) => Err(self.truncated(refused)),
+            Err(_) => Err(self.truncated(late(self.ran()))),
+        }
+    }
+
+    async fn attempts<K>(&mut self, sink: &mut K) -> Result<(), Refused>
+    where
+        K: Sink,
+    {
+        if let Some(budget) = self.shared.budget(self.ask.call.branch) {
+            budget.earn();
+        }
+        for number in 0..self.shared.options().attempts {
+            match self.attempt(number, sink).await {
+                Ok(()) | Err(Ended::Gone) => return Ok(()),
+                Err(Ended::Denied(denial)) => return Err(denied(denial, self.ran())),
+                Err(Ended::Failed(failed)) => self.after(&failed).await?,
+            }
+        }
+        Err(exhausted(self.ran()))
+    }
+
+    async fn attempt<K>(&mut self, number: u16, sink: &mut K) -> Result<(), Ended>
+    where
+        K: Sink,
+    {
+        let prompt = self.progress.continued(&self.ask.prompt);
+        let mut decode = self.place(Role::Decode, number * 2, &prompt).await?;
+        let import = if self.is_local(&decode, &prompt) {
+            self.shared.counters().local.inc();
+            None
+        } else {
+            Some(self.prefill(number * 2 + 1, &prompt).await?)
+        };
+        let handle = import.as_ref().map(|(_, handle)| handle.clone());
+        let tokens = self.decode(&mut decode, prompt, handle).await?;
+        // Dropping the prefill's place frees the exported KV cache, which is imported by now.
+        drop(import);
+        self.relay(decode, tokens, sink).await
+    }
+
+    async fn place(&self, role: Role, number: u16, prompt: &str) -> Result<Held<P>, Ended> {
+        let ask = self.grant_ask(role, number, prompt);
+        acquire(self.shared, &ask, self.ask.call.deadline)
+            .await
+            .map_err(Ended::Denied)
+    }
+
+    fn grant_ask(&self, role: Role, number: u16, prompt: &str) -> GrantAsk {
+        let call = &self.ask.call;
+        let pool = if role == Role::Prefill {
+            self.prefill
+        } else {
+            self.decode
+        };
+        let prompt_tokens = count_tokens(prompt);
+        let output_tokens = self.ask.max_tokens - self.progress.tokens.min(self.ask.max_tokens);
+        let waited = self.shared.now() - call.arrived;
+        GrantAsk {
+            attempt: AttemptId {
+                request: call.id,
+                number,
+            },
+            role,
+            pool: pool.to_owned(),
+            branch: call.rule.branch.clone(),
+            priority: call.rule.priority,
+            pieces: self.pieces(role, pool, prompt_tokens, output_tokens),
+            prompt_tokens,
+            output_tokens,
+            prefixes: prefixes(prompt, &call.rule.model, call.rule.adapter.as_deref()),
+            first_token: call.rule.target.first_token.saturating_sub(waited),
+            per_token: call.rule.target.per_token,
+            remaining: self.shared.left(call.deadline),
+            avoid: self.avoid.clone(),
+            suspect: self.shared.is_suspect(call.print),
+        }
+    }
+
+    /// Pieces of memory that the attempt may come to hold.
+    fn pieces(&self, role: Role, pool: &str, prompt: u32, output: u32) -> u32 {
+        let fleet = self.shared.board().fleet.load();
+        let first = fleet
+            .pools
+            .find(pool)
+            .and_then(|key| fleet.pools.get(key)?.members.first());
+        let piece = first.and_then(|key| Some(fleet.endpoints.get(*key)?.piece_tokens));
+        let tokens = if role == Role::Prefill {
+            prompt
+        } else {
+            prompt + output
+        };
+        tokens.div_ceil(piece.unwrap_or(1).max(1)).max(1)
+    }
+
+    /// Whether so little of the prompt is uncached that a handover would cost more.
+    fn is_local(&self, decode: &Held<P>, prompt: &str) -> bool {
+        let uncached = count_tokens(prompt).saturating_sub(decode.grant().cached);
+        uncached <= self.shared.options().local_tokens
+    }
+
+    async fn prefill(&self, number: u16, prompt: &str) -> Result<(Held<P>, KvHandle), Ended> {
+        let mut held = self.place(Role::Prefill, number, prompt).await?;
+        let ask = PrefillAsk {
+            attempt: held.grant().attempt,
+            model: self.ask.call.rule.model.clone(),
+            adapter: self.ask.call.rule.adapter.clone(),
+            prompt: prompt.to_owned(),
+            priority: self.ask.call.rule.priority,
+        };
+        held.mark_sent();
+        let address = held.grant().address.clone();
+        match self.shared.parts().engine().prefill(&address, &ask).await {
+            Ok(handle) => Ok((held, handle)),
+            Err(error) => Err(Self::failed(held, error, Role::Prefill)),
+        }
+    }
+
+    async fn decode(
+        &mut self,
+        held: &mut Held<P>,
+        prompt: String,
+        import: Option<KvHandle>,
+    ) -> Result<<P::Engine as Engine>::Tokens, Ended> {
+        let ask = DecodeAsk {
+            attempt: held.grant().attempt,
+            model: self.ask.call.rule.model.clone(),
+            adapter: self.ask.call.rule.adapter.clone(),
+            prompt,
+            max_tokens: self.ask.max_tokens - self.progress.tokens,
+            priority: self.ask.call.rule.priority,
+            import,
+        };
+        held.mark_sent();
+        self.progress.sent += 1;
+        let address = held.grant().address.clone();
+        let decoded = self.shared.parts().engine().decode(&address, &ask).await;
+        decoded.map_err(|error| {
+            self.progress.sent -= u32::from(error.is_not_run());
+            Ended::Failed(Failed::new(held.grant(), Role::Decode, error))
+        })
+    }
+
+    async fn relay<K>(
+        &mut self,
+        held: Held<P>,
+        tokens: <P::Engine as Engine>::Tokens,
+        sink: &mut K,
+    ) -> Result<(), Ended>
+    where
+        K: Sink,
+    {
+        let start = self.shared.now();
+        let before = self.progress.tokens;
+        let relayed = Relay::new(self.shared, held.grant(), &mut self.progress)
+            .run(tokens, sink)
+            .await;
+        match relayed {
+            Ok(()) => {
+                let took = self.shared.now() - start;
+                held.finish(GrantEnd::Finished {
+                    took,
+                    tokens: self.progress.tokens - before,
+                });
+                Ok(())
+            }
+            Err(RelayEnd::Gone) => Err(Ended::Gone),
+            Err(RelayEnd::Failed(error)) => Err(Self::failed(held, error, Role::Decode)),
+        }
+    }
+
+    fn failed(held: Held<P>, error: EngineError, role: Role) -> Ended {
+        let failed = Failed::new(held.grant(), role, error);
+        if matches!(failed.error, EngineError::Unsent(_)) {
+            held.finish(GrantEnd::Unused);
+        }
+        Ended::Failed(failed)
+    }
+
+    /// Decides what follows a failed attempt; returns when the next one may start.
+    async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
+        let call = &self.ask.call;
+        let verdict = failed.verdict(self.shared, call, self.progress.sent > 0);
+        let reason = Self::retry_reason(failed);
+        failed.log(call, &self.progress);
+        failed.suspect(self.shared, call).await;
+        self.avoid = vec![failed.endpoint.clone()];
+        failed.settle(verdict)?;
+        self.shared.counters().retry(reason);
+        self.shared.parts().clock().sleep(REFUSED_WAIT).await;
+        Ok(())
+    }
+
+    fn retry_reason(failed: &Failed) -> RetryReason {
+        match (&failed.error, failed.role) {
+            (EngineError::Unsent(_), _) => RetryReason::Unsent,
+            (EngineError::Refused(_), _) => RetryReason::Refused,
+            (EngineError::CacheGone, _) => RetryReason::CacheGone,
+            (_, Role::Prefill) => RetryReason::PrefillBroken,
+            _ => RetryReason::Moved,
+        }
+    }
+
+    fn ran(&self) -> Ran {
+        if self.progress.sent == 0 {
+            Ran::No
+        } else {
+            Ran::Unknown
+        }
+    }
+
+    /// Turns a refusal after the first token into a truncation that the caller can see.
+    fn truncated(&self, refused: Refused) -> Refused {
+        if self.progress.tokens == 0 {
+            return refused;
+        }
+        Refused {
+            reason: Refusal::Truncated,
+            ..refused
+        }
+    }
+}
--- /dev/null
+++ b/src/request/progress.rs
@@ -0,0 +1,31 @@
+use super::Piece;
+
+/// What a caller has received of an answer so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// Tokens relayed.
+    pub tokens: u32,
+    /// Text relayed.
+    pub text: String,
+    /// Attempts sent to an endpoint that decodes.
+    pub sent: u32,
+    /// Whether the final piece was relayed.
+    pub finished: bool,
+}
+
+impl Progress {
+    /// Records a relayed piece.
+    pub fn record(&mut self, piece: &Piece) {
+        self.tokens += piece.count;
+        self.text.push_str(&piece.text);
+        self.finished |= piece.finish.is_some();
+    }
+
+    /// Prompt with which another endpoint continues the answer.
+    pub fn continued(&self, prompt: &str) -> String {
+        if self.text.is_empty() {
+            return prompt.to_owned();
+        }
+        format!("{prompt} {}", self.text.trim())
+    }
+}
--- /dev/null
+++ b/src/request/service_path.rs
@@ -0,0 +1,146 @@
+use {
+    super::{
+        Call, Failed, Held, Parts, Progress, Ran, Refused, Shared, acquire, denied, exhausted, late,
+    },
+    crate::{
+        board::{RetryReason, Role},
+        key::AttemptId,
+        port::{Clock, EngineError, GrantAsk, GrantEnd, Service, ServiceCall, ServiceReply},
+    },
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// Wait before an attempt that follows a failed one.
+const FAILED_WAIT: Duration = Duration::from_millis(25);
+
+/// One call to a plain service on its way.
+#[derive(Debug)]
+pub struct ServicePath<'a, P> {
+    shared: &'a Shared<P>,
+    call: &'a Call,
+    pool: &'a str,
+    message: &'a ServiceCall,
+    avoid: Vec<String>,
+    sent: u32,
+}
+
+impl<'a, P> ServicePath<'a, P>
+where
+    P: Parts,
+{
+    /// Prepares a call to the services of `pool`.
+    pub fn new(
+        shared: &'a Shared<P>,
+        call: &'a Call,
+        pool: &'a str,
+        message: &'a ServiceCall,
+    ) -> Self {
+        Self {
+            shared,
+            call,
+            pool,
+            message,
+            avoid: Vec::new(),
+            sent: 0,
+        }
+    }
+
+    /// Runs the call until a service answers or it is refused.
+    pub async fn run(mut self) -> Result<ServiceReply, Refused> {
+        let left = self.shared.left(self.call.deadline);
+        match timeout(left, self.attempts()).await {
+            Ok(result) => result,
+            Err(_) => Err(late(self.ran())),
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<ServiceReply, Refused> {
+        if let Some(budget) = self.shared.budget(self.call.branch) {
+            budget.earn();
+        }
+        for number in 0..self.shared.options().attempts {
+            let place = acquire(self.shared, &self.grant_ask(number), self.call.deadline).await;
+            let held = place.map_err(|denial| denied(denial, self.ran()))?;
+            match self.attempt(held).await {
+                Ok(reply) => return Ok(reply),
+                Err(failed) => self.after(&failed).await?,
+            }
+        }
+        Err(exhausted(self.ran()))
+    }
+
+    async fn attempt(&mut self, held: Held<P>) -> Result<ServiceReply, Failed> {
+        let start = self.shared.now();
+        let address = held.grant().address.clone();
+        self.sent += 1;
+        let result = self
+            .shared
+            .parts()
+            .service()
+            .call(&address, self.message)
+            .await;
+        match result {
+            Ok(reply) => {
+                held.finish(GrantEnd::Finished {
+                    took: self.shared.now() - start,
+                    tokens: 0,
+                });
+                Ok(reply)
+            }
+            Err(error) => {
+                let failed = Failed::new(held.grant(), Role::Service, error);
+                held.finish(GrantEnd::Unused);
+                self.sent -= u32::from(failed.error.is_not_run());
+                Err(failed)
+            }
+        }
+    }
+
+    fn grant_ask(&self, number: u16) -> GrantAsk {
+        let rule = &self.call.rule;
+        let waited = self.shared.now() - self.call.arrived;
+        GrantAsk {
+            attempt: AttemptId {
+                request: self.call.id,
+                number,
+            },
+            role: Role::Service,
+            pool: self.pool.to_owned(),
+            branch: rule.branch.clone(),
+            priority: rule.priority,
+            pieces: 1,
+            prompt_tokens: 0,
+            output_tokens: 0,
+            prefixes: Vec::new(),
+            first_token: rule.target.first_token.saturating_sub(waited),
+            per_token: rule.target.per_token,
+            remaining: self.shared.left(self.call.deadline),
+            avoid: self.avoid.clone(),
+            suspect: self.shared.is_suspect(self.call.print),
+        }
+    }
+
+    async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
+        let verdict = failed.verdict(self.shared, self.call, self.sent > 0);
+        failed.log(self.call, &Progress::default());
+        failed.suspect(self.shared, self.call).await;
+        self.avoid = vec![failed.endpoint.clone()];
+        failed.settle(verdict)?;
+        self.shared.counters().retry(match failed.error {
+            EngineError::Unsent(_) => RetryReason::Unsent,
+            EngineError::Refused(_) => RetryReason::Refused,
+            _ => RetryReason::CallBroken,
+        });
+        self.shared.parts().clock().sleep(FAILED_WAIT).await;
+        Ok(())
+    }
+
+    fn ran(&self) -> Ran {
+        if self.sent == 0 {
+            Ran::No
+        } else {
+            Ran::Unknown
+        }
+    }
+}
