--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,5 +1,8 @@
 //! Integration tests, a file for each feature.
 
+mod owner_choice;
 mod ownership;
 mod peer_listener;
 mod platform;
+mod retry;
+mod suspicion;
--- /dev/null
+++ b/tests/owner_choice.rs
@@ -0,0 +1,35 @@
+//! Order in which an entry host asks owners.
+
+use lentillead::{
+    decide::{OwnerOption, order_owners},
+    key::HostKey,
+};
+
+fn option(free: u32, waiting: u32, near: bool, tie: u64) -> OwnerOption {
+    OwnerOption {
+        host: HostKey::default(),
+        free,
+        waiting,
+        near,
+        tie,
+    }
+}
+
+#[test]
+fn room_then_zone_then_line() {
+    let mut options = [
+        option(0, 9, true, 1),
+        option(0, 2, true, 2),
+        option(0, 1, false, 3),
+        option(8, 5, false, 4),
+        option(4, 0, true, 6),
+        option(8, 0, true, 5),
+        option(3, 0, true, 0),
+    ];
+    order_owners(&mut options, 4);
+    let order: Vec<_> = options
+        .iter()
+        .map(|o| (o.free, o.waiting, o.near, o.tie))
+        .collect();
+    insta::assert_debug_snapshot!("owner_order", order);
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,52 @@
+//! Decisions after a failed attempt, as a whole table, and the retry budget.
+
+use {
+    lentillead::{
+        board::Repeat,
+        decide::{AttemptState, Chance, Failure, RetryBudget, after_failure},
+    },
+    std::fmt::Write,
+};
+
+const STATES: [AttemptState; 5] = [
+    AttemptState::Unsent,
+    AttemptState::Sent,
+    AttemptState::Answered,
+    AttemptState::NotRun,
+    AttemptState::Unknown,
+];
+
+const CHANCES: [Chance; 4] = [Chance::Open, Chance::Suspect, Chance::Late, Chance::Spent];
+
+#[test]
+fn verdicts() {
+    let mut table = String::new();
+    for repeat in [Repeat::Idempotent, Repeat::AtMostOnce] {
+        for tainted in [false, true] {
+            for state in STATES {
+                for chance in CHANCES {
+                    let verdict = after_failure(Failure {
+                        state,
+                        tainted,
+                        repeat,
+                        chance,
+                    });
+                    let row = format!("{repeat:?} tainted={tainted} {state:?} {chance:?}");
+                    writeln!(table, "{row}: {verdict:?}").unwrap();
+                }
+            }
+        }
+    }
+    insta::assert_snapshot!("retry_verdicts", table);
+}
+
+#[test]
+fn budget_bounds_retries_to_a_share_of_requests() {
+    let budget = RetryBudget::new(20, 3);
+    let mut retries = 0;
+    for _ in 0..100 {
+        budget.earn();
+        retries += u32::from(budget.spend());
+    }
+    insta::assert_debug_snapshot!("retry_budget", retries);
+}
