Grant endpoint memory through the owner's lines

Cause: the path of a request needs places at endpoints from their one owner. Change: LineController owns waiting lines and a grant arena; Lines is its handle. Grants go by rank (feasible first, aged priority, fair share, due time); a dropped ask, a broken attempt and a dead entry host give back their memory, the last two after the endpoint has confirmed a cancel.

--- /dev/null
+++ b/src/control/line_state.rs
@@ -0,0 +1,393 @@
+use {
+    super::{
+        endpoint_view::EndpointView,
+        grant_table::{GrantEntry, GrantTable},
+        line_mail::Ticket,
+        line_places::{LinePlaces, limit},
+        waiter::Waiter,
+    },
+    crate::{
+        board::{Arena, Blackboard, HostState, Members, Role, Tick},
+        decide::{FairShare, LATE_TURN, Place, Rank, Waiting, late_rank, rank},
+        key::{AttemptId, BranchKey, EndpointKey, GrantKey, PoolKey, WaitKey, name_hash},
+        port::{Denial, Grant, GrantAsk, GrantEnd, GrantRelease},
+    },
+    slotmap::{SecondaryMap, SlotMap},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
+    tokio::sync::oneshot::Sender,
+};
+
+/// Asks that may wait in one owner.
+const LINE_MAX: usize = 4096;
+
+/// Waiting lines and grants of one owner; every method is free of I/O.
+#[derive(Debug, Default)]
+pub(super) struct LineState {
+    waiting: SlotMap<WaitKey, Waiter>,
+    by_ticket: HashMap<Ticket, WaitKey>,
+    grants: GrantTable,
+    views: SecondaryMap<EndpointKey, EndpointView>,
+    shares: Arena<BranchKey, FairShare>,
+    orphans: Vec<GrantKey>,
+    turn: u64,
+    closed: bool,
+}
+
+impl LineState {
+    /// Puts an ask in line, or denies it at once.
+    pub(super) fn join(
+        &mut self,
+        board: &Blackboard,
+        ask: GrantAsk,
+        ticket: Ticket,
+        reply: Sender<Result<Grant, Denial>>,
+        now: Tick,
+    ) {
+        let places = LinePlaces::new(board);
+        let pool = places.fleet.pools.find(&ask.pool);
+        let served = pool.filter(|pool| places.may_serve(*pool, &ask));
+        let denial = match served {
+            _ if self.closed => Denial::Stopping,
+            None => Denial::NotOwner,
+            Some(_) if self.waiting.len() >= LINE_MAX => Denial::Full,
+            Some(pool) => {
+                self.push(ask, ticket, reply, pool, now);
+                return;
+            }
+        };
+        // The caller may have gone.
+        let _ = reply.send(Err(denial));
+    }
+
+    /// Removes an ask whose call was dropped, or gives back the grant that raced with the drop.
+    pub(super) fn abandon(&mut self, ticket: Ticket, now: Tick) {
+        if let Some(key) = self.by_ticket.remove(&ticket) {
+            self.waiting.remove(key);
+        }
+        if let Some(key) = self.grants.answered(ticket) {
+            self.free(key, now);
+        }
+    }
+
+    /// Removes every ask and every grant of an attempt.
+    pub(super) fn withdraw(&mut self, attempt: AttemptId, now: Tick) {
+        let asks = self.waiting.iter();
+        let found = asks.filter(|(_, waiter)| waiter.ask.attempt == attempt);
+        let keys: Vec<WaitKey> = found.map(|(key, _)| key).collect();
+        for key in keys {
+            self.deny(key, Denial::Late);
+        }
+        for key in self.grants.select(|entry| entry.attempt == attempt) {
+            self.free(key, now);
+        }
+    }
+
+    /// Ends a grant.
+    pub(super) fn release(&mut self, board: &Blackboard, release: &GrantRelease, now: Tick) {
+        let Some(endpoint) = board.fleet.load().endpoints.find(&release.endpoint) else {
+            return;
+        };
+        let Some(key) = self.grants.find(release.attempt, endpoint) else {
+            return;
+        };
+        match release.end {
+            GrantEnd::Finished { took, tokens } => {
+                self.learn(key, took, tokens, now);
+                self.free(key, now);
+            }
+            GrantEnd::Unused | GrantEnd::Cancelled => self.free(key, now),
+            GrantEnd::Broken => self.orphan(key, now),
+        }
+    }
+
+    /// Gives back the memory of an orphan whose cancellation the endpoint confirmed.
+    pub(super) fn cancelled(&mut self, key: GrantKey, now: Tick) {
+        self.free(key, now);
+    }
+
+    /// Denies the asks whose time has passed.
+    pub(super) fn expire(&mut self, now: Tick) {
+        let asks = self.waiting.iter();
+        let found = asks.filter(|(_, waiter)| waiter.expires <= now);
+        let keys: Vec<WaitKey> = found.map(|(key, _)| key).collect();
+        for key in keys {
+            self.deny(key, Denial::Late);
+        }
+    }
+
+    /// Returns the time until the earliest deadline.
+    pub(super) fn next_due(&self, now: Tick) -> Duration {
+        let expiries = self.waiting.values().map(|waiter| waiter.expires);
+        expiries.min().map_or(Duration::MAX, |due| due.since(now))
+    }
+
+    /// Denies all asks, now and from now on.
+    pub(super) fn close(&mut self) {
+        self.closed = true;
+        let keys: Vec<WaitKey> = self.waiting.keys().collect();
+        for key in keys {
+            self.deny(key, Denial::Stopping);
+        }
+    }
+
+    /// Returns the orphans that no task cancels yet.
+    pub(super) fn take_orphans(&mut self) -> Vec<GrantKey> {
+        std::mem::take(&mut self.orphans)
+    }
+
+    /// Returns a grant for editing.
+    pub(super) fn grant_mut(&mut self, key: GrantKey) -> Option<&mut GrantEntry> {
+        self.grants.get_mut(key)
+    }
+
+    /// Follows changes of the fleet, the owners and the members.
+    pub(super) fn follow(&mut self, board: &Blackboard, now: Tick) {
+        let places = LinePlaces::new(board);
+        self.follow_endpoints(&places, now);
+        self.follow_members(&board.members.load(), now);
+        let asks = self.waiting.iter();
+        let lost = asks.filter(|(_, waiter)| !places.may_serve(waiter.pool, &waiter.ask));
+        let keys: Vec<WaitKey> = lost.map(|(key, _)| key).collect();
+        for key in keys {
+            self.deny(key, Denial::NotOwner);
+        }
+    }
+
+    /// Grants what can be granted, pool by pool in the order of the lines.
+    pub(super) fn serve(&mut self, board: &Blackboard, now: Tick) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let places = LinePlaces::new(board);
+        let lines: BTreeSet<(PoolKey, Role)> = self
+            .waiting
+            .values()
+            .map(|waiter| (waiter.pool, waiter.ask.role))
+            .collect();
+        for (pool, role) in lines {
+            while self.serve_one(&places, pool, role, now) {}
+        }
+    }
+
+    /// Grants one place of a pool; `false` if nothing fits.
+    fn serve_one(&mut self, places: &LinePlaces, pool: PoolKey, role: Role, now: Tick) -> bool {
+        for key in self.ordered(pool, role, now) {
+            let waiter = &self.waiting[key];
+            let Some((place, pieces)) = places.choose(waiter, &self.views, &self.grants, now)
+            else {
+                continue;
+            };
+            if self.grant(places, key, &place, pieces, now) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns the waiting asks of a line, the first to be served first.
+    fn ordered(&self, pool: PoolKey, role: Role, now: Tick) -> Vec<WaitKey> {
+        let mean = self.mean_share(now);
+        let late = self.turn % LATE_TURN == LATE_TURN - 1;
+        let asks = self.waiting.iter();
+        let line = asks.filter(|(_, waiter)| waiter.pool == pool && waiter.ask.role == role);
+        let mut ranked: Vec<(Rank, WaitKey)> = line
+            .map(|(key, waiter)| {
+                let waiting = self.describe(waiter, mean, now);
+                let order = if late { late_rank } else { rank };
+                (order(&waiting, now), key)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Describes a waiter to the order of the queue.
+    fn describe(&self, waiter: &Waiter, mean: f64, now: Tick) -> Waiting {
+        let used = self.shares.get(waiter.branch).map(|share| share.used(now));
+        Waiting {
+            arrived: waiter.arrived,
+            priority: waiter.ask.priority,
+            due: waiter.due,
+            work: Duration::ZERO,
+            share: used.unwrap_or_default() / mean,
+        }
+    }
+
+    /// Mean use over the branches that have used anything lately.
+    fn mean_share(&self, now: Tick) -> f64 {
+        let total: f64 = self.shares.iter().map(|(_, share)| share.used(now)).sum();
+        (total / self.shares.len().max(1) as f64).max(1.0)
+    }
+
+    /// Takes the memory and answers the call; `false` if the memory was not to be had.
+    fn grant(
+        &mut self,
+        places: &LinePlaces,
+        key: WaitKey,
+        place: &Place,
+        pieces: u32,
+        now: Tick,
+    ) -> bool {
+        let Some(endpoint) = places.fleet.endpoints.get(place.endpoint) else {
+            return false;
+        };
+        if !endpoint.slot.try_take(pieces, limit(endpoint)) {
+            return false;
+        }
+        let Some(waiter) = self.waiting.remove(key) else {
+            endpoint.slot.give_back(pieces);
+            return false;
+        };
+        self.by_ticket.remove(&waiter.ticket);
+        self.turn += 1;
+        if let Some(share) = self.shares.get_mut(waiter.branch) {
+            share.add(f64::from(pieces), now);
+        }
+        let uncached = waiter.ask.prompt_tokens.saturating_sub(place.cached);
+        let grant = self.grants.insert(GrantEntry {
+            attempt: waiter.ask.attempt,
+            endpoint: place.endpoint,
+            address: endpoint.address.clone(),
+            slot: std::sync::Arc::clone(&endpoint.slot),
+            role: endpoint.role,
+            pieces,
+            ticket: Some(waiter.ticket),
+            since: now,
+            work: place.unit * uncached,
+            cancel: None,
+        });
+        let answer = Grant {
+            attempt: waiter.ask.attempt,
+            endpoint: endpoint.name.clone(),
+            address: endpoint.address.clone(),
+            zone: endpoint.zone.clone(),
+            pieces,
+            cached: place.cached,
+        };
+        if waiter.reply.send(Ok(answer)).is_err() {
+            self.free(grant, now);
+        }
+        true
+    }
+
+    /// Adds a waiter.
+    fn push(
+        &mut self,
+        ask: GrantAsk,
+        ticket: Ticket,
+        reply: Sender<Result<Grant, Denial>>,
+        pool: PoolKey,
+        now: Tick,
+    ) {
+        let known = self.shares.find(&ask.branch);
+        let branch = known.unwrap_or_else(|| {
+            let share = FairShare::default();
+            self.shares.insert(&ask.branch, share)
+        });
+        let waiter = Waiter {
+            ticket,
+            reply,
+            pool,
+            branch,
+            arrived: now,
+            due: now + ask.first_token,
+            expires: now + ask.remaining,
+            ask,
+        };
+        let key = self.waiting.insert(waiter);
+        self.by_ticket.insert(ticket, key);
+    }
+
+    /// Removes a waiter and tells it why.
+    fn deny(&mut self, key: WaitKey, denial: Denial) {
+        let Some(waiter) = self.waiting.remove(key) else {
+            return;
+        };
+        self.by_ticket.remove(&waiter.ticket);
+        // The caller may have gone.
+        let _ = waiter.reply.send(Err(denial));
+    }
+
+    /// Ends a grant and gives its memory back.
+    fn free(&mut self, key: GrantKey, now: Tick) {
+        let Some(entry) = self.grants.remove(key) else {
+            return;
+        };
+        if let Some(view) = self.views.get_mut(entry.endpoint) {
+            view.ended = now;
+        }
+    }
+
+    /// Marks a grant for cancellation at its endpoint; a service has nothing to cancel.
+    fn orphan(&mut self, key: GrantKey, now: Tick) {
+        let role = self.grants.get(key).map(|entry| entry.role);
+        match role {
+            Some(Role::Service) => self.free(key, now),
+            Some(_) => self.orphans.push(key),
+            None => {}
+        }
+    }
+
+    /// Learns the service time of a finished grant.
+    fn learn(&mut self, key: GrantKey, took: Duration, tokens: u32, now: Tick) {
+        let Some(entry) = self.grants.get(key) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(entry.endpoint) else {
+            return;
+        };
+        if tokens == 0 && entry.role != Role::Service {
+            return;
+        }
+        match entry.role {
+            Role::Prefill => {
+                let alone = now.since(entry.since.max(view.ended));
+                view.fit.learn(f64::from(tokens), took.min(alone));
+            }
+            Role::Decode => {
+                let batch = entry.slot.running();
+                view.fit.learn(f64::from(batch), took / tokens);
+            }
+            Role::Service => view.fit.learn(1.0, took),
+        }
+    }
+
+    /// Keeps a view of each owned endpoint and drops the grants of endpoints that are gone.
+    fn follow_endpoints(&mut self, places: &LinePlaces, now: Tick) {
+        for (key, endpoint) in places.fleet.endpoints.iter() {
+            if !places.owns(key) {
+                self.views.remove(key);
+            } else if !self.views.contains_key(key) {
+                self.views
+                    .insert(key, EndpointView::new(endpoint.role, now));
+            }
+        }
+        let gone = |entry: &GrantEntry| places.fleet.endpoints.get(entry.endpoint).is_none();
+        for key in self.grants.select(gone) {
+            self.free(key, now);
+        }
+    }
+
+    /// Cancels the grants whose entry host has died or restarted.
+    fn follow_members(&mut self, members: &Members, now: Tick) {
+        let hosts: HashMap<u64, (u64, HostState)> = members
+            .hosts
+            .iter()
+            .map(|(_, host)| (name_hash(&host.name), (host.incarnation, host.state)))
+            .collect();
+        let lost = |entry: &GrantEntry| {
+            let request = entry.attempt.request;
+            let host = hosts.get(&request.host);
+            let gone = host.is_some_and(|(incarnation, state)| {
+                *state == HostState::Dead || *incarnation > request.incarnation
+            });
+            gone && entry.cancel.is_none()
+        };
+        for key in self.grants.select(lost) {
+            self.orphan(key, now);
+        }
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,8 @@
 
 pub use self::{
     health_controller::{HealthController, HealthHandle, HealthNews},
+    line_controller::LineController,
+    lines::Lines,
     owner_controller::OwnerController,
     sheet_object::ChangeRecord,
     sheet_store::{SheetCursor, SheetStore},
@@ -10,7 +12,15 @@
     suspect_controller::{SuspectController, Suspicions},
 };
 
+mod endpoint_view;
+mod grant_table;
 mod health_controller;
+mod line_controller;
+mod line_mail;
+mod line_places;
+mod line_state;
+mod lines;
+mod orphan_cancel;
 mod owner_controller;
 mod sheet_object;
 mod sheet_prune;
@@ -18,3 +28,4 @@
 mod sheet_store_error;
 mod sheet_submit;
 mod suspect_controller;
+mod waiter;
--- /dev/null
+++ b/src/decide/fair_share.rs
@@ -0,0 +1,25 @@
+use {crate::board::Tick, std::time::Duration};
+
+/// Time in which a past use counts half.
+pub const HALF_LIFE: Duration = Duration::from_mins(1);
+
+/// Exponentially decaying use of endpoints by one branch.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FairShare {
+    used: f64,
+    at: Tick,
+}
+
+impl FairShare {
+    /// Adds the use of `amount`, in pieces.
+    pub fn add(&mut self, amount: f64, now: Tick) {
+        self.used = self.used(now) + amount;
+        self.at = now;
+    }
+
+    /// Returns the decayed use at `now`.
+    pub fn used(&self, now: Tick) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.used * (-age / HALF_LIFE.as_secs_f64()).exp2()
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,27 +3,37 @@
 pub use self::{
     attempt_state::AttemptState,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
+    fair_share::{FairShare, HALF_LIFE},
     owner_choice::{OwnerOption, order_owners},
+    place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
+    queue_order::{AGE_STEP, LATE_TURN, Rank, late_rank, rank},
     retry::{Chance, Failure, Verdict, after_failure},
     retry_budget::RetryBudget,
     rule_choice::{is_open, minute_of_day, routes},
     rule_text::{repeat_text, rule_text},
+    service_fit::ServiceFit,
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, strike},
+    waiting::Waiting,
 };
 
 mod attempt_state;
 mod chunk_check;
+mod fair_share;
 mod owner_choice;
 pub mod ownership;
+mod place;
 mod prefix_hash;
+mod queue_order;
 pub mod rendezvous;
 mod retry;
 mod retry_budget;
 mod rule_choice;
 mod rule_text;
+mod service_fit;
 mod sheet_diff;
 mod sheet_row;
 mod suspicion;
+mod waiting;
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -10,6 +10,7 @@
     pool_key::PoolKey,
     request_id::RequestId,
     rule_key::RuleKey,
+    wait_key::WaitKey,
 };
 
 mod attempt_id;
@@ -21,3 +22,4 @@
 mod pool_key;
 mod request_id;
 mod rule_key;
+mod wait_key;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,5 +1,7 @@
 //! Integration tests, a file for each feature.
 
+mod line_bench;
+mod lines;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
--- /dev/null
+++ b/tests/line_bench.rs
@@ -0,0 +1,263 @@
+//! A line controller over a blackboard of its own and an engine that records cancellations.
+
+use {
+    lentillead::{
+        board::{
+            Blackboard, Endpoint, EndpointSlot, Fleet, Host, HostState, Members, Owners, Ownership,
+            Pool, Role, Tick, Writers,
+        },
+        control::{LineController, Lines},
+        key::{AttemptId, EndpointKey, HostKey, RequestId, name_hash},
+        port::{
+            CacheEvents, Chunk, DecodeAsk, Denial, Description, Engine, EngineError, Grant,
+            GrantAsk, GrantEnd, GrantRelease, KvHandle, Line, LoadReport, MonoClock, Order,
+            PrefillAsk, TokenStream,
+        },
+    },
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::task::JoinHandle,
+};
+
+/// Name of the host that the attempts enter at.
+const ENTRY: &str = "entry";
+
+/// Controller under test with everything around it.
+pub(crate) struct LineBench {
+    pub(crate) lines: Lines,
+    pub(crate) engine: RecordEngine,
+    pub(crate) keys: Vec<EndpointKey>,
+    pub(crate) board: Blackboard,
+    writers: Writers,
+}
+
+impl LineBench {
+    /// Starts a controller that owns `count` decode and prefill endpoints of `pieces` each.
+    pub(crate) fn new(count: usize, pieces: u32) -> Self {
+        let (board, mut writers) = Blackboard::new();
+        let mut members = Members::default();
+        members.own = members.hosts.insert("own", host("own"));
+        members.hosts.insert(ENTRY, host(ENTRY));
+        let (fleet, keys) = fleet(count, pieces);
+        let mut owners = Owners::default();
+        for key in &keys {
+            owners.by_endpoint.insert(*key, owned_by(members.own));
+        }
+        writers.members.publish(members);
+        writers.fleet.publish(fleet);
+        writers.owners.publish(owners);
+        let engine = RecordEngine::default();
+        let clock = MonoClock::start();
+        let (controller, lines) = LineController::new(board.clone(), clock, engine.clone());
+        tokio::spawn(controller.run());
+        Self {
+            lines,
+            engine,
+            keys,
+            board,
+            writers,
+        }
+    }
+
+    /// Lets every task run until all sleep.
+    pub(crate) async fn settle(&self) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    /// Starts an ask in its own task.
+    pub(crate) fn spawn(&self, ask: GrantAsk) -> JoinHandle<Result<Grant, Denial>> {
+        let lines = self.lines.clone();
+        tokio::spawn(async move { lines.acquire(ask).await })
+    }
+
+    /// Gives a grant back.
+    pub(crate) fn release(&self, grant: &Grant, end: GrantEnd) {
+        self.lines.release(GrantRelease {
+            attempt: grant.attempt,
+            endpoint: grant.endpoint.clone(),
+            end,
+        });
+    }
+
+    /// Pieces granted over all endpoints.
+    pub(crate) fn granted(&self) -> u32 {
+        let fleet = self.board.fleet.snapshot();
+        let endpoints = fleet.endpoints.iter();
+        endpoints.map(|(_, endpoint)| endpoint.slot.granted()).sum()
+    }
+
+    /// Changes the state of the entry host.
+    pub(crate) fn set_entry(&mut self, state: HostState) {
+        self.writers.members.update(|members| {
+            let key = members.hosts.find(ENTRY).unwrap();
+            members.hosts.get_mut(key).unwrap().state = state;
+        });
+    }
+
+    /// Marks an endpoint as leaving.
+    pub(crate) fn set_leaving(&mut self, index: usize) {
+        let key = self.keys[index];
+        self.writers.fleet.update(|fleet| {
+            fleet.endpoints.get_mut(key).unwrap().leaving = true;
+        });
+    }
+}
+
+/// Identity of the attempt with this number.
+pub(crate) fn attempt(sequence: u64) -> AttemptId {
+    let request = RequestId {
+        host: name_hash(ENTRY),
+        incarnation: 1,
+        sequence,
+    };
+    AttemptId { request, number: 0 }
+}
+
+/// An ask with generous times.
+pub(crate) fn ask(sequence: u64, role: Role, pieces: u32) -> GrantAsk {
+    GrantAsk {
+        attempt: attempt(sequence),
+        role,
+        pool: format!("{role:?}").to_lowercase(),
+        branch: "bangor".to_owned(),
+        priority: 1,
+        pieces,
+        prompt_tokens: 1000,
+        output_tokens: 100,
+        prefixes: Vec::new(),
+        first_token: Duration::from_secs(1),
+        per_token: Duration::from_millis(36),
+        suspect: false,
+        remaining: Duration::from_mins(10),
+        avoid: Vec::new(),
+    }
+}
+
+fn host(name: &str) -> Host {
+    Host {
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        address: String::new(),
+        incarnation: 1,
+        state: HostState::Alive,
+        round: 0,
+        since: Tick::default(),
+    }
+}
+
+fn owned_by(owner: HostKey) -> Ownership {
+    Ownership {
+        owner,
+        backup: None,
+    }
+}
+
+fn fleet(count: usize, pieces: u32) -> (Fleet, Vec<EndpointKey>) {
+    let mut fleet = Fleet::default();
+    let mut keys = Vec::new();
+    for role in [Role::Decode, Role::Prefill] {
+        let name = format!("{role:?}").to_lowercase();
+        let pool = fleet.pools.insert(&name, Pool::default());
+        let mut members = Vec::new();
+        for index in 0..count {
+            let name = format!("{name}-{index}");
+            let endpoint = Endpoint {
+                name: name.clone(),
+                address: name.clone(),
+                zone: "a".to_owned(),
+                pool,
+                role,
+                model: "m".to_owned(),
+                version: "1".to_owned(),
+                pieces,
+                piece_tokens: 2000,
+                slots: 1,
+                fenced: true,
+                leaving: false,
+                slot: Arc::new(EndpointSlot::default()),
+            };
+            members.push(fleet.endpoints.insert(&name, endpoint));
+        }
+        keys.extend(members.iter().copied());
+        fleet.pools.get_mut(pool).unwrap().members = members;
+    }
+    (fleet, keys)
+}
+
+/// Engine that answers cancellations and load reports only.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecordEngine {
+    state: Arc<Mutex<RecordState>>,
+}
+
+#[derive(Debug, Default)]
+struct RecordState {
+    cancels: usize,
+    failures: usize,
+}
+
+impl RecordEngine {
+    /// Makes the next `count` cancellations fail.
+    pub(crate) fn fail_cancels(&self, count: usize) {
+        self.state.lock().unwrap().failures = count;
+    }
+
+    /// Number of cancellations received.
+    pub(crate) fn cancels(&self) -> usize {
+        self.state.lock().unwrap().cancels
+    }
+}
+
+/// Token stream without tokens.
+#[derive(Debug)]
+pub(crate) struct NoTokens;
+
+impl TokenStream for NoTokens {
+    async fn next(&mut self) -> Result<Option<Chunk>, EngineError> {
+        Ok(None)
+    }
+}
+
+impl Engine for RecordEngine {
+    type Tokens = NoTokens;
+
+    async fn prefill(&self, _: &str, _: &PrefillAsk) -> Result<KvHandle, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn decode(&self, _: &str, _: &DecodeAsk) -> Result<NoTokens, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn resume(&self, _: &str, _: AttemptId, _: u32) -> Result<NoTokens, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn cancel(&self, _: &str, _: AttemptId) -> Result<(), EngineError> {
+        let mut state = self.state.lock().unwrap();
+        state.cancels += 1;
+        if state.failures > 0 {
+            state.failures -= 1;
+            return Err(EngineError::Unsent("refused".to_owned()));
+        }
+        Ok(())
+    }
+
+    async fn describe(&self, _: &str) -> Result<Description, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn load(&self, _: &str) -> Result<LoadReport, EngineError> {
+        Ok(LoadReport::default())
+    }
+
+    async fn events(&self, _: &str, _: u64) -> Result<CacheEvents, EngineError> {
+        Ok(CacheEvents::default())
+    }
+
+    async fn order(&self, _: &str, _: &Order) -> Result<Description, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+}
--- /dev/null
+++ b/tests/lines.rs
@@ -0,0 +1,86 @@
+//! Owner-side lines and grants.
+
+use {
+    crate::line_bench::{LineBench, ask, attempt},
+    lentillead::{
+        board::{HostState, Role},
+        port::{Denial, GrantEnd, Line},
+    },
+    std::time::Duration,
+};
+
+#[tokio::test(start_paused = true)]
+async fn waits_for_memory_and_is_granted_on_release() {
+    let bench = LineBench::new(1, 4);
+    let first = bench.lines.acquire(ask(1, Role::Decode, 3)).await.unwrap();
+    let waiting = bench.spawn(ask(2, Role::Decode, 3));
+    bench.settle().await;
+    assert!(!waiting.is_finished());
+    bench.release(&first, GrantEnd::Unused);
+    let second = waiting.await.unwrap().unwrap();
+    assert_eq!(second.attempt, attempt(2));
+    assert_eq!(bench.granted(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drop_of_a_waiting_acquire_leaks_nothing() {
+    let bench = LineBench::new(1, 4);
+    let first = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    let dropped = bench.spawn(ask(2, Role::Decode, 4));
+    bench.settle().await;
+    // The release is in the mailbox before the abort: the grant races with the drop.
+    bench.release(&first, GrantEnd::Unused);
+    dropped.abort();
+    bench.settle().await;
+    assert_eq!(bench.granted(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn late_and_foreign_asks_are_denied() {
+    let bench = LineBench::new(1, 4);
+    let _held = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    let mut short = ask(2, Role::Decode, 4);
+    short.remaining = Duration::from_secs(1);
+    let late = bench.lines.acquire(short).await;
+    assert_eq!(late, Err(Denial::Late));
+    let foreign = bench.lines.acquire(ask(3, Role::Service, 1)).await;
+    assert_eq!(foreign, Err(Denial::NotOwner));
+    bench.lines.drain().await;
+    let stopping = bench.lines.acquire(ask(4, Role::Decode, 1)).await;
+    assert_eq!(stopping, Err(Denial::Stopping));
+}
+
+#[tokio::test(start_paused = true)]
+async fn orphan_is_cancelled_until_the_endpoint_confirms() {
+    let bench = LineBench::new(1, 4);
+    let grant = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    bench.engine.fail_cancels(5);
+    bench.release(&grant, GrantEnd::Broken);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(bench.granted(), 4);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    assert_eq!(bench.granted(), 0);
+    assert_eq!(bench.engine.cancels(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn grants_of_a_dead_entry_host_are_cancelled() {
+    let mut bench = LineBench::new(1, 4);
+    let _grant = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    bench.set_entry(HostState::Dead);
+    bench.settle().await;
+    assert_eq!(bench.granted(), 0);
+    assert_eq!(bench.engine.cancels(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_endpoint_gets_no_grant() {
+    let mut bench = LineBench::new(1, 4);
+    let waiting = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    let second = bench.spawn(ask(2, Role::Decode, 1));
+    bench.set_leaving(0);
+    assert_eq!(second.await.unwrap(), Err(Denial::NotOwner));
+    bench.release(&waiting, GrantEnd::Unused);
+    bench.settle().await;
+    assert_eq!(bench.granted(), 0);
+}
