Publish hosts and endpoints, and keep a budget of platform calls

Cause: the lagging list must reach the blackboard without moving keys or slots, and a fleet must not overrun the platform's rate, least of all after an outage. Change: HostController writes `hosts`, FleetController describes engines and writes `fleet`; BudgetedPlatform takes a token for each call, with a reserve for more urgent classes; Backoff spreads retries. EndpointSlot knows whether the endpoint's own report says that it leaves. Conclusion: one writer a section holds, an outage keeps the last list.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -17,7 +17,7 @@
     pub fleet: Section<Fleet>,
     /// State of this daemon.
     pub health: Section<Health>,
-    /// Daemons of the platform's host list.
+    /// The platform's host list.
     pub hosts: Section<HostList>,
     /// Hosts that run daemons.
     pub members: Section<Members>,
@@ -40,7 +40,7 @@
     pub fleet: Writer<Fleet>,
     /// Written by the health controller.
     pub health: Writer<Health>,
-    /// Written by the fleet controller.
+    /// Written by the host controller.
     pub hosts: Writer<HostList>,
     /// Written by the member controller.
     pub members: Writer<Members>,
--- a/src/board/endpoint_slot.rs
+++ b/src/board/endpoint_slot.rs
@@ -15,6 +15,8 @@
     waiting: AtomicU32,
     /// Whether the endpoint is taken out after repeated failures.
     ejected: AtomicBool,
+    /// Whether the endpoint's own load report says that it leaves.
+    leaving: AtomicBool,
 }
 
 impl EndpointSlot {
@@ -88,4 +90,14 @@
     pub fn ejected(&self) -> bool {
         self.ejected.load(Ordering::Acquire)
     }
+
+    /// Records whether the endpoint's own load report says that it leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Whether the endpoint's own load report says that it leaves.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
 }
--- a/src/board/host_list.rs
+++ b/src/board/host_list.rs
@@ -1,10 +1,12 @@
-use super::Tick;
+use super::{Role, Tick};
 
-/// Daemons of the platform's host list, as last read.
+/// The platform's host list, as last read.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct HostList {
     /// Daemons in the order of their names.
     pub entries: Vec<ListedHost>,
+    /// Endpoints in the order of their names.
+    pub endpoints: Vec<ListedEndpoint>,
     /// When the list was read; zero before the first time.
     pub heard: Tick,
 }
@@ -21,3 +23,20 @@
     /// Whether the host has announced that it leaves.
     pub leaving: bool,
 }
+
+/// An endpoint of the platform's host list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedEndpoint {
+    /// Unique name.
+    pub name: String,
+    /// What the endpoint does.
+    pub role: Role,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Name of the pool.
+    pub pool: String,
+    /// Whether the endpoint has announced that it leaves.
+    pub leaving: bool,
+}
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -11,7 +11,7 @@
     fleet::Fleet,
     health::Health,
     host::{Host, HostState},
-    host_list::{HostList, ListedHost},
+    host_list::{HostList, ListedEndpoint, ListedHost},
     members::Members,
     owners::{Owners, Ownership},
     pool::Pool,
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -1,6 +1,8 @@
 //! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
 
 pub use self::{
+    budgeted_platform::BudgetedPlatform,
+    call_counters::CallCounters,
     caller::Caller,
     caller_listener::CallerListener,
     completion_wire::{CompletionBody, CompletionReply},
@@ -41,6 +43,8 @@
 )]
 #[rustfmt::skip]
 pub mod endpoint_wire;
+mod budgeted_platform;
+mod call_counters;
 mod engine_client;
 mod engine_tokens;
 mod http_client;
--- a/src/border/platform_client.rs
+++ b/src/border/platform_client.rs
@@ -24,9 +24,15 @@
 }
 
 impl PlatformClient {
-    /// Creates a client of the platform at `base`; each call may take up to `timeout`.
+    /// Creates a client of the platform at `base`, a URL or `ip:port`; each call may take up to
+    /// `timeout`.
     pub fn new(base: &str, timeout: Duration) -> Result<Self, PlatformError> {
-        let base = Url::parse(base)
+        let full = if base.contains("://") {
+            base.into()
+        } else {
+            format!("http://{base}")
+        };
+        let base = Url::parse(&full)
             .ok()
             .filter(|url| !url.cannot_be_a_base())
             .ok_or_else(|| {
--- /dev/null
+++ b/src/control/host_controller.rs
@@ -0,0 +1,74 @@
+use {
+    crate::{
+        board::{HostList, Writer},
+        decide::{Backoff, HostRoster, jitter},
+        port::{Clock, Platform, PlatformError},
+    },
+    rand::rngs::SmallRng,
+    std::time::Duration,
+};
+
+/// Longest delay between polls while the platform is away.
+const BACKOFF_MAX: Duration = Duration::from_secs(10);
+
+/// Publishes the platform's lagging host list.
+///
+/// In an outage of the platform the last list stays in force.
+#[derive(Debug)]
+pub struct HostController<P, C> {
+    platform: P,
+    clock: C,
+    interval: Duration,
+    rng: SmallRng,
+    hosts: Writer<HostList>,
+    roster: HostRoster,
+}
+
+impl<P, C> HostController<P, C>
+where
+    P: Platform,
+    C: Clock,
+{
+    /// Creates the controller; it polls every `interval` with a jitter from `rng`.
+    pub fn new(
+        platform: P,
+        clock: C,
+        interval: Duration,
+        rng: SmallRng,
+        hosts: Writer<HostList>,
+    ) -> Self {
+        Self {
+            platform,
+            clock,
+            interval,
+            rng,
+            hosts,
+            roster: HostRoster::default(),
+        }
+    }
+
+    /// Polls until the task is dropped.
+    pub async fn run(mut self) {
+        let mut backoff = Backoff::new(self.interval, BACKOFF_MAX);
+        loop {
+            let delay = match self.poll().await {
+                Ok(()) => {
+                    backoff.succeed();
+                    jitter(self.interval, &mut self.rng)
+                }
+                Err(e) => {
+                    log::warn!("the host list was not read: {e}");
+                    backoff.fail(&mut self.rng)
+                }
+            };
+            self.clock.sleep(delay).await;
+        }
+    }
+
+    async fn poll(&mut self) -> Result<(), PlatformError> {
+        let list = self.platform.hosts().await?;
+        self.roster.absorb(list);
+        self.hosts.publish(self.roster.list(self.clock.now()));
+        Ok(())
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,9 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
 pub use self::{
+    fleet_controller::FleetController,
     health_controller::{HealthController, HealthHandle, HealthNews},
+    host_controller::HostController,
     line_controller::LineController,
     lines::Lines,
     owner_controller::OwnerController,
@@ -13,8 +15,10 @@
 };
 
 mod endpoint_view;
+mod fleet_controller;
 mod grant_table;
 mod health_controller;
+mod host_controller;
 mod line_controller;
 mod line_mail;
 mod line_places;
--- /dev/null
+++ b/src/decide/fleet_merge.rs
@@ -0,0 +1,146 @@
+use {
+    crate::{
+        board::{Endpoint, EndpointSlot, Fleet, HostList, ListedEndpoint, Pool, Role},
+        port::Description,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+    },
+};
+
+/// What engines told of themselves, by address.
+pub type Descriptions = HashMap<String, Description>;
+
+/// Brings `fleet` up to date; keys and slots of endpoints that stay are kept.
+///
+/// An engine without a description is left out. A plain service is not described; it may run
+/// `slots` requests at once. Returns whether anything changed.
+pub fn merge_fleet(
+    fleet: &mut Fleet,
+    list: &HostList,
+    descriptions: &Descriptions,
+    slots: u32,
+) -> bool {
+    let mut changed = remove_gone(fleet, list);
+    for listed in &list.endpoints {
+        let service = service(slots);
+        let description = match listed.role {
+            Role::Service => Some(&service),
+            Role::Prefill | Role::Decode => descriptions.get(&listed.address),
+        };
+        if let Some(description) = description {
+            changed |= merge_endpoint(fleet, listed, description);
+        }
+    }
+    if changed {
+        gather_pools(fleet);
+    }
+    changed
+}
+
+/// Removes endpoints that are not listed, or listed at another address: another process.
+fn remove_gone(fleet: &mut Fleet, list: &HostList) -> bool {
+    let listed: BTreeSet<_> = list
+        .endpoints
+        .iter()
+        .map(|listed| (listed.name.as_str(), listed.address.as_str()))
+        .collect();
+    let gone: Vec<_> = fleet
+        .endpoints
+        .iter()
+        .filter(|(_, old)| !listed.contains(&(old.name.as_str(), old.address.as_str())))
+        .map(|(_, old)| old.name.clone())
+        .collect();
+    for name in &gone {
+        fleet.endpoints.remove(name);
+    }
+    !gone.is_empty()
+}
+
+fn merge_endpoint(fleet: &mut Fleet, listed: &ListedEndpoint, described: &Description) -> bool {
+    let before = fleet.endpoints.find(&listed.name);
+    let before = before.and_then(|key| fleet.endpoints.get(key)).cloned();
+    let slot = before.as_ref().map(|old| Arc::clone(&old.slot));
+    let slot = slot.unwrap_or_else(Arc::<EndpointSlot>::default);
+    let (model, version) = described.models.first_key_value().unzip();
+    let pool = fleet.pools.find(&listed.pool).unwrap_or_else(|| {
+        let pool = Pool {
+            name: listed.pool.clone(),
+            members: Vec::new(),
+        };
+        fleet.pools.insert(&listed.pool, pool)
+    });
+    let next = Endpoint {
+        name: listed.name.clone(),
+        address: listed.address.clone(),
+        zone: listed.zone.clone(),
+        pool,
+        role: described.role,
+        model: model.cloned().unwrap_or_default(),
+        version: version.cloned().unwrap_or_default(),
+        pieces: described.pieces,
+        piece_tokens: described.piece_tokens,
+        slots: described.slots,
+        fenced: described.fenced,
+        leaving: listed.leaving || slot.leaving(),
+        slot,
+    };
+    let changed = before.is_none_or(|old| !same(&old, &next));
+    if changed {
+        fleet.endpoints.insert(&listed.name, next);
+    }
+    changed
+}
+
+/// Whether two endpoints of one name and address differ in nothing.
+fn same(old: &Endpoint, next: &Endpoint) -> bool {
+    old.zone == next.zone
+        && old.pool == next.pool
+        && old.role == next.role
+        && old.model == next.model
+        && old.version == next.version
+        && old.pieces == next.pieces
+        && old.piece_tokens == next.piece_tokens
+        && old.slots == next.slots
+        && old.fenced == next.fenced
+        && old.leaving == next.leaving
+}
+
+fn service(slots: u32) -> Description {
+    Description {
+        role: Role::Service,
+        models: BTreeMap::new(),
+        adapters: Vec::new(),
+        pieces: 0,
+        piece_tokens: 0,
+        slots,
+        fenced: false,
+        fence: 0,
+        incarnation: 0,
+    }
+}
+
+/// Lists the members of each pool again and removes pools without any.
+fn gather_pools(fleet: &mut Fleet) {
+    let mut members = BTreeMap::<_, Vec<_>>::new();
+    for (key, endpoint) in fleet.endpoints.iter() {
+        let pool = members.entry(endpoint.pool).or_default();
+        pool.push((endpoint.name.clone(), key));
+    }
+    let pools: Vec<_> = fleet
+        .pools
+        .iter()
+        .map(|(key, pool)| (key, pool.name.clone()))
+        .collect();
+    for (key, name) in pools {
+        let Some(mut list) = members.remove(&key) else {
+            fleet.pools.remove(&name);
+            continue;
+        };
+        list.sort();
+        if let Some(pool) = fleet.pools.get_mut(key) {
+            pool.members = list.into_iter().map(|(_, key)| key).collect();
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,8 +2,12 @@
 
 pub use self::{
     attempt_state::AttemptState,
+    backoff::{Backoff, jitter},
+    call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     fair_share::{FairShare, HALF_LIFE},
+    fleet_merge::{Descriptions, merge_fleet},
+    host_roster::HostRoster,
     owner_choice::{OwnerOption, order_owners},
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
@@ -16,12 +20,17 @@
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, strike},
+    token_bucket::TokenBucket,
     waiting::Waiting,
 };
 
 mod attempt_state;
+mod backoff;
+mod call_class;
 mod chunk_check;
 mod fair_share;
+mod fleet_merge;
+mod host_roster;
 mod owner_choice;
 pub mod ownership;
 mod place;
@@ -36,4 +45,5 @@
 mod sheet_diff;
 mod sheet_row;
 mod suspicion;
+mod token_bucket;
 mod waiting;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,5 +1,7 @@
 //! Integration tests, a file for each feature.
 
+mod budget;
+mod fleet;
 mod line_bench;
 mod lines;
 mod owner_choice;
