Keep members, digests and the sheet by heartbeats between daemons

Cause: daemons have to know one another, the load of owned endpoints and the sheet in force without a coordination service and while the platform is away. Change: decide::Membership merges news by incarnation, round and severity, suspects before it removes, and refutes; Partners chooses a bounded number of hosts an interval; NewsQueue tells a change a bounded number of times. MemberController sends the heartbeats, probes a silent host through two others and discards silence that falls into a pause of its own. DigestController takes in the load that owners tell. SheetController watches the store on two hosts a zone; the others pull what changed from the peer that told a later revision, and the revision in force never goes back.

--- a/src/border/peer_listener.rs
+++ b/src/border/peer_listener.rs
@@ -40,13 +40,18 @@
     /// Binds `address`; calls that present `key` go to `handler`.
     pub async fn bind(address: &str, key: Secret, handler: H) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        Ok(Self::new(listener, key, handler))
+    }
+
+    /// Serves an open listener, whose address the handler may already know.
+    pub fn new(listener: TcpListener, key: Secret, handler: H) -> Self {
         let serving = Serving {
             handler,
             key: Arc::new(key),
             limits: PeerLimits::default(),
             traffic: PeerTraffic::default(),
         };
-        Ok(Self { listener, serving })
+        Self { listener, serving }
     }
 
     /// Replaces the limits.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,12 +1,18 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
 pub use self::{
+    digest_controller::DigestController,
     fleet_controller::FleetController,
     health_controller::{HealthController, HealthHandle, HealthNews},
+    heartbeat_ports::{DigestNews, HeartbeatInputs, HeartbeatOutlets, RevisionHint},
     host_controller::HostController,
     line_controller::LineController,
     lines::Lines,
+    member_controller::{MemberController, MemberParts},
+    member_handle::MemberHandle,
     owner_controller::OwnerController,
+    sheet_controller::{SheetController, SheetParts},
+    sheet_handle::SheetHandle,
     sheet_object::ChangeRecord,
     sheet_store::{SheetCursor, SheetStore},
     sheet_store_error::SheetStoreError,
@@ -14,18 +20,26 @@
     suspect_controller::{SuspectController, Suspicions},
 };
 
+mod digest_controller;
 mod endpoint_view;
 mod fleet_controller;
 mod grant_table;
 mod health_controller;
+mod heartbeat_ports;
 mod host_controller;
 mod line_controller;
 mod line_mail;
 mod line_places;
 mod line_state;
 mod lines;
+mod member_beat;
+mod member_controller;
+mod member_handle;
+mod member_message;
 mod orphan_cancel;
 mod owner_controller;
+mod sheet_controller;
+mod sheet_handle;
 mod sheet_object;
 mod sheet_prune;
 mod sheet_store;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,7 +8,11 @@
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, merge_fleet},
     host_roster::HostRoster,
+    load_news::LoadNews,
+    member_timing::MemberTiming,
+    news_queue::NewsQueue,
     owner_choice::{OwnerOption, order_owners},
+    partners::Partners,
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
     queue_order::{AGE_STEP, LATE_TURN, Rank, late_rank, rank},
@@ -18,12 +22,17 @@
     rule_text::{repeat_text, rule_text},
     service_fit::ServiceFit,
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
+    sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, strike},
     token_bucket::TokenBucket,
     waiting::Waiting,
 };
 
+pub mod membership;
+pub mod ownership;
+pub mod rendezvous;
+
 mod attempt_state;
 mod backoff;
 mod call_class;
@@ -31,18 +40,21 @@
 mod fair_share;
 mod fleet_merge;
 mod host_roster;
+mod load_news;
+mod member_timing;
+mod news_queue;
 mod owner_choice;
-pub mod ownership;
+mod partners;
 mod place;
 mod prefix_hash;
 mod queue_order;
-pub mod rendezvous;
 mod retry;
 mod retry_budget;
 mod rule_choice;
 mod rule_text;
 mod service_fit;
 mod sheet_diff;
+mod sheet_log;
 mod sheet_row;
 mod suspicion;
 mod token_bucket;
--- a/src/decide/rendezvous.rs
+++ b/src/decide/rendezvous.rs
@@ -1,6 +1,12 @@
 //! Rendezvous hashing: which hosts come first for a name.
 
-use crate::key::{HostKey, name_hash};
+use crate::{
+    board::Members,
+    key::{HostKey, name_hash},
+};
+
+/// Hosts of each zone that watch the sheet at the platform.
+const WATCHERS: usize = 2;
 
 /// A host that may be chosen, with the hash of its name.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,3 +61,20 @@
     }
     first.map(|best| (best.1, second.map(|next| next.1)))
 }
+
+/// Whether the own host is one of the few of its zone that watch the sheet at the platform.
+pub fn watches(members: &Members) -> bool {
+    let Some(own) = members.hosts.get(members.own) else {
+        return false;
+    };
+    let zone = members
+        .hosts
+        .iter()
+        .filter(|(_, host)| host.zone == own.zone);
+    let able: Vec<_> = zone
+        .filter(|(_, host)| host.state.may_own())
+        .map(|(key, host)| Candidate::new(key, &host.name))
+        .collect();
+    let ranked = rank(&format!("sheet/{}", own.zone), &able);
+    ranked.iter().take(WATCHERS).any(|key| *key == members.own)
+}
