Reconcile grants with load reports and eject failing endpoints

Cause: a new owner knows nothing of what its endpoints hold, an endpoint may restart or leave, and one that breaks every request went on getting them. Change: LoadController polls owned endpoints (load, cache events with resync after a gap). A prefill tells the owner when it is computed (GrantEnd::Computed), because its place is held on until the KV cache is handed over.

--- a/src/control/grant_table.rs
+++ b/src/control/grant_table.rs
@@ -5,7 +5,7 @@
         key::{AttemptId, EndpointKey, GrantKey},
     },
     slotmap::SlotMap,
-    std::{collections::HashMap, sync::Arc},
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::task::AbortHandle,
 };
 
@@ -28,8 +28,14 @@
     pub(super) ticket: Option<Ticket>,
     /// When it was given.
     pub(super) since: Tick,
-    /// Predicted time to compute the uncached prompt, for prefill.
-    pub(super) work: std::time::Duration,
+    /// Predicted time to compute the uncached prompt, for prefill; zero once it is computed.
+    pub(super) work: Duration,
+    /// Prefixes that the prompt leaves in the endpoint's cache, for prefill.
+    pub(super) prefixes: Vec<u64>,
+    /// Whether the request may have crashed an endpoint.
+    pub(super) suspect: bool,
+    /// When a load report last listed the attempt.
+    pub(super) seen: Option<Tick>,
     /// Task that cancels the orphan at the endpoint.
     pub(super) cancel: Option<AbortHandle>,
 }
--- a/src/control/line_controller.rs
+++ b/src/control/line_controller.rs
@@ -121,6 +121,11 @@
             LineMail::Abandon(ticket) => self.state.abandon(ticket, now),
             LineMail::Release(release) => self.state.release(&self.board, &release, now),
             LineMail::Withdraw(attempt) => self.state.withdraw(attempt, now),
+            LineMail::Load { endpoint, report } => {
+                self.state.reported(&self.board, endpoint, &report, now);
+            }
+            LineMail::Silent(endpoint) => self.state.silent(&self.board, endpoint, now),
+            LineMail::Cache { endpoint, events } => self.state.cached(endpoint, &events),
             LineMail::Drain(done) => {
                 self.state.close();
                 self.drains.push(done);
--- a/src/control/line_mail.rs
+++ b/src/control/line_mail.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
-        key::AttemptId,
-        port::{Denial, Grant, GrantAsk, GrantRelease},
+        key::{AttemptId, EndpointKey},
+        port::{CacheEvents, Denial, Grant, GrantAsk, GrantRelease, LoadReport},
     },
     tokio::sync::oneshot::Sender,
 };
@@ -28,6 +28,22 @@
     Release(GrantRelease),
     /// The attempt wants nothing any more.
     Withdraw(AttemptId),
+    /// An owned endpoint has reported its load.
+    Load {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Report.
+        report: LoadReport,
+    },
+    /// An owned endpoint could not be asked for its load.
+    Silent(EndpointKey),
+    /// An owned endpoint has told changes of its prefix cache.
+    Cache {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Events without a gap.
+        events: CacheEvents,
+    },
     /// Denies all asks and reports when no orphan is left.
     Drain(Sender<()>),
     /// Ends the controller.
--- a/src/control/line_places.rs
+++ b/src/control/line_places.rs
@@ -2,7 +2,7 @@
     super::{endpoint_view::EndpointView, grant_table::GrantTable, waiter::Waiter},
     crate::{
         board::{Blackboard, Endpoint, Fleet, Members, Owners, Role, Tick},
-        decide::{Need, Place, choose_decode, choose_prefill, choose_service},
+        decide::{Need, Place, Standing, choose_decode, choose_prefill, choose_service},
         key::{EndpointKey, PoolKey},
         port::GrantAsk,
     },
@@ -11,7 +11,7 @@
 };
 
 /// Prompts that a prefill endpoint may hold at once: one computed and one waiting behind it.
-const PREFILL_DEPTH: u32 = 2;
+const PREFILL_DEPTH: usize = 2;
 
 /// Snapshots that one round of granting works on.
 #[derive(Debug)]
@@ -115,13 +115,28 @@
     grants: &GrantTable,
     now: Tick,
 ) -> Option<Place> {
-    if endpoint.slot.ejected() {
+    let running = endpoint.slot.running();
+    let standing = view.outlier.standing(now);
+    let closed = match standing {
+        Standing::In => false,
+        Standing::Out => true,
+        Standing::Probe => running > 0,
+    };
+    if closed || view.leaving || !view.is_ready(now) {
+        return None;
+    }
+    if ask.suspect
+        && grants
+            .iter()
+            .any(|entry| entry.suspect && entry.endpoint == key)
+    {
         return None;
     }
-    let running = endpoint.slot.running();
     let cached = view.cached(&ask.prefixes, ask.prompt_tokens);
     let prefill = endpoint.role == Role::Prefill;
-    if prefill && running >= PREFILL_DEPTH {
+    let held = grants.iter().filter(|entry| entry.endpoint == key);
+    let computing = held.filter(|entry| entry.work > Duration::ZERO).count();
+    if prefill && computing >= PREFILL_DEPTH {
         return None;
     }
     let uncached = ask.prompt_tokens.saturating_sub(cached).max(1);
@@ -141,7 +156,7 @@
         },
         cached,
         unit,
-        probe: false,
+        probe: standing == Standing::Probe,
     })
 }
 
--- a/src/control/line_state.rs
+++ b/src/control/line_state.rs
@@ -7,10 +7,10 @@
         waiter::Waiter,
     },
     crate::{
-        board::{Arena, Blackboard, HostState, Members, Role, Tick},
+        board::{Arena, Blackboard, Role, Tick},
         decide::{FairShare, LATE_TURN, Place, Rank, Waiting, late_rank, rank},
-        key::{AttemptId, BranchKey, EndpointKey, GrantKey, PoolKey, WaitKey, name_hash},
-        port::{Denial, Grant, GrantAsk, GrantEnd, GrantRelease},
+        key::{AttemptId, BranchKey, EndpointKey, GrantKey, PoolKey, WaitKey},
+        port::{Denial, Grant, GrantAsk},
     },
     slotmap::{SecondaryMap, SlotMap},
     std::{
@@ -26,12 +26,12 @@
 /// Waiting lines and grants of one owner; every method is free of I/O.
 #[derive(Debug, Default)]
 pub(super) struct LineState {
-    waiting: SlotMap<WaitKey, Waiter>,
+    pub(super) waiting: SlotMap<WaitKey, Waiter>,
     by_ticket: HashMap<Ticket, WaitKey>,
-    grants: GrantTable,
-    views: SecondaryMap<EndpointKey, EndpointView>,
+    pub(super) grants: GrantTable,
+    pub(super) views: SecondaryMap<EndpointKey, EndpointView>,
     shares: Arena<BranchKey, FairShare>,
-    orphans: Vec<GrantKey>,
+    pub(super) orphans: Vec<GrantKey>,
     turn: u64,
     closed: bool,
 }
@@ -85,29 +85,6 @@
         }
     }
 
-    /// Ends a grant.
-    pub(super) fn release(&mut self, board: &Blackboard, release: &GrantRelease, now: Tick) {
-        let Some(endpoint) = board.fleet.load().endpoints.find(&release.endpoint) else {
-            return;
-        };
-        let Some(key) = self.grants.find(release.attempt, endpoint) else {
-            return;
-        };
-        match release.end {
-            GrantEnd::Finished { took, tokens } => {
-                self.learn(key, took, tokens, now);
-                self.free(key, now);
-            }
-            GrantEnd::Unused | GrantEnd::Cancelled => self.free(key, now),
-            GrantEnd::Broken => self.orphan(key, now),
-        }
-    }
-
-    /// Gives back the memory of an orphan whose cancellation the endpoint confirmed.
-    pub(super) fn cancelled(&mut self, key: GrantKey, now: Tick) {
-        self.free(key, now);
-    }
-
     /// Denies the asks whose time has passed.
     pub(super) fn expire(&mut self, now: Tick) {
         let asks = self.waiting.iter();
@@ -120,8 +97,15 @@
 
     /// Returns the time until the earliest deadline.
     pub(super) fn next_due(&self, now: Tick) -> Duration {
+        if self.waiting.is_empty() {
+            return Duration::MAX;
+        }
         let expiries = self.waiting.values().map(|waiter| waiter.expires);
-        expiries.min().map_or(Duration::MAX, |due| due.since(now))
+        let views = self.views.values().filter_map(|view| view.next_due(now));
+        expiries
+            .chain(views)
+            .min()
+            .map_or(Duration::MAX, |due| due.since(now))
     }
 
     /// Denies all asks, now and from now on.
@@ -133,16 +117,6 @@
         }
     }
 
-    /// Returns the orphans that no task cancels yet.
-    pub(super) fn take_orphans(&mut self) -> Vec<GrantKey> {
-        std::mem::take(&mut self.orphans)
-    }
-
-    /// Returns a grant for editing.
-    pub(super) fn grant_mut(&mut self, key: GrantKey) -> Option<&mut GrantEntry> {
-        self.grants.get_mut(key)
-    }
-
     /// Follows changes of the fleet, the owners and the members.
     pub(super) fn follow(&mut self, board: &Blackboard, now: Tick) {
         let places = LinePlaces::new(board);
@@ -257,6 +231,13 @@
             ticket: Some(waiter.ticket),
             since: now,
             work: place.unit * uncached,
+            prefixes: if endpoint.role == Role::Prefill {
+                waiter.ask.prefixes
+            } else {
+                Vec::new()
+            },
+            suspect: waiter.ask.suspect,
+            seen: None,
             cancel: None,
         });
         let answer = Grant {
@@ -310,84 +291,4 @@
         // The caller may have gone.
         let _ = waiter.reply.send(Err(denial));
     }
-
-    /// Ends a grant and gives its memory back.
-    fn free(&mut self, key: GrantKey, now: Tick) {
-        let Some(entry) = self.grants.remove(key) else {
-            return;
-        };
-        if let Some(view) = self.views.get_mut(entry.endpoint) {
-            view.ended = now;
-        }
-    }
-
-    /// Marks a grant for cancellation at its endpoint; a service has nothing to cancel.
-    fn orphan(&mut self, key: GrantKey, now: Tick) {
-        let role = self.grants.get(key).map(|entry| entry.role);
-        match role {
-            Some(Role::Service) => self.free(key, now),
-            Some(_) => self.orphans.push(key),
-            None => {}
-        }
-    }
-
-    /// Learns the service time of a finished grant.
-    fn learn(&mut self, key: GrantKey, took: Duration, tokens: u32, now: Tick) {
-        let Some(entry) = self.grants.get(key) else {
-            return;
-        };
-        let Some(view) = self.views.get_mut(entry.endpoint) else {
-            return;
-        };
-        if tokens == 0 && entry.role != Role::Service {
-            return;
-        }
-        match entry.role {
-            Role::Prefill => {
-                let alone = now.since(entry.since.max(view.ended));
-                view.fit.learn(f64::from(tokens), took.min(alone));
-            }
-            Role::Decode => {
-                let batch = entry.slot.running();
-                view.fit.learn(f64::from(batch), took / tokens);
-            }
-            Role::Service => view.fit.learn(1.0, took),
-        }
-    }
-
-    /// Keeps a view of each owned endpoint and drops the grants of endpoints that are gone.
-    fn follow_endpoints(&mut self, places: &LinePlaces, now: Tick) {
-        for (key, endpoint) in places.fleet.endpoints.iter() {
-            if !places.owns(key) {
-                self.views.remove(key);
-            } else if !self.views.contains_key(key) {
-                self.views
-                    .insert(key, EndpointView::new(endpoint.role, now));
-            }
-        }
-        let gone = |entry: &GrantEntry| places.fleet.endpoints.get(entry.endpoint).is_none();
-        for key in self.grants.select(gone) {
-            self.free(key, now);
-        }
-    }
-
-    /// Cancels the grants whose entry host has died or restarted.
-    fn follow_members(&mut self, members: &Members, now: Tick) {
-        let hosts: HashMap<u64, (u64, HostState)> = members
-            .hosts
-            .iter()
-            .map(|(_, host)| (name_hash(&host.name), (host.incarnation, host.state)))
-            .collect();
-        let lost = |entry: &GrantEntry| {
-            let request = entry.attempt.request;
-            let host = hosts.get(&request.host);
-            let gone = host.is_some_and(|(incarnation, state)| {
-                *state == HostState::Dead || *incarnation > request.incarnation
-            });
-            gone && entry.cancel.is_none()
-        };
-        for key in self.grants.select(lost) {
-            self.orphan(key, now);
-        }
-    }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
     host_controller::HostController,
     line_controller::LineController,
     lines::Lines,
+    load_controller::{LoadController, POLL_INTERVAL},
     member_controller::{MemberController, MemberParts},
     member_handle::MemberHandle,
     owner_controller::OwnerController,
@@ -28,10 +29,13 @@
 mod heartbeat_ports;
 mod host_controller;
 mod line_controller;
+mod line_grants;
 mod line_mail;
 mod line_places;
+mod line_reconcile;
 mod line_state;
 mod lines;
+mod load_controller;
 mod member_beat;
 mod member_controller;
 mod member_handle;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
     load_news::LoadNews,
     member_timing::MemberTiming,
     news_queue::NewsQueue,
+    outlier::{FIRST_OUT, Outlier, Standing},
     owner_choice::{OwnerOption, order_owners},
     partners::Partners,
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
@@ -29,10 +30,6 @@
     waiting::Waiting,
 };
 
-pub mod membership;
-pub mod ownership;
-pub mod rendezvous;
-
 mod attempt_state;
 mod backoff;
 mod call_class;
@@ -42,12 +39,16 @@
 mod host_roster;
 mod load_news;
 mod member_timing;
+pub mod membership;
 mod news_queue;
+mod outlier;
 mod owner_choice;
+pub mod ownership;
 mod partners;
 mod place;
 mod prefix_hash;
 mod queue_order;
+pub mod rendezvous;
 mod retry;
 mod retry_budget;
 mod rule_choice;
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -200,6 +200,13 @@
         /// Tokens computed or generated.
         tokens: u32,
     },
+    /// The prompt was computed; its KV cache is held until a second release.
+    Computed {
+        /// Time from the call to its answer.
+        took: Duration,
+        /// Tokens computed, without those found in the prefix cache.
+        tokens: u32,
+    },
     /// Never sent to the endpoint, or refused by it.
     Unused,
     /// Cancelled at the endpoint, which has confirmed it.
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -48,6 +48,15 @@
         self.sent = true;
     }
 
+    /// Tells the owner that the prompt is computed, so that it may grant the next one.
+    pub fn computed(&self, took: Duration, tokens: u32) {
+        let release = self.release_with(GrantEnd::Computed { took, tokens });
+        let owner = self.owner.clone();
+        let shared = self.shared.clone();
+        self.shared
+            .spawn(async move { owner.release(&shared, release).await });
+    }
+
     /// Gives the place back after the endpoint freed it by itself or never held it.
     pub fn finish(mut self, end: GrantEnd) {
         self.open = false;
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -188,8 +188,13 @@
         };
         held.mark_sent();
         let address = held.grant().address.clone();
+        let start = self.shared.now();
         match self.shared.parts().engine().prefill(&address, &ask).await {
-            Ok(handle) => Ok((held, handle)),
+            Ok(handle) => {
+                let tokens = handle.tokens.saturating_sub(handle.cached);
+                held.computed(self.shared.now() - start, tokens);
+                Ok((held, handle))
+            }
             Err(error) => Err(Self::failed(held, error, Role::Prefill)),
         }
     }
--- a/tests/line_bench.rs
+++ b/tests/line_bench.rs
@@ -6,7 +6,7 @@
             Blackboard, Endpoint, EndpointSlot, Fleet, Host, HostState, Members, Owners, Ownership,
             Pool, Role, Tick, Writers,
         },
-        control::{LineController, Lines},
+        control::{LineController, Lines, LoadController},
         key::{AttemptId, EndpointKey, HostKey, RequestId, name_hash},
         port::{
             CacheEvents, Chunk, DecodeAsk, Denial, Description, Engine, EngineError, Grant,
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Starts to follow the load of the endpoints.
+    pub(crate) fn follow_load(&self) {
+        let clock = MonoClock::start();
+        let engine = self.engine.clone();
+        let controller = LoadController::new(self.board.clone(), clock, engine, self.lines.clone());
+        tokio::spawn(controller.run());
+    }
+
     /// Lets every task run until all sleep.
     pub(crate) async fn settle(&self) {
         tokio::time::sleep(Duration::from_millis(1)).await;
@@ -196,6 +204,7 @@
 struct RecordState {
     cancels: usize,
     failures: usize,
+    load: LoadReport,
 }
 
 impl RecordEngine {
@@ -204,6 +213,17 @@
         self.state.lock().unwrap().failures = count;
     }
 
+    /// Sets the load report of every endpoint.
+    pub(crate) fn set_load(&self, used: u32, held: &[AttemptId], incarnation: u64) {
+        self.state.lock().unwrap().load = LoadReport {
+            incarnation,
+            used,
+            running: held.len() as u32,
+            held: held.iter().map(ToString::to_string).collect(),
+            ..LoadReport::default()
+        };
+    }
+
     /// Number of cancellations received.
     pub(crate) fn cancels(&self) -> usize {
         self.state.lock().unwrap().cancels
@@ -250,7 +270,7 @@
     }
 
     async fn load(&self, _: &str) -> Result<LoadReport, EngineError> {
-        Ok(LoadReport::default())
+        Ok(self.state.lock().unwrap().load.clone())
     }
 
     async fn events(&self, _: &str, _: u64) -> Result<CacheEvents, EngineError> {
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -84,3 +84,69 @@
     bench.settle().await;
     assert_eq!(bench.granted(), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn memory_granted_by_the_last_owner_is_taken_over() {
+    let bench = LineBench::new(1, 4);
+    bench.engine.set_load(3, &[attempt(1)], 1);
+    bench.follow_load();
+    let small = bench.lines.acquire(ask(2, Role::Decode, 1)).await.unwrap();
+    let large = bench.spawn(ask(3, Role::Decode, 3));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(!large.is_finished());
+    bench.engine.set_load(0, &[], 1);
+    // Freed because the endpoint no longer lists the attempt.
+    large.await.unwrap().unwrap();
+    bench.release(&small, GrantEnd::Unused);
+}
+
+#[tokio::test(start_paused = true)]
+async fn attempt_without_a_grant_is_cancelled_after_the_grace_time() {
+    let bench = LineBench::new(1, 4);
+    bench.follow_load();
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    bench.engine.set_load(3, &[attempt(1)], 1);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(bench.engine.cancels(), 0);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert!(bench.engine.cancels() > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn restart_of_an_endpoint_frees_its_grants() {
+    let bench = LineBench::new(1, 4);
+    bench.engine.set_load(0, &[], 1);
+    bench.follow_load();
+    let _grant = bench.lines.acquire(ask(1, Role::Decode, 4)).await.unwrap();
+    bench.engine.set_load(0, &[], 2);
+    let second = bench.lines.acquire(ask(2, Role::Decode, 4)).await.unwrap();
+    assert_eq!(second.attempt, attempt(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn failing_endpoint_is_ejected_and_probed() {
+    let bench = LineBench::new(2, 4);
+    let mut ends = Vec::new();
+    for number in 0..40 {
+        let grant = bench
+            .lines
+            .acquire(ask(number, Role::Decode, 1))
+            .await
+            .unwrap();
+        let failing = grant.endpoint == "decode-0" && number < 30;
+        let end = if failing {
+            GrantEnd::Broken
+        } else {
+            let took = Duration::from_secs(1);
+            GrantEnd::Finished { took, tokens: 50 }
+        };
+        bench.release(&grant, end);
+        ends.push(format!(
+            "{} {}",
+            grant.endpoint,
+            if failing { "broken" } else { "finished" }
+        ));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    insta::assert_yaml_snapshot!("lines_ejection", ends);
+}
