Read, check and store the planners' sheet

Cause: a sheet is accepted whole or changes nothing; planners need every fault with row, column, value and remedy, and a lost answer or a second operator must not double a change. Change: CSV reader (1 MB, UTF-8 with byte offset, byte order mark, any order of columns), pure check and diff, choice of borrowed pools by hour, example sheets and settings of both users. A read found stale restarts the submission; objects are named by change and version. A round-trip test found that a service's empty per_token_ms was written as 0: mended. Conclusion: lost answers on 1 to 4 writes, a race of two operators, stale reads and a store that lost revisions pass; keys no longer show in YAML snippets.

--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -27,6 +27,7 @@
     settings_builder::SettingsBuilder,
     settings_error::{SettingsError, SettingsFault},
     settings_parse::{parse_settings, read_settings},
+    sheet_csv::{SHEET_BYTES_MAX, read_sheet, write_sheet},
 };
 
 mod caller;
@@ -65,3 +66,4 @@
 mod settings_error;
 mod settings_parse;
 mod settings_reader;
+mod sheet_csv;
--- a/src/border/settings_parse.rs
+++ b/src/border/settings_parse.rs
@@ -28,7 +28,9 @@
 
 /// Checks the settings in `text` as a whole; an error holds every fault.
 pub fn parse_settings(text: &str) -> Result<Settings, SettingsError> {
-    let value = serde_saphyr::from_str::<Value>(text)
+    // A snippet of the text could show a key.
+    let options = serde_saphyr::options! { with_snippet: false };
+    let value = serde_saphyr::from_str_with_options::<Value>(text, options)
         .map_err(|error| SettingsError::Syntax(error.to_string()))?;
     let faults = Faults::default();
     let settings = read(value, &faults);
--- a/src/control/sheet_object.rs
+++ b/src/control/sheet_object.rs
@@ -36,8 +36,8 @@
 pub(super) struct Place {
     /// Revision that last changed the branch.
     pub revision: u64,
-    /// Change that wrote them.
-    pub change: String,
+    /// Directory of the change that wrote them.
+    pub directory: String,
     /// Part of the change.
     pub part: u32,
     /// Whether the branch has no rules any more.
@@ -58,7 +58,9 @@
     pub time: u64,
     /// Branches that it changed.
     pub branches: u32,
-    /// Objects that hold its rules.
+    /// Directory of the objects that hold its rules.
+    pub directory: String,
+    /// Objects in the directory.
     pub parts: u32,
 }
 
@@ -126,14 +128,14 @@
     pub(super) fn objects(&self) -> HashSet<String> {
         self.branches
             .values()
-            .map(|place| part_name(&place.change, place.part))
+            .map(|place| part_name(&place.directory, place.part))
             .collect()
     }
 }
 
-/// Name of part `part` of `change`.
-pub(super) fn part_name(change: &str, part: u32) -> String {
-    format!("sheet/change/{change}/{part}")
+/// Name of part `part` in `directory`.
+pub(super) fn part_name(directory: &str, part: u32) -> String {
+    format!("sheet/change/{directory}/{part}")
 }
 
 /// Encodes an object within its size limit.
--- a/src/control/sheet_prune.rs
+++ b/src/control/sheet_prune.rs
@@ -43,10 +43,10 @@
         let mut names = HashSet::new();
         for record in records {
             for number in 0..record.parts {
-                let part = self.part(&record.change, number).await?;
+                let part = self.part(&record.directory, number).await?;
                 let before = part.branches.into_iter().filter_map(|entry| entry.before);
-                names.extend(before.map(|place| part_name(&place.change, place.part)));
-                names.insert(part_name(&record.change, number));
+                names.extend(before.map(|place| part_name(&place.directory, place.part)));
+                names.insert(part_name(&record.directory, number));
             }
         }
         Ok(names)
--- a/src/control/sheet_store.rs
+++ b/src/control/sheet_store.rs
@@ -139,14 +139,14 @@
         let names = places
             .values()
             .filter(|place| !place.gone)
-            .map(|place| (place.change.as_str(), place.part))
+            .map(|place| (place.directory.as_str(), place.part))
             .collect::<BTreeSet<_>>();
         let mut rules = RulesByBranch::new();
-        for (change, number) in names {
-            let part = self.part(change, number).await?;
+        for (directory, number) in names {
+            let part = self.part(directory, number).await?;
             let here = part.branches.into_iter().filter(|entry| {
                 places.get(&entry.rules.branch).is_some_and(|place| {
-                    place.change == change && place.part == number && !place.gone
+                    place.directory == directory && place.part == number && !place.gone
                 })
             });
             rules.extend(here.map(|entry| (entry.rules.branch, entry.rules.rules)));
@@ -155,8 +155,8 @@
         Ok(rules)
     }
 
-    pub(super) async fn part(&self, change: &str, number: u32) -> Result<Part, SheetStoreError> {
-        let name = part_name(change, number);
+    pub(super) async fn part(&self, directory: &str, number: u32) -> Result<Part, SheetStoreError> {
+        let name = part_name(directory, number);
         match self.platform.read(&name).await? {
             Some(object) => decode(&name, &object.body),
             None => Err(SheetStoreError::Damaged {
@@ -172,7 +172,7 @@
         places: &mut BTreeMap<String, Place>,
     ) -> Result<(), SheetStoreError> {
         for number in 0..record.parts {
-            let part = self.part(&record.change, number).await?;
+            let part = self.part(&record.directory, number).await?;
             for entry in part.branches {
                 match entry.before {
                     Some(place) => places.insert(entry.rules.branch, place),
@@ -194,7 +194,7 @@
         .find(|(branch, place)| !place.gone && !rules.contains_key(*branch));
     match missing {
         Some((branch, place)) => Err(SheetStoreError::Damaged {
-            name: part_name(&place.change, place.part),
+            name: part_name(&place.directory, place.part),
             cause: format!("it has no rules of branch `{branch}`"),
         }),
         None => Ok(()),
--- a/src/control/sheet_store_error.rs
+++ b/src/control/sheet_store_error.rs
@@ -14,7 +14,7 @@
         current: u64,
     },
     /// The change id belongs to another sheet. Nothing was changed.
-    #[error("change id `{0}` was used for another sheet; submit with a new one")]
+    #[error("`{0}` holds another sheet with the same change id; submit with a new change id")]
     ChangeReused(String),
     /// The change id has a form that is not allowed.
     #[error("change id `{0}` is not allowed; use 1 to 64 lower-case letters, digits and hyphens")]
--- a/src/control/sheet_submit.rs
+++ b/src/control/sheet_submit.rs
@@ -11,6 +11,8 @@
     bytes::Bytes,
 };
 
+/// Reads of the index before the platform's reads are given up as stale.
+const ATTEMPTS: u32 = 3;
 /// Writes of the index before its outcome is given up as unknown.
 const WRITES: u32 = 4;
 const CHANGE_NAME_BYTES: usize = 64;
@@ -69,23 +71,40 @@
     /// A submission that is repeated with its change id is recognised and returns its revision.
     pub async fn submit(&self, submission: Submission) -> Result<Acceptance, SheetStoreError> {
         check_change_name(&submission.change)?;
+        for _ in 0..ATTEMPTS {
+            if let Some(acceptance) = self.attempt(&submission).await? {
+                return Ok(acceptance);
+            }
+        }
+        let cause = PlatformError::Unavailable("every read was stale".to_owned());
+        Err(cause.into())
+    }
+
+    /// Submits once; `None` if the index that was read turned out to be stale.
+    async fn attempt(
+        &self,
+        submission: &Submission,
+    ) -> Result<Option<Acceptance>, SheetStoreError> {
         let (version, index) = self.index().await?;
         if let Some(record) = index.record(&submission.change) {
-            return Ok(record.into());
+            return Ok(Some(record.into()));
         }
         let current = index.revision.max(submission.floor);
         check_base(submission.base, current)?;
-        let Some(branches) = self.changed(&index, &submission).await? else {
-            return Ok(Acceptance {
+        let Some(branches) = self.changed(&index, submission).await? else {
+            return Ok(Some(Acceptance {
                 revision: current,
                 branches: 0,
-            });
+            }));
         };
         let parts = split(submission.base, branches)?;
-        self.write_parts(&submission.change, &parts).await?;
-        let (next, dropped) = next_index(index, &submission, &parts);
-        let acceptance = self.write_index(version, &next, &submission).await?;
-        self.prune(&next, &dropped).await;
+        let directory = format!("{}.{version}", submission.change);
+        self.write_parts(&directory, &parts).await?;
+        let (next, dropped) = next_index(index, submission, directory, &parts);
+        let acceptance = self.write_index(version, &next, submission).await?;
+        if acceptance.is_some() {
+            self.prune(&next, &dropped).await;
+        }
         Ok(acceptance)
     }
 
@@ -114,22 +133,17 @@
         Ok((!changed.is_empty()).then_some(changed))
     }
 
-    async fn write_parts(&self, change: &str, parts: &[Part]) -> Result<(), SheetStoreError> {
+    async fn write_parts(&self, directory: &str, parts: &[Part]) -> Result<(), SheetStoreError> {
         for (part, number) in parts.iter().zip(0..) {
-            let name = part_name(change, number);
+            let name = part_name(directory, number);
             let body = encode(&name, part)?;
-            self.write_part(change, &name, body).await?;
+            self.write_part(&name, body).await?;
         }
         Ok(())
     }
 
     /// Creates an object that may exist already from an earlier attempt with the same contents.
-    async fn write_part(
-        &self,
-        change: &str,
-        name: &str,
-        body: Bytes,
-    ) -> Result<(), SheetStoreError> {
+    async fn write_part(&self, name: &str, body: Bytes) -> Result<(), SheetStoreError> {
         match self.platform.create(name, body.clone()).await {
             Ok(_) => return Ok(()),
             Err(PlatformError::Conflict { .. } | PlatformError::Unknown(_)) => {}
@@ -137,7 +151,7 @@
         }
         match self.platform.read(name).await? {
             Some(object) if object.body == body => Ok(()),
-            Some(_) => Err(SheetStoreError::ChangeReused(change.to_owned())),
+            Some(_) => Err(SheetStoreError::ChangeReused(name.to_owned())),
             None => {
                 self.platform.create(name, body).await?;
                 Ok(())
@@ -145,17 +159,18 @@
         }
     }
 
+    /// Replaces the index; `None` if it was not at `version` any more although its revision was.
     async fn write_index(
         &self,
         version: u64,
         next: &Index,
         submission: &Submission,
-    ) -> Result<Acceptance, SheetStoreError> {
+    ) -> Result<Option<Acceptance>, SheetStoreError> {
         let body = encode(INDEX, next)?;
         let mut lost = None;
         for _ in 0..WRITES {
             match self.replace_index(version, &body).await {
-                Ok(_) => return Ok(Acceptance::new(next)),
+                Ok(_) => return Ok(Some(Acceptance::new(next))),
                 Err(PlatformError::Conflict { .. }) => {}
                 Err(cause @ PlatformError::Unknown(_)) => lost = Some(cause),
                 Err(cause) => return Err(failed(cause, lost, &submission.change)),
@@ -167,10 +182,11 @@
                 read => read?,
             };
             if let Some(record) = index.record(&submission.change) {
-                return Ok(record.into());
+                return Ok(Some(record.into()));
             }
             if seen > version {
                 check_base(submission.base, index.revision)?;
+                return Ok(None);
             }
         }
         let cause = PlatformError::Unknown("every answer was lost".to_owned());
@@ -189,6 +205,7 @@
 fn next_index(
     mut index: Index,
     submission: &Submission,
+    directory: String,
     parts: &[Part],
 ) -> (Index, Vec<ChangeRecord>) {
     let lost = submission.floor > index.revision;
@@ -197,7 +214,7 @@
         for PartBranch { rules, .. } in &part.branches {
             let place = Place {
                 revision,
-                change: submission.change.clone(),
+                directory: directory.clone(),
                 part: number,
                 gone: rules.rules.is_empty(),
             };
@@ -211,6 +228,7 @@
         author: submission.author.clone(),
         time: submission.time,
         branches: branches as u32,
+        directory,
         parts: parts.len() as u32,
     };
     let dropped = index.accept(record, lost);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
     rule_choice::{is_open, minute_of_day, routes},
     rule_text::{repeat_text, rule_text},
     service_fit::ServiceFit,
+    sheet_check::{BRANCH_RULES_MAX, LISTED_FAULTS, sheet_check},
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
@@ -54,6 +55,8 @@
 mod rule_choice;
 mod rule_text;
 mod service_fit;
+mod sheet_cell;
+mod sheet_check;
 mod sheet_diff;
 mod sheet_log;
 mod sheet_row;
--- a/src/decide/rule_text.rs
+++ b/src/decide/rule_text.rs
@@ -15,7 +15,7 @@
         rule.adapter.clone().unwrap_or_default(),
         repeat_text(rule.repeat).to_owned(),
         rule.target.first_token.as_millis().to_string(),
-        rule.target.per_token.as_millis().to_string(),
+        per_token_text(rule),
         borrow.map_or_else(String::new, |borrow| route_text(&borrow.route)),
         borrow.map_or_else(String::new, hours_text),
     ]
@@ -29,6 +29,13 @@
     }
 }
 
+fn per_token_text(rule: &Rule) -> String {
+    match rule.route {
+        Route::Model { .. } => rule.target.per_token.as_millis().to_string(),
+        Route::Service { .. } => String::new(),
+    }
+}
+
 fn route_text(route: &Route) -> String {
     match route {
         Route::Model { prefill, decode } => format!("{prefill}/{decode}"),
--- a/src/decide/sheet_row.rs
+++ b/src/decide/sheet_row.rs
@@ -72,6 +72,7 @@
             value,
             remedy,
         } = self;
-        write!(f, "row {row}, {column}: found {value:?}; {remedy}")
+        let comma = if column.is_empty() { "" } else { ", " };
+        write!(f, "row {row}{comma}{column}: found {value:?}; {remedy}")
     }
 }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -9,4 +9,7 @@
 mod peer_listener;
 mod platform;
 mod retry;
+mod settings;
+mod sheet_check;
+mod sheet_store;
 mod suspicion;
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,43 @@
+//! Checks of a settings file as a whole.
+
+use {insta::assert_snapshot, lentillead::border::parse_settings};
+
+const FAULTY: &str = "
+host: ''
+zone: 7
+listen: {callers: nonsense, peers: '0.0.0.0:7102'}
+platfrom: {address: '10.0.0.1:7000'}
+platform: {address: 'platform.example:7000', calls: 0}
+keys: {operators: short, peers: 0123456789abcdef}
+branches:
+- {name: north, key: 0123456789abcdefg, queue_bytes: -1}
+- {name: north, key: 0123456789abcdefg, quota: 5}
+limits: {header_time: 5}
+timing: {heartbeat: 5s, suspect: 2s, load: 0ms, hosts: 2 weeks}
+claims: []
+log: {level: loud, file: ''}
+";
+
+#[test]
+fn every_fault_is_reported_at_once() {
+    assert_snapshot!("settings_faults", parse_settings(FAULTY).unwrap_err());
+}
+
+#[test]
+fn broken_yaml_names_the_place() {
+    let broken = ["host: [a", "host: a\nhost: b", "- a"];
+    let seen = broken.map(|text| parse_settings(text).unwrap_err().to_string());
+    assert_snapshot!("settings_broken", seen.join("\n---\n"));
+}
+
+#[test]
+fn examples_are_good_and_keys_are_not_shown() {
+    let files = [
+        include_str!("../examples/kovacsreti/settings.yaml"),
+        include_str!("../examples/trin-cymru/settings.yaml"),
+    ];
+    for text in files {
+        let shown = format!("{:?}", parse_settings(text).unwrap());
+        assert!(!shown.contains("example-"), "{shown}");
+    }
+}
--- /dev/null
+++ b/tests/sheet_store.rs
@@ -0,0 +1,205 @@
+//! The sheet at the platform: whole or nothing, lost answers, racing operators, lost revisions.
+
+use {
+    insta::{assert_snapshot, assert_yaml_snapshot},
+    lentillead::{
+        board::Rule,
+        border::{PlatformClient, read_sheet},
+        control::{Acceptance, SheetCursor, SheetStore, SheetStoreError, Submission},
+        decide::{by_branch, sheet_check},
+        fake::{FakePlatform, Outage, PlatformControl, PlatformSettings},
+        port::{Platform, SheetChange},
+    },
+    std::{fmt::Write, time::Duration},
+};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const SHEET: &[u8] = include_bytes!("../examples/trin-cymru/sheet.csv");
+
+type Store = SheetStore<PlatformClient>;
+
+async fn start() -> (FakePlatform, PlatformClient, Store) {
+    let fake = FakePlatform::start(PlatformSettings::default())
+        .await
+        .unwrap();
+    let client = PlatformClient::new(&fake.url(), TIMEOUT).unwrap();
+    (fake, client.clone(), SheetStore::new(client))
+}
+
+fn rules(priority: u8) -> Vec<Rule> {
+    let mut rules = sheet_check(&read_sheet(SHEET).unwrap(), None).unwrap();
+    rules[0].priority = priority;
+    rules
+}
+
+fn submission(base: u64, change: &str, rules: Vec<Rule>) -> Submission {
+    Submission {
+        base,
+        rules,
+        change: change.to_owned(),
+        author: "planner".to_owned(),
+        time: 1_000 + base,
+        floor: base,
+    }
+}
+
+async fn submit(
+    store: &Store,
+    base: u64,
+    change: &str,
+    rules: Vec<Rule>,
+) -> Result<Acceptance, SheetStoreError> {
+    store.submit(submission(base, change, rules)).await
+}
+
+fn show(change: Option<&SheetChange>) -> String {
+    let Some(change) = change else {
+        return "nothing".to_owned();
+    };
+    let branches = change.branches.iter();
+    let branches = branches.map(|branch| format!("{}: {}", branch.branch, branch.rules.len()));
+    let branches = branches.collect::<Vec<_>>().join(", ");
+    format!("{} to {}: {branches}", change.from, change.revision)
+}
+
+#[tokio::test]
+async fn a_change_moves_only_what_changed() {
+    let (fake, _, store) = start().await;
+    let mut seen = String::new();
+    let mut without = rules(5);
+    without.truncate(4);
+    let sheets = [rules(3), rules(5), rules(5), without, rules(5)];
+    for (sheet, i) in sheets.into_iter().zip(0..) {
+        let (base, _) = store.current().await.unwrap();
+        let before = fake.observed();
+        let accepted = submit(&store, base, &format!("c{i}"), sheet).await;
+        let after = fake.observed();
+        writeln!(
+            seen,
+            "{accepted:?}, {} reads, {} writes",
+            after.reads - before.reads,
+            after.creates + after.updates - before.creates - before.updates,
+        )
+        .unwrap();
+    }
+    for since in 0..=4 {
+        let change = store.changes_since(since).await.unwrap();
+        writeln!(seen, "since {since}: {}", show(change.as_ref())).unwrap();
+    }
+    assert_eq!(store.at(1).await.unwrap(), by_branch(rules(3)));
+    assert_eq!(store.at(2).await.unwrap(), by_branch(rules(5)));
+    assert_eq!(store.at(3).await.unwrap().len(), 1);
+    assert_eq!(store.current().await.unwrap(), (4, by_branch(rules(5))));
+    assert_eq!(store.at(5).await, Err(SheetStoreError::Gone(5)));
+    assert_snapshot!("sheet_changes", seen);
+}
+
+#[tokio::test]
+async fn lost_answers_are_recognised() {
+    let (fake, _, store) = start().await;
+    let mut seen = Vec::new();
+    for lost in 1..=4 {
+        let (base, _) = store.current().await.unwrap();
+        fake.control(PlatformControl {
+            lose_next: Some(lost),
+            ..PlatformControl::default()
+        });
+        let sheet = rules(lost as u8);
+        let change = format!("lost-{lost}");
+        let first = submit(&store, base, &change, sheet.clone()).await;
+        let again = submit(&store, base, &change, sheet).await;
+        assert_eq!(first, again);
+        seen.push((lost, first.unwrap().revision));
+    }
+    fake.control(PlatformControl {
+        lose_next: Some(0),
+        ..PlatformControl::default()
+    });
+    let history = store.history().await.unwrap();
+    assert_yaml_snapshot!("sheet_lost_answers", (seen, history));
+}
+
+#[tokio::test]
+async fn second_of_two_operators_gets_the_revision_in_force() {
+    let (_fake, _, store) = start().await;
+    submit(&store, 0, "first", rules(1)).await.unwrap();
+    let (one, two) = tokio::join!(
+        submit(&store, 1, "one", rules(2)),
+        submit(&store, 1, "two", rules(3)),
+    );
+    let accepted = [&one, &two].into_iter().flatten().count();
+    let refused = one.err().or(two.err()).unwrap();
+    assert_eq!(accepted, 1);
+    let (_, in_force) = store.current().await.unwrap();
+    assert!([by_branch(rules(2)), by_branch(rules(3))].contains(&in_force));
+    let names = submit(&store, 2, "../Index", rules(4)).await.unwrap_err();
+    assert_snapshot!("sheet_race", format!("{refused}\n{names}"));
+}
+
+#[tokio::test]
+async fn stale_reads_and_outages_change_nothing() {
+    let (fake, _, store) = start().await;
+    submit(&store, 0, "first", rules(1)).await.unwrap();
+    submit(&store, 1, "second", rules(2)).await.unwrap();
+    fake.control(PlatformControl {
+        stale_next: Some(1),
+        ..PlatformControl::default()
+    });
+    let accepted = submit(&store, 2, "third", rules(3)).await.unwrap();
+    assert_eq!(accepted.revision, 3);
+    fake.set_outage(Outage::Error);
+    let refused = submit(&store, 3, "fourth", rules(4)).await;
+    assert!(
+        matches!(refused, Err(SheetStoreError::Platform(_))),
+        "{refused:?}"
+    );
+    fake.set_outage(Outage::None);
+    assert_eq!(store.current().await.unwrap(), (3, by_branch(rules(3))));
+}
+
+#[tokio::test]
+async fn a_revision_lost_by_the_store_is_never_used_again() {
+    let (_fake, _, store) = start().await;
+    submit(&store, 0, "first", rules(1)).await.unwrap();
+    let mut cursor = SheetCursor {
+        version: 0,
+        revision: 7,
+    };
+    let older = store.watch(&mut cursor, TIMEOUT).await.unwrap();
+    assert_eq!((older, cursor.revision), (None, 7));
+    let accepted = submit(&store, 7, "after", rules(1)).await.unwrap();
+    let change = store.watch(&mut cursor, TIMEOUT).await.unwrap();
+    assert_eq!((accepted.revision, cursor.revision), (8, 8));
+    assert_snapshot!("sheet_lost_revision", show(change.as_ref()));
+}
+
+#[tokio::test]
+async fn old_changes_are_forgotten_and_their_objects_emptied() {
+    let (_fake, client, store) = start().await;
+    for base in 0..130 {
+        let sheet = rules(base as u8 % 10);
+        submit(&store, base, &format!("c{base}"), sheet)
+            .await
+            .unwrap();
+    }
+    let mut bytes = 0;
+    for object in client.list("sheet/change/").await.unwrap() {
+        bytes += client.read(&object.name).await.unwrap().unwrap().body.len();
+    }
+    let history = store.history().await.unwrap();
+    let oldest = history[0].revision;
+    let change = store.changes_since(oldest - 2).await.unwrap();
+    assert!(bytes < 200_000, "{bytes}");
+    assert_eq!(
+        store.at(oldest - 2).await,
+        Err(SheetStoreError::Gone(oldest - 2))
+    );
+    assert_eq!(
+        store.at(oldest).await.unwrap(),
+        by_branch(rules((oldest - 1) as u8 % 10))
+    );
+    assert_snapshot!(
+        "sheet_pruned",
+        format!("oldest {oldest}; {}", show(change.as_ref()))
+    );
+}
