Add the stand-ins of the engine and the plain service

Change: FakeEngine (continuous batching, memory in pieces, prefix cache, KV handover over a shared link, lagging load, late events, orders, seeded faults) and FakeService, both over HTTP on an ephemeral port; six tests through the real client.

--- a/src/border/engine_client.rs
+++ b/src/border/engine_client.rs
@@ -13,7 +13,7 @@
         },
     },
     prometheus_client::metrics::counter::Counter,
-    reqwest::{Client, RequestBuilder, Response},
+    reqwest::{Client, RequestBuilder, Response, StatusCode},
 };
 
 /// Client of the protocol between daemons and model engines, see docs/ENDPOINTS.md.
@@ -87,8 +87,12 @@
         let body = CancelRequest {
             attempt: attempt.to_string(),
         };
-        send(self.post(address, "/v1/cancel").json(&body)).await?;
-        Ok(())
+        let response = send(self.post(address, "/v1/cancel").json(&body)).await?;
+        if response.status() == StatusCode::NO_CONTENT {
+            return Ok(());
+        }
+        let text = format!("status {} to a cancel", response.status());
+        Err(EngineError::Broken(text))
     }
 
     async fn describe(&self, address: &str) -> Result<Description, EngineError> {
--- /dev/null
+++ b/src/fake/engine_routes.rs
@@ -0,0 +1,212 @@
+use {
+    super::{
+        EngineControl, EngineObserved, FaultKind,
+        engine_core::EngineCore,
+        engine_run::{End, Progress, RunKey},
+        engine_stream::events,
+        engine_transfer::{export, import},
+        fake_answer::{broken, not_run, problem},
+    },
+    crate::{
+        border::{
+            CACHE_GONE_REASON, CACHE_GONE_STATUS, REFUSED_STATUS, UNKNOWN_ATTEMPT_REASON,
+            UNKNOWN_ATTEMPT_STATUS,
+            endpoint_wire::{
+                CancelRequest, CompletionRequest, KvTransferParams, PrefillReply, RefusalBodyRan,
+            },
+        },
+        decide::count_tokens,
+        port::{CacheEvents, Description, LoadReport, Order},
+    },
+    poem::{
+        Body, EndpointExt, IntoEndpoint, IntoResponse, Response, Route, get, handler,
+        http::StatusCode,
+        post,
+        web::{Data, Json, Path, Query},
+    },
+    serde::Deserialize,
+    std::sync::Arc,
+    tokio::sync::watch,
+};
+
+type Core<'a> = Data<&'a Arc<EngineCore>>;
+
+#[derive(Deserialize)]
+struct ResumeQuery {
+    from: u32,
+}
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+/// Returns the HTTP service of the engine's stand-in.
+pub(super) fn routes(core: Arc<EngineCore>) -> impl IntoEndpoint {
+    Route::new()
+        .at("/v1/completions", post(complete))
+        .at("/v1/completions/:attempt", get(resume))
+        .at("/v1/kv/:handle", get(read_cache))
+        .at("/v1/cancel", post(cancel))
+        .at("/v1/describe", get(describe))
+        .at("/v1/load", get(load))
+        .at("/v1/events", get(cache_events))
+        .at("/v1/orders", post(order))
+        .at("/fake/control", post(control))
+        .at("/fake/observed", get(observed))
+        .data(core)
+}
+
+#[handler]
+async fn complete(Data(core): Core<'_>, Json(ask): Json<CompletionRequest>) -> Response {
+    let admitted = core.lock().admit(&ask);
+    let key = match admitted {
+        Ok(key) => key,
+        Err(reason) => return not_run(REFUSED_STATUS, reason),
+    };
+    let Some(progress) = core.subscribe(key) else {
+        return broken();
+    };
+    core.work.notify_one();
+    if !ask.stream {
+        return prefilled(core, &ask, key, progress).await;
+    }
+    match ask.kv_transfer_params.filter(|kv| kv.do_remote_prefill) {
+        Some(kv) => imported(core, key, kv, progress).await,
+        None => stream(core, key, progress, 0),
+    }
+}
+
+/// Answers a prefill when its KV cache is computed.
+async fn prefilled(
+    core: &EngineCore,
+    ask: &CompletionRequest,
+    key: RunKey,
+    mut progress: watch::Receiver<Progress>,
+) -> Response {
+    let done = progress.wait_for(|p| p.ready || p.end.is_some()).await;
+    let ready = done.is_ok_and(|p| p.ready);
+    let cached = core.lock().runs.get(key).map(|run| run.seen.cached);
+    let (true, Some(cached)) = (ready, cached) else {
+        return problem(500, RefusalBodyRan::Unknown, End::Cancelled.word());
+    };
+    let settings = core.lock().settings.clone();
+    let expiry = settings.scaled_ms(settings.expiry_ms);
+    let reply = PrefillReply {
+        id: ask.attempt.clone(),
+        kv_transfer_params: KvTransferParams {
+            cached_tokens: Some(cached),
+            do_remote_decode: false,
+            do_remote_prefill: true,
+            expires_ms: u64::try_from(expiry.as_millis()).ok(),
+            remote_address: Some(core.address.clone()),
+            remote_handle: Some(ask.attempt.clone()),
+            remote_tokens: Some(count_tokens(&ask.prompt)),
+        },
+    };
+    Json(reply).into_response()
+}
+
+/// Answers a decode once its import has begun.
+async fn imported(
+    core: &Arc<EngineCore>,
+    key: RunKey,
+    kv: KvTransferParams,
+    mut progress: watch::Receiver<Progress>,
+) -> Response {
+    tokio::spawn(import(Arc::clone(core), key, kv));
+    let begun = progress.wait_for(|p| p.ready || p.end.is_some()).await;
+    let gone = begun.is_ok_and(|p| !p.ready && p.end == Some(End::CacheGone));
+    if gone {
+        return not_run(CACHE_GONE_STATUS, CACHE_GONE_REASON);
+    }
+    stream(core, key, progress, 0)
+}
+
+fn stream(
+    core: &Arc<EngineCore>,
+    key: RunKey,
+    progress: watch::Receiver<Progress>,
+    index: u32,
+) -> Response {
+    let Some(events) = events(core, key, progress, index) else {
+        return broken();
+    };
+    Response::builder()
+        .content_type("text/event-stream")
+        .body(Body::from_bytes_stream(events))
+}
+
+#[handler]
+fn resume(
+    Data(core): Core<'_>,
+    Path(attempt): Path<String>,
+    Query(query): Query<ResumeQuery>,
+) -> Response {
+    let found = core.lock().follow(&attempt);
+    match found {
+        Some((key, progress)) => stream(core, key, progress, query.from),
+        None => problem(
+            UNKNOWN_ATTEMPT_STATUS,
+            RefusalBodyRan::Unknown,
+            UNKNOWN_ATTEMPT_REASON,
+        ),
+    }
+}
+
+#[handler]
+fn read_cache(Data(core): Core<'_>, Path(handle): Path<String>) -> Response {
+    match export(core, &handle) {
+        Some(parts) => Response::builder().body(Body::from_bytes_stream(parts)),
+        None => not_run(CACHE_GONE_STATUS, CACHE_GONE_REASON),
+    }
+}
+
+#[handler]
+fn cancel(Data(core): Core<'_>, Json(ask): Json<CancelRequest>) -> Response {
+    let mut state = core.lock();
+    if state.faults.draw(FaultKind::LoseCancel).is_some() {
+        return broken();
+    }
+    state.cancel(&ask.attempt);
+    if state.faults.draw(FaultKind::LoseAnswer).is_some() {
+        return broken();
+    }
+    StatusCode::NO_CONTENT.into()
+}
+
+#[handler]
+fn describe(Data(core): Core<'_>) -> Json<Description> {
+    Json(core.lock().description())
+}
+
+#[handler]
+fn load(Data(core): Core<'_>) -> Json<LoadReport> {
+    Json(core.lock().load())
+}
+
+#[handler]
+fn cache_events(Data(core): Core<'_>, Query(query): Query<EventsQuery>) -> Json<CacheEvents> {
+    Json(core.lock().events(query.after))
+}
+
+#[handler]
+fn order(Data(core): Core<'_>, Json(order): Json<Order>) -> Response {
+    let taken = core.lock().order(order);
+    match taken {
+        Ok(description) => Json(description).into_response(),
+        Err(reason) => not_run(REFUSED_STATUS, reason),
+    }
+}
+
+#[handler]
+fn control(Data(core): Core<'_>, Json(control): Json<EngineControl>) -> StatusCode {
+    core.control(&control);
+    StatusCode::NO_CONTENT
+}
+
+#[handler]
+fn observed(Data(core): Core<'_>) -> Json<EngineObserved> {
+    Json(core.lock().observed())
+}
--- /dev/null
+++ b/src/fake/engine_stream.rs
@@ -0,0 +1,176 @@
+use {
+    super::{
+        Fault, FaultKind,
+        answer_text::print_text,
+        engine_core::EngineCore,
+        engine_run::{End, Progress, RunKey},
+        fault::FaultPlan,
+    },
+    crate::border::{
+        CACHE_GONE_REASON,
+        endpoint_wire::{ChunkChoice, CompletionChunk, RefusalBody, RefusalBodyRan},
+    },
+    bytes::Bytes,
+    futures_util::{Stream, stream::unfold},
+    std::{collections::VecDeque, io, sync::Arc},
+    tokio::sync::watch,
+};
+
+/// Identity in the chunks of the fault `Cross`.
+const CROSSED_ATTEMPT: &str = "00000000deadbeef-1-1-0";
+
+/// Events of one token stream.
+struct Events {
+    core: Arc<EngineCore>,
+    progress: watch::Receiver<Progress>,
+    attempt: String,
+    print: u64,
+    next: u32,
+    faults: Vec<Fault>,
+    queue: VecDeque<io::Result<Bytes>>,
+    /// Chunk kept back until its successor was sent.
+    late: Option<Bytes>,
+    over: bool,
+}
+
+/// Streams the tokens of an attempt from `index` on as server-sent events.
+pub(super) fn events(
+    core: &Arc<EngineCore>,
+    key: RunKey,
+    progress: watch::Receiver<Progress>,
+    index: u32,
+) -> Option<impl Stream<Item = io::Result<Bytes>> + Send + 'static> {
+    let mut state = core.lock();
+    let run = state.runs.get(key)?;
+    let events = Events {
+        core: Arc::clone(core),
+        progress,
+        attempt: run.seen.attempt.clone(),
+        print: run.print,
+        next: index,
+        faults: draw(&mut state.faults),
+        queue: VecDeque::new(),
+        late: None,
+        over: false,
+    };
+    drop(state);
+    Some(unfold(events, |mut events| async {
+        let event = events.event().await?;
+        Some((event, events))
+    }))
+}
+
+fn draw(faults: &mut FaultPlan) -> Vec<Fault> {
+    let kinds = [
+        FaultKind::Truncate,
+        FaultKind::Break,
+        FaultKind::Repeat,
+        FaultKind::Cross,
+        FaultKind::Late,
+    ];
+    kinds
+        .into_iter()
+        .filter_map(|kind| faults.draw(kind))
+        .collect()
+}
+
+impl Events {
+    async fn event(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            if let Some(event) = self.queue.pop_front() {
+                return Some(event);
+            }
+            if self.over {
+                return None;
+            }
+            let progress = *self.progress.borrow_and_update();
+            if progress.tokens > self.next || progress.end.is_some() {
+                self.advance(progress);
+            } else if self.progress.changed().await.is_err() {
+                self.fail();
+            }
+        }
+    }
+
+    fn advance(&mut self, progress: Progress) {
+        match progress.end {
+            Some(End::CacheGone) => self.refuse(),
+            Some(End::Died) => self.fail(),
+            end => self.chunk(progress.tokens, end),
+        }
+    }
+
+    fn chunk(&mut self, tokens: u32, end: Option<End>) {
+        if self.take(FaultKind::Truncate).is_some() {
+            self.over = true;
+            return;
+        }
+        if self.take(FaultKind::Break).is_some() {
+            self.fail();
+            return;
+        }
+        let count = tokens.saturating_sub(self.next);
+        let event = self.wire(self.attempt.clone(), count, end);
+        if self.take(FaultKind::Cross).is_some() {
+            let crossed = self.wire(CROSSED_ATTEMPT.to_owned(), count, None);
+            self.queue.push_back(Ok(crossed));
+        }
+        if self.take(FaultKind::Repeat).is_some() {
+            self.queue.push_back(Ok(event.clone()));
+        }
+        if end.is_none() && self.take(FaultKind::Late).is_some() {
+            self.late = Some(event);
+        } else {
+            self.queue.push_back(Ok(event));
+            self.queue.extend(self.late.take().map(Ok));
+        }
+        self.next = self.next.max(tokens);
+        self.over = end.is_some();
+        self.core.lock().count_sent(count);
+    }
+
+    /// Takes a fault whose point is reached.
+    fn take(&mut self, kind: FaultKind) -> Option<Fault> {
+        let due = |fault: &Fault| fault.kind == kind && self.next >= fault.after;
+        let i = self.faults.iter().position(due)?;
+        Some(self.faults.remove(i))
+    }
+
+    fn wire(&self, attempt: String, count: u32, end: Option<End>) -> Bytes {
+        let chunk = CompletionChunk {
+            choices: vec![ChunkChoice {
+                finish_reason: end.map(|end| end.word().to_owned()),
+                index: 0,
+                text: print_text(self.print, self.next, self.next + count),
+            }],
+            id: attempt,
+            object: "text_completion".to_owned(),
+            token_count: count,
+            token_index: self.next,
+        };
+        let data = serde_json::to_string(&chunk).unwrap_or_default();
+        let done = if end.is_some() {
+            "data: [DONE]\n\n"
+        } else {
+            ""
+        };
+        Bytes::from(format!("data: {data}\n\n{done}"))
+    }
+
+    fn refuse(&mut self) {
+        let body = RefusalBody {
+            ran: RefusalBodyRan::No,
+            reason: CACHE_GONE_REASON.to_owned(),
+        };
+        let data = serde_json::to_string(&body).unwrap_or_default();
+        let event = format!("event: error\ndata: {data}\n\n");
+        self.queue.push_back(Ok(Bytes::from(event)));
+        self.over = true;
+    }
+
+    fn fail(&mut self) {
+        self.queue
+            .push_back(Err(io::Error::other("connection broken")));
+        self.over = true;
+    }
+}
--- a/src/fake/mod.rs
+++ b/src/fake/mod.rs
@@ -1,7 +1,12 @@
 //! Small stand-ins for the systems outside, used by tests, the demo and measurements.
 
 pub use self::{
+    answer_text::{answer_length, answer_text},
     control_plane::{ControlPlane, PlaneParts, answer},
+    engine::FakeEngine,
+    engine_observed::{EngineControl, EngineObserved, EngineTotals, RunObserved},
+    engine_settings::EngineSettings,
+    fault::{Fault, FaultKind},
     faulty_peer::{Cuts, FaultyPeer},
     memory_platform::MemoryPlatform,
     pause::Pause,
@@ -10,10 +15,26 @@
     platform_settings::{
         Outage, PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings,
     },
+    service::FakeService,
+    service_settings::{ServiceControl, ServiceObserved, ServiceRun, ServiceSettings},
 };
 
+mod answer_text;
 mod control_plane;
+mod engine;
+mod engine_batch;
+mod engine_core;
+mod engine_observed;
+mod engine_routes;
+mod engine_run;
+mod engine_settings;
+mod engine_state;
+mod engine_stream;
+mod engine_transfer;
+mod fake_answer;
+mod fault;
 mod faulty_peer;
+mod link;
 mod memory_platform;
 mod pause;
 mod peer_network;
@@ -21,3 +42,8 @@
 mod platform_routes;
 mod platform_settings;
 mod platform_state;
+mod prefix_cache;
+mod service;
+mod service_routes;
+mod service_settings;
+mod uptime;
--- /dev/null
+++ b/src/fake/service.rs
@@ -0,0 +1,121 @@
+use {
+    super::{
+        ServiceControl, ServiceObserved, ServiceSettings,
+        fault::FaultPlan,
+        service_routes::routes,
+        uptime::{bind, serve},
+    },
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
+};
+
+/// Shortest time for which a dead stand-in keeps its listener closed.
+const DOWN_MIN: Duration = Duration::from_millis(20);
+
+/// Stand-in of a plain service, see docs/ENDPOINTS.md. Dropping it stops it.
+#[derive(Debug)]
+pub struct FakeService {
+    core: Arc<ServiceCore>,
+    address: SocketAddr,
+    server: JoinHandle<()>,
+}
+
+/// What the calls of the stand-in share.
+#[derive(Debug)]
+pub(super) struct ServiceCore {
+    /// Settings.
+    pub settings: ServiceSettings,
+    down: watch::Sender<bool>,
+    state: Mutex<ServiceState>,
+}
+
+/// Faults in force and the record of calls.
+#[derive(Debug)]
+pub(super) struct ServiceState {
+    /// Faults in force.
+    pub faults: FaultPlan,
+    /// What the stand-in saw.
+    pub observed: ServiceObserved,
+}
+
+impl FakeService {
+    /// Starts the stand-in on the address of `settings`.
+    pub async fn start(settings: ServiceSettings) -> io::Result<Self> {
+        let (address, acceptor) = bind(&settings.address).await?;
+        let core = Arc::new(ServiceCore::new(settings));
+        let shared = Arc::clone(&core);
+        let app = move || routes(Arc::clone(&shared));
+        let server = tokio::spawn(serve(address, acceptor, core.down.subscribe(), app));
+        Ok(Self {
+            core,
+            address,
+            server,
+        })
+    }
+
+    /// Address of the listener.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes faults as the control call does.
+    pub fn control(&self, control: &ServiceControl) {
+        self.core.control(control);
+    }
+
+    /// What the stand-in saw.
+    pub fn observed(&self) -> ServiceObserved {
+        self.core.lock().observed.clone()
+    }
+}
+
+impl Drop for FakeService {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+impl ServiceCore {
+    fn new(settings: ServiceSettings) -> Self {
+        let faults = FaultPlan::new(settings.faults.clone(), settings.seed);
+        Self {
+            settings,
+            down: watch::Sender::new(false),
+            state: Mutex::new(ServiceState {
+                faults,
+                observed: ServiceObserved::default(),
+            }),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn control(&self, control: &ServiceControl) {
+        let mut state = self.lock();
+        if control.clear {
+            state.faults.clear();
+        }
+        for fault in &control.faults {
+            state.faults.add(fault.clone());
+        }
+    }
+
+    /// Closes all connections and the listener, and opens it again later.
+    pub(super) fn die(self: &Arc<Self>) {
+        self.lock().observed.deaths += 1;
+        self.down.send_replace(true);
+        let core = Arc::clone(self);
+        tokio::spawn(async move {
+            let down = core.settings.scaled_ms(core.settings.down_ms);
+            sleep(down.max(DOWN_MIN)).await;
+            core.down.send_replace(false);
+        });
+    }
+}
--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,248 @@
+//! The engine's client against the stand-in: the whole path, memory, eviction, cancel and orders.
+
+use {
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::Role,
+        border::{EngineClient, http_client},
+        fake::{EngineControl, EngineSettings, FakeEngine, answer_text},
+        key::{AttemptId, RequestId},
+        port::{Chunk, DecodeAsk, Engine, EngineError, KvHandle, Order, PrefillAsk, TokenStream},
+    },
+    prometheus_client::metrics::counter::Counter,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Limit of any wait; a test that reaches it fails.
+pub const LIMIT: Duration = Duration::from_secs(30);
+pub const MODEL: &str = "m";
+const SCALE: f64 = 0.05;
+/// Time that no test waits for, in milliseconds.
+const AGES_MS: u64 = 3_600_000;
+
+pub struct Pair {
+    pub prefill: FakeEngine,
+    pub decode: FakeEngine,
+    pub client: EngineClient,
+}
+
+pub fn settings(role: Role) -> EngineSettings {
+    let settings = EngineSettings::builder(role).scale(SCALE).load_ms(0);
+    settings.expiry_ms(AGES_MS).resume_ms(AGES_MS).build()
+}
+
+pub async fn pair(prefill: EngineSettings, decode: EngineSettings) -> Pair {
+    let client = http_client(Duration::from_secs(5)).unwrap();
+    Pair {
+        prefill: FakeEngine::start(prefill).await.unwrap(),
+        decode: FakeEngine::start(decode).await.unwrap(),
+        client: EngineClient::new(client, Counter::default()),
+    }
+}
+
+pub async fn plain_pair() -> Pair {
+    pair(settings(Role::Prefill), settings(Role::Decode)).await
+}
+
+pub fn attempt(sequence: u64) -> AttemptId {
+    let request = RequestId {
+        host: 0xaa,
+        incarnation: 1,
+        sequence,
+    };
+    AttemptId { request, number: 0 }
+}
+
+pub fn prompt(words: usize) -> String {
+    let words = (0..words).map(|word| format!("w{word}"));
+    words.collect::<Vec<_>>().join(" ")
+}
+
+pub fn prefill_ask(sequence: u64, prompt: &str) -> PrefillAsk {
+    PrefillAsk {
+        attempt: attempt(sequence),
+        model: MODEL.into(),
+        adapter: None,
+        prompt: prompt.into(),
+        priority: 0,
+    }
+}
+
+pub fn decode_ask(sequence: u64, prompt: &str, import: Option<KvHandle>) -> DecodeAsk {
+    DecodeAsk {
+        attempt: attempt(sequence),
+        model: MODEL.into(),
+        adapter: None,
+        prompt: prompt.into(),
+        max_tokens: 8,
+        priority: 0,
+        import,
+    }
+}
+
+/// Reads a stream to its end: the text, the finish reason and how it ended.
+pub async fn drain<T>(tokens: &mut T) -> (String, Option<String>, Result<(), EngineError>)
+where
+    T: TokenStream,
+{
+    let (mut text, mut finish) = (String::new(), None);
+    loop {
+        match timeout(LIMIT, tokens.next()).await.unwrap() {
+            Ok(Some(chunk)) => {
+                text += &chunk.text;
+                finish = chunk.finish;
+            }
+            Ok(None) => return (text, finish, Ok(())),
+            Err(e) => return (text, finish, Err(e)),
+        }
+    }
+}
+
+/// The kind of an error, without texts that differ between runs.
+pub fn kind<T>(result: &Result<T, EngineError>) -> String {
+    match result {
+        Ok(_) => "ok".into(),
+        Err(EngineError::Unsent(_)) => "unsent".into(),
+        Err(EngineError::Refused(reason)) => format!("refused: {reason}"),
+        Err(EngineError::Broken(_)) => "broken".into(),
+        Err(EngineError::CacheGone) => "cache-gone".into(),
+        Err(EngineError::UnknownAttempt) => "unknown-attempt".into(),
+    }
+}
+
+pub fn address(engine: &FakeEngine) -> String {
+    engine.address().to_string()
+}
+
+/// Waits until the engine holds `pieces`.
+pub async fn wait_used(engine: &FakeEngine, pieces: u32) {
+    let reached = async {
+        while engine.observed().used != pieces {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(LIMIT, reached).await.unwrap();
+}
+
+#[tokio::test]
+async fn whole_path_from_prefill_to_decode() {
+    let pair = plain_pair().await;
+    let prompt = prompt(100);
+    let mut seen = Vec::new();
+    for sequence in [1, 3] {
+        let ask = prefill_ask(sequence, &prompt);
+        let kv = pair.client.prefill(&address(&pair.prefill), &ask).await;
+        let kv = kv.unwrap();
+        seen.push(format!("{} tokens, {} cached", kv.tokens, kv.cached));
+        let ask = decode_ask(sequence + 1, &prompt, Some(kv));
+        let tokens = pair.client.decode(&address(&pair.decode), &ask).await;
+        let (text, finish, end) = drain(&mut tokens.unwrap()).await;
+        seen.push(format!("{text}{finish:?} {end:?}"));
+        assert_eq!(text, answer_text(MODEL, &prompt, 0, 8));
+    }
+    wait_used(&pair.prefill, 0).await;
+    let totals = (
+        pair.prefill.observed().totals,
+        pair.decode.observed().totals,
+    );
+    assert_yaml_snapshot!("engine_whole_path", (seen, totals));
+}
+
+#[tokio::test]
+async fn memory_that_does_not_fit_is_refused() {
+    let small = EngineSettings {
+        pieces: 3,
+        step_us: AGES_MS * 1_000,
+        ..settings(Role::Decode)
+    };
+    let pair = pair(settings(Role::Prefill), small).await;
+    let (two, one) = (prompt(3_000), prompt(10));
+    let mut seen = Vec::new();
+    for (sequence, prompt) in [(1, &two), (2, &two), (3, &one), (4, &one), (3, &one)] {
+        let ask = decode_ask(sequence, prompt, None);
+        let result = pair.client.decode(&address(&pair.decode), &ask).await;
+        let load = pair.client.load(&address(&pair.decode)).await.unwrap();
+        seen.push(format!("{}, {} used", kind(&result), load.used));
+    }
+    assert_yaml_snapshot!("engine_memory", seen);
+}
+
+#[tokio::test]
+async fn an_evicted_prefill_is_gone() {
+    let hasty = EngineSettings {
+        expiry_ms: 1,
+        ..settings(Role::Prefill)
+    };
+    let pair = pair(hasty, settings(Role::Decode)).await;
+    let prompt = prompt(50);
+    let ask = prefill_ask(1, &prompt);
+    let kv = pair.client.prefill(&address(&pair.prefill), &ask).await;
+    wait_used(&pair.prefill, 0).await;
+    let ask = decode_ask(2, &prompt, kv.ok());
+    let result = pair.client.decode(&address(&pair.decode), &ask).await;
+    let waste = pair.prefill.observed().totals.wasted;
+    let used = pair.decode.observed().used;
+    assert_yaml_snapshot!("engine_eviction", (kind(&result), waste, used));
+}
+
+#[tokio::test]
+async fn a_resumed_stream_holds_the_missing_tokens_only() {
+    let pair = plain_pair().await;
+    let (at, prompt) = (address(&pair.decode), prompt(20));
+    let ask = decode_ask(1, &prompt, None);
+    let mut tokens = pair.client.decode(&at, &ask).await.unwrap();
+    let first = timeout(LIMIT, tokens.next()).await.unwrap();
+    let first: Chunk = first.unwrap().unwrap();
+    drop(tokens);
+    let mut rest = pair.client.resume(&at, ask.attempt, first.count).await;
+    let (text, finish, end) = drain(rest.as_mut().unwrap()).await;
+    assert_eq!(first.text + &text, answer_text(MODEL, &prompt, 0, 8));
+    let mut last = pair.client.resume(&at, ask.attempt, 6).await.unwrap();
+    let (text, ..) = drain(&mut last).await;
+    let unknown = pair.client.resume(&at, attempt(9), 0).await;
+    assert_yaml_snapshot!("engine_resume", (finish, end.is_ok(), text, kind(&unknown)));
+}
+
+#[tokio::test]
+async fn orders_are_fenced_where_the_engine_checks() {
+    let mut seen = BTreeMap::new();
+    for fenced in [true, false] {
+        let settings = EngineSettings {
+            fenced,
+            ..settings(Role::Decode)
+        };
+        let pair = pair(self::settings(Role::Prefill), settings).await;
+        let mut results = Vec::new();
+        for (fence, version) in [(7, "2"), (6, "1")] {
+            let order = Order {
+                fence,
+                role: Role::Decode,
+                models: BTreeMap::from([(MODEL.into(), version.into())]),
+                adapters: vec!["a".into()],
+            };
+            let result = pair.client.order(&address(&pair.decode), &order).await;
+            results.push(kind(&result));
+        }
+        let after = pair.client.describe(&address(&pair.decode)).await.unwrap();
+        seen.insert(fenced, (results, after.models, after.fence));
+    }
+    assert_yaml_snapshot!("engine_orders", seen);
+}
+
+#[tokio::test]
+async fn a_leaving_engine_refuses_new_work_and_says_so() {
+    let pair = plain_pair().await;
+    let at = address(&pair.decode);
+    let running = decode_ask(1, &prompt(20), None);
+    let mut tokens = pair.client.decode(&at, &running).await.unwrap();
+    pair.decode.control(&EngineControl {
+        leaving: Some(true),
+        ..EngineControl::default()
+    });
+    let later = decode_ask(2, &prompt(20), None);
+    let refused = pair.client.decode(&at, &later).await;
+    let load = pair.client.load(&at).await.unwrap();
+    let (_, finish, _) = drain(&mut tokens).await;
+    assert_yaml_snapshot!("engine_leaving", (kind(&refused), load.leaving, finish));
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,6 +1,7 @@
 //! Integration tests, a file for each feature.
 
 mod budget;
+mod engine;
 mod fleet;
 mod line_bench;
 mod lines;
