Test membership and the spread of the sheet under faults

Cause: deaths, pauses, cuts and an older store are what the design is for. Change: twelve control planes over a network in memory and paused time join by one address with the platform away, and are killed, restarted, paused, half cut and split; the sheet spreads, catches up after a cut and stays at the greatest revision when the store has lost it. SheetLog is checked by itself.

--- a/src/fake/memory_platform.rs
+++ b/src/fake/memory_platform.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        PlatformControl, PlatformSettings,
+        PlatformSettings,
         platform_state::{Condition, PlatformState, Written},
     },
     crate::port::{HostEntry, Object, ObjectName, Platform, PlatformError},
@@ -44,9 +44,9 @@
         self.away.send_replace(away);
     }
 
-    /// Changes faults and hosts.
-    pub fn control(&self, control: PlatformControl) {
-        self.lock().control(control);
+    /// Loses everything that was written, as a restored empty backup would.
+    pub fn reset(&self) {
+        *self.lock() = PlatformState::new(&PlatformSettings::default());
     }
 
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,10 +1,12 @@
 //! Integration tests, a file for each feature.
 
 mod budget;
+mod cluster;
 mod engine;
 mod fleet;
 mod line_bench;
 mod lines;
+mod membership;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
@@ -12,5 +14,6 @@
 mod retry;
 mod settings;
 mod sheet_check;
+mod sheet_spread;
 mod sheet_store;
 mod suspicion;
