Commit at-most-once claims in groups

Cause: an order must run at most once although two daemons may commit the same partition, answers get lost after the write, and the platform goes away. Change: Claims groups asks by partition into one conditional update; the table decides asks so that repeating a decision changes nothing, which makes the attempt its own change id; full heads move to archives. ClaimRouter asks the committer chosen by rendezvous hashing, or commits here; a take that did not come back in time is ended as not run in the background, so a retry runs. The property test first failed for an answer from a table that another committer had moved on; such groups are now read afresh. Conclusion: conditional updates alone keep two committers safe.

--- /dev/null
+++ b/src/border/claim_objects.rs
@@ -0,0 +1,118 @@
+use {
+    crate::port::{ClaimHead, ClaimRecord, ClaimStore, Platform, PlatformError},
+    bincode::{
+        config::standard,
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    bytes::Bytes,
+    serde::{Serialize, de::DeserializeOwned},
+};
+
+/// First byte of every object: the version of its encoding.
+const ENCODING: u8 = 1;
+
+/// Claims as objects of the platform: `claims/{partition}/head` and `claims/{partition}/{id}`,
+/// each a version byte followed by bincode.
+#[derive(Clone, Debug)]
+pub struct ClaimObjects<P> {
+    platform: P,
+}
+
+impl<P> ClaimObjects<P>
+where
+    P: Platform,
+{
+    /// Keeps claims at `platform`.
+    pub fn new(platform: P) -> Self {
+        Self { platform }
+    }
+}
+
+impl<P> ClaimStore for ClaimObjects<P>
+where
+    P: Platform,
+{
+    async fn read_head(&self, partition: u32) -> Result<(u64, ClaimHead), PlatformError> {
+        let name = head_name(partition);
+        match self.platform.read(&name).await? {
+            Some(object) => Ok((object.version, decode(&name, &object.body)?)),
+            None => Ok((0, ClaimHead::default())),
+        }
+    }
+
+    async fn write_head(
+        &self,
+        partition: u32,
+        expected: u64,
+        head: &ClaimHead,
+    ) -> Result<u64, PlatformError> {
+        let name = head_name(partition);
+        let body = encode(&name, head)?;
+        if expected == 0 {
+            self.platform.create(&name, body).await
+        } else {
+            self.platform.update(&name, expected, body).await
+        }
+    }
+
+    async fn read_archive(
+        &self,
+        partition: u32,
+        id: u64,
+    ) -> Result<Vec<ClaimRecord>, PlatformError> {
+        let name = archive_name(partition, id);
+        let object = self.platform.read(&name).await?;
+        let object = object.ok_or_else(|| unreadable(&name))?;
+        decode(&name, &object.body)
+    }
+
+    async fn write_archive(
+        &self,
+        partition: u32,
+        id: u64,
+        records: &[ClaimRecord],
+    ) -> Result<(), PlatformError> {
+        let name = archive_name(partition, id);
+        let body = encode(&name, &records)?;
+        match self.platform.create(&name, body).await {
+            Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+fn head_name(partition: u32) -> String {
+    format!("claims/{partition}/head")
+}
+
+fn archive_name(partition: u32, id: u64) -> String {
+    format!("claims/{partition}/{id}")
+}
+
+fn encode<T>(name: &str, value: &T) -> Result<Bytes, PlatformError>
+where
+    T: Serialize,
+{
+    let mut body = vec![ENCODING];
+    let encoded = encode_to_vec(value, standard());
+    let encoded = encoded.map_err(|e| PlatformError::Rejected(format!("`{name}`: {e}")))?;
+    body.extend(encoded);
+    Ok(body.into())
+}
+
+fn decode<T>(name: &str, body: &[u8]) -> Result<T, PlatformError>
+where
+    T: DeserializeOwned,
+{
+    let (&encoding, rest) = body.split_first().ok_or_else(|| unreadable(name))?;
+    if encoding != ENCODING {
+        return Err(unreadable(name));
+    }
+    let decoded = decode_from_slice(rest, standard());
+    decoded.map(|(value, _)| value).or(Err(unreadable(name)))
+}
+
+fn unreadable(name: &str) -> PlatformError {
+    let reason = format!("`{name}` is missing or not of this version; upgrade all daemons");
+    PlatformError::Rejected(reason)
+}
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -5,6 +5,7 @@
     call_counters::CallCounters,
     caller::Caller,
     caller_listener::CallerListener,
+    claim_objects::ClaimObjects,
     completion_wire::{CompletionBody, CompletionReply},
     endpoint_answer::{
         CACHE_GONE_REASON, CACHE_GONE_STATUS, REFUSED_STATUS, UNKNOWN_ATTEMPT_REASON,
@@ -33,6 +34,7 @@
 mod caller;
 mod caller_api;
 mod caller_listener;
+mod claim_objects;
 mod completion_wire;
 mod counted_stream;
 mod endpoint_answer;
--- /dev/null
+++ b/src/control/claim_partition.rs
@@ -0,0 +1,128 @@
+use {
+    crate::{
+        decide::{ClaimTable, ClaimTime, record_bytes},
+        port::{ArchiveMark, ClaimHead, ClaimRecord, ClaimStore, PlatformError},
+    },
+    std::collections::{HashMap, HashSet},
+};
+
+/// Size of the records in a head, in bytes, above which they move to an archive.
+const HEAD_BYTES_MAX: u64 = 32_768;
+/// Size of an archive, in bytes, above which the next archive starts afresh.
+const ARCHIVE_BYTES_MAX: u64 = 600_000;
+
+/// One partition as this daemon last knew it: its head, and the table that head and archives make.
+#[derive(Debug)]
+pub(super) struct ClaimPartition<S> {
+    store: S,
+    number: u32,
+    version: u64,
+    head: ClaimHead,
+    loaded: HashSet<u64>,
+    pub(super) table: ClaimTable,
+}
+
+impl<S> ClaimPartition<S>
+where
+    S: ClaimStore,
+{
+    pub(super) fn new(store: S, number: u32) -> Self {
+        Self {
+            store,
+            number,
+            version: 0,
+            head: ClaimHead::default(),
+            loaded: HashSet::new(),
+            table: ClaimTable::default(),
+        }
+    }
+
+    /// Reads the head again, and the archives that were not read before.
+    pub(super) async fn load(&mut self) -> Result<(), PlatformError> {
+        let (version, head) = self.store.read_head(self.number).await?;
+        if version < self.version {
+            let reason = "the head was read at an older version".into();
+            return Err(PlatformError::Unavailable(reason));
+        }
+        for mark in &head.archives {
+            if self.loaded.contains(&mark.id) {
+                continue;
+            }
+            let records = self.store.read_archive(self.number, mark.id).await?;
+            self.table.merge(records);
+            self.loaded.insert(mark.id);
+        }
+        self.table.merge(head.records.iter().cloned());
+        self.version = version;
+        self.head = head;
+        Ok(())
+    }
+
+    /// Writes `records` behind the others by a conditional update of the head.
+    pub(super) async fn append(
+        &mut self,
+        records: Vec<ClaimRecord>,
+        time: ClaimTime,
+    ) -> Result<(), PlatformError> {
+        let mut next = self.head.clone();
+        if bytes(&next.records) > HEAD_BYTES_MAX {
+            next = self.archive(time).await?;
+        }
+        next.records.extend(records.iter().cloned());
+        let written = self.store.write_head(self.number, self.version, &next);
+        self.version = written.await?;
+        self.head = next;
+        self.table.merge(records);
+        Ok(())
+    }
+
+    /// Moves the records of the head to an archive, together with those of the last archive if
+    /// both fit; returns the head without them.
+    ///
+    /// The archive is named after the head's version, so committers that race make the same one.
+    async fn archive(&mut self, time: ClaimTime) -> Result<ClaimHead, PlatformError> {
+        let mut archives = self.head.archives.clone();
+        archives.retain(|mark| time.keeps(mark.newest));
+        let room = ARCHIVE_BYTES_MAX.saturating_sub(bytes(&self.head.records));
+        let mut records = Vec::new();
+        if let Some(last) = archives.pop_if(|mark| mark.bytes <= room) {
+            records = self.store.read_archive(self.number, last.id).await?;
+        }
+        records.extend(self.head.records.iter().cloned());
+        let records = latest(records, time);
+        let written = self
+            .store
+            .write_archive(self.number, self.version, &records);
+        written.await?;
+        archives.push(ArchiveMark {
+            id: self.version,
+            newest: records.iter().map(|record| record.at_ms).max().unwrap_or(0),
+            bytes: bytes(&records),
+        });
+        self.loaded.insert(self.version);
+        self.table.prune(time);
+        Ok(ClaimHead {
+            archives,
+            records: Vec::new(),
+        })
+    }
+}
+
+fn bytes(records: &[ClaimRecord]) -> u64 {
+    records
+        .iter()
+        .map(|record| record_bytes(record) as u64)
+        .sum()
+}
+
+/// The latest record of each key, without those past their retention.
+fn latest(records: Vec<ClaimRecord>, time: ClaimTime) -> Vec<ClaimRecord> {
+    let mut by_key = HashMap::new();
+    for record in records {
+        by_key.insert(record.key.clone(), record);
+    }
+    let mut records: Vec<_> = by_key.into_values().collect();
+    records.retain(|record| time.keeps(record.at_ms));
+    records.sort_by(|a, b| a.key.cmp(&b.key));
+    records
+}
--- /dev/null
+++ b/src/control/claim_resolver.rs
@@ -0,0 +1,65 @@
+use {
+    super::ClaimRouter,
+    crate::{
+        decide::Backoff,
+        port::{ClaimAsk, ClaimOutcome, Clock, Peer},
+    },
+    futures_util::future::join_all,
+    rand::rngs::SmallRng,
+    std::time::Duration,
+    tokio::sync::mpsc,
+};
+
+/// Ends recorded at once.
+const BATCH_MAX: usize = 256;
+/// First delay after a batch that was not recorded whole.
+const BACKOFF_BASE: Duration = Duration::from_millis(50);
+/// Longest delay between attempts.
+const BACKOFF_MAX: Duration = Duration::from_secs(10);
+
+/// Records ends that could not be recorded in time, until the platform has taken them.
+#[derive(Debug)]
+pub struct ClaimResolver<P, C> {
+    router: ClaimRouter<P, C>,
+    ends: mpsc::Receiver<ClaimAsk>,
+}
+
+impl<P, C> ClaimResolver<P, C>
+where
+    P: Peer,
+    C: Clock,
+{
+    pub(super) fn new(router: ClaimRouter<P, C>, ends: mpsc::Receiver<ClaimAsk>) -> Self {
+        Self { router, ends }
+    }
+
+    /// Runs until the task is dropped.
+    pub async fn run(mut self, mut rng: SmallRng) {
+        let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_MAX);
+        let mut batch = Vec::new();
+        loop {
+            let room = BATCH_MAX - batch.len();
+            if batch.is_empty() {
+                self.ends.recv_many(&mut batch, room).await;
+            }
+            batch = self.record(batch).await;
+            if batch.is_empty() {
+                backoff.succeed();
+            } else {
+                let delay = backoff.fail(&mut rng);
+                self.router.clock().sleep(delay).await;
+            }
+        }
+    }
+
+    /// Records the ends of `batch`; returns those that have to be tried again.
+    async fn record(&self, batch: Vec<ClaimAsk>) -> Vec<ClaimAsk> {
+        let outcomes = join_all(batch.iter().map(|end| self.router.route(end.clone()))).await;
+        batch
+            .into_iter()
+            .zip(outcomes)
+            .filter(|(_, outcome)| *outcome != ClaimOutcome::Recorded)
+            .map(|(end, _)| end)
+            .collect()
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,10 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
 pub use self::{
+    claim_controller::Claims,
+    claim_resolver::ClaimResolver,
+    claim_router::ClaimRouter,
+    claim_settings::ClaimSettings,
     digest_controller::DigestController,
     fleet_controller::FleetController,
     health_controller::{HealthController, HealthHandle, HealthNews},
@@ -21,6 +25,12 @@
     suspect_controller::{SuspectController, Suspicions},
 };
 
+mod claim_committer;
+mod claim_controller;
+mod claim_partition;
+mod claim_resolver;
+mod claim_router;
+mod claim_settings;
 mod digest_controller;
 mod endpoint_view;
 mod fleet_controller;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
     backoff::{Backoff, jitter},
     call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
+    claim_table::{ANSWER_BYTES_MAX, ClaimGroup, ClaimTable, ClaimTime, ask_key, record_bytes},
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, merge_fleet},
     host_roster::HostRoster,
@@ -35,6 +36,7 @@
 mod backoff;
 mod call_class;
 mod chunk_check;
+mod claim_table;
 mod fair_share;
 mod fleet_merge;
 mod host_roster;
--- a/src/fake/platform_settings.rs
+++ b/src/fake/platform_settings.rs
@@ -31,6 +31,8 @@
     pub lose_next: u32,
     /// Share of writes that take effect but are not answered, from 0 to 1.
     pub lose_share: f64,
+    /// Outage that begins with the next lost answer.
+    pub lose_outage: Outage,
     /// Reads that return the previous version.
     pub stale_next: u32,
     /// Share of reads that return the previous version, from 0 to 1.
@@ -68,6 +70,8 @@
     pub lose_next: Option<u32>,
     /// See `PlatformFaults::lose_share`.
     pub lose_share: Option<f64>,
+    /// See `PlatformFaults::lose_outage`.
+    pub lose_outage: Option<Outage>,
     /// See `PlatformFaults::stale_next`.
     pub stale_next: Option<u32>,
     /// See `PlatformFaults::stale_share`.
@@ -115,6 +119,7 @@
         set(&mut self.list_lag_ms, control.list_lag_ms);
         set(&mut self.lose_next, control.lose_next);
         set(&mut self.lose_share, control.lose_share);
+        set(&mut self.lose_outage, control.lose_outage);
         set(&mut self.stale_next, control.stale_next);
         set(&mut self.stale_share, control.stale_share);
     }
--- a/src/fake/platform_state.rs
+++ b/src/fake/platform_state.rs
@@ -1,9 +1,9 @@
 use {
-    super::{PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings},
+    super::{Outage, PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings},
     crate::port::{HostEntry, Object, ObjectName},
     bytes::Bytes,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, mem::take, time::Duration},
     tokio::time::Instant,
 };
 
@@ -89,6 +89,9 @@
             .insert(name.into(), Stored { current, previous });
         if self.draw_lost() {
             self.observed.lost += 1;
+            if self.faults.lose_outage != Outage::None {
+                self.faults.outage = take(&mut self.faults.lose_outage);
+            }
             return Written::Lost;
         }
         Written::Done(version)
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -3,6 +3,7 @@
 //! The messages carry no wire format: `border` turns them into what travels.
 
 pub use self::{
+    claim_store::{ArchiveMark, ClaimHead, ClaimRecord, ClaimStore},
     claimer::Claimer,
     clock::Clock,
     engine::{
@@ -21,6 +22,7 @@
     service::{Service, ServiceCall, ServiceReply},
 };
 
+mod claim_store;
 mod claimer;
 mod clock;
 mod engine;
--- /dev/null
+++ b/tests/claim_table.rs
@@ -0,0 +1,161 @@
+//! Decisions of two committers over one head, in any order and with lost answers.
+
+use {
+    lentillead::{
+        decide::{ClaimTable, ClaimTime},
+        key::{AttemptId, RequestId},
+        port::{ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, ClaimRecord},
+    },
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const TIME: ClaimTime = ClaimTime {
+    now_ms: 1_000,
+    retention: Duration::from_hours(1),
+};
+
+/// One ask at one of the committers.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    committer: usize,
+    attempt: u64,
+    act: Act,
+    /// Whether the write's answer is lost, so that the committer decides again.
+    lost: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Take,
+    NotRun,
+    Answer,
+    Unknown,
+}
+
+/// A committer with the version of the head that it knows.
+#[derive(Default)]
+struct Committer {
+    table: ClaimTable,
+    version: usize,
+}
+
+impl Committer {
+    fn read(&mut self, head: &[Vec<ClaimRecord>]) {
+        for records in &head[self.version..] {
+            self.table.merge(records.iter().cloned());
+        }
+        self.version = head.len();
+    }
+
+    /// Decides and writes until the write is known to stand.
+    fn commit(
+        &mut self,
+        head: &mut Vec<Vec<ClaimRecord>>,
+        ask: &ClaimAsk,
+        lost: bool,
+    ) -> ClaimOutcome {
+        let mut lost = lost;
+        let mut fresh = false;
+        loop {
+            let decided = self.table.decide([ask], TIME, |_| false);
+            let outcome = decided.outcomes[0].clone();
+            if decided.verify && !fresh {
+                self.read(head);
+                fresh = true;
+                continue;
+            }
+            if decided.records.is_empty() {
+                return outcome;
+            }
+            if self.version != head.len() {
+                self.read(head);
+                continue;
+            }
+            head.push(decided.records);
+            if !lost {
+                self.read(head);
+                return outcome;
+            }
+            lost = false;
+            self.read(head);
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let act = prop_oneof![
+        4 => Just(Act::Take),
+        2 => Just(Act::NotRun),
+        1 => Just(Act::Answer),
+        1 => Just(Act::Unknown),
+    ];
+    (0..2_usize, 0..4_u64, act, any::<bool>()).prop_map(|(committer, attempt, act, lost)| Step {
+        committer,
+        attempt,
+        act,
+        lost,
+    })
+}
+
+fn ask(step: Step) -> ClaimAsk {
+    let request = RequestId {
+        host: 1,
+        incarnation: 1,
+        sequence: step.attempt,
+    };
+    let attempt = AttemptId { request, number: 0 };
+    let key = ClaimKey {
+        branch: "cardiff".into(),
+        kind: "appointment".into(),
+        key: "k".into(),
+    };
+    let end = match step.act {
+        Act::Take => {
+            return ClaimAsk::Take {
+                key,
+                body: 1,
+                attempt,
+                remaining: Duration::from_secs(1),
+            };
+        }
+        Act::NotRun => ClaimEnd::NotRun,
+        Act::Unknown => ClaimEnd::Unknown,
+        Act::Answer => ClaimEnd::Answered {
+            status: 200,
+            content: String::new(),
+            body: Vec::new(),
+            whole: true,
+        },
+    };
+    ClaimAsk::Finish { key, attempt, end }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Two attempts take one key only if the first was recorded as not run in between, and an
+    /// attempt that was recorded as not run never takes the key before another one did.
+    #[test]
+    fn one_attempt_at_a_time_takes_a_key(steps in prop::collection::vec(step(), 1..40)) {
+        let mut committers = [Committer::default(), Committer::default()];
+        let mut head = Vec::new();
+        let mut holder = None;
+        for step in steps {
+            let outcome = committers[step.committer].commit(&mut head, &ask(step), step.lost);
+            match step.act {
+                Act::Take if outcome == ClaimOutcome::Taken => {
+                    prop_assert!(holder.is_none() || holder == Some(step.attempt));
+                    holder = Some(step.attempt);
+                }
+                Act::NotRun if holder == Some(step.attempt) => {
+                    let latest = head.last().and_then(|records| records.first());
+                    if latest.is_some_and(|record| record.end == Some(ClaimEnd::NotRun)) {
+                        holder = None;
+                    }
+                }
+                Act::Take | Act::NotRun | Act::Answer | Act::Unknown => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,352 @@
+//! At-most-once claims under lost answers, races, outages and a spent budget.
+
+use {
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Blackboard, Host, HostState, Members, Section, Tick},
+        border::{BudgetedPlatform, CallCounters, ClaimObjects, PlatformClient},
+        control::{ClaimRouter, ClaimSettings, Claims},
+        decide::CallClass,
+        fake::{FakePlatform, Outage, PlatformControl, PlatformSettings},
+        key::{AttemptId, RequestId, name_hash},
+        port::{
+            ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, Claimer, MonoClock, Peer, PeerCall,
+            PeerError, PeerReply,
+        },
+    },
+    prometheus_client::registry::Registry,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
+};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const PATIENT: Duration = Duration::from_mins(2);
+const IMPATIENT: Duration = Duration::from_millis(100);
+const INCARNATION: u64 = 1_000;
+const BODY: u64 = 11;
+
+/// Daemons of one process that reach one another by call; a missing one is not reached.
+#[derive(Clone, Default)]
+struct Neighbours {
+    claims: Arc<OnceLock<HashMap<String, Claims<MonoClock>>>>,
+}
+
+impl Peer for Neighbours {
+    async fn call(&self, address: &str, call: PeerCall) -> Result<PeerReply, PeerError> {
+        let claims = self.claims.get().and_then(|all| all.get(address)).cloned();
+        match (claims, call) {
+            (Some(claims), PeerCall::Claim(ask)) => Ok(PeerReply::Claim(claims.ask(ask).await)),
+            _ => Err(PeerError::Unsent(address.into())),
+        }
+    }
+}
+
+fn settings() -> ClaimSettings {
+    ClaimSettings {
+        partitions: 16,
+        window: Duration::from_millis(2),
+        retention: Duration::from_hours(24),
+    }
+}
+
+fn attempt(host: &str, sequence: u64) -> AttemptId {
+    let request = RequestId {
+        host: name_hash(host),
+        incarnation: INCARNATION,
+        sequence,
+    };
+    AttemptId { request, number: 0 }
+}
+
+fn key(text: &str) -> ClaimKey {
+    ClaimKey {
+        branch: "anglesey".into(),
+        kind: "deposit".into(),
+        key: text.into(),
+    }
+}
+
+fn take(text: &str, attempt: AttemptId, remaining: Duration) -> ClaimAsk {
+    ClaimAsk::Take {
+        key: key(text),
+        body: BODY,
+        attempt,
+        remaining,
+    }
+}
+
+fn finish(text: &str, attempt: AttemptId, end: ClaimEnd) -> ClaimAsk {
+    ClaimAsk::Finish {
+        key: key(text),
+        attempt,
+        end,
+    }
+}
+
+fn answered(body: &str) -> ClaimEnd {
+    ClaimEnd::Answered {
+        status: 201,
+        content: "text/plain".into(),
+        body: body.into(),
+        whole: true,
+    }
+}
+
+/// Members `d0` to `d{count - 1}` as seen by `d{own}`.
+fn members(count: usize, own: usize) -> Section<Members> {
+    let (board, mut writers) = Blackboard::new();
+    writers.members.update(|members| {
+        for i in 0..count {
+            let name = format!("d{i}");
+            let host = Host {
+                name: name.clone(),
+                zone: "a".into(),
+                address: name.clone(),
+                incarnation: INCARNATION,
+                round: 0,
+                state: HostState::Alive,
+                since: Tick(0),
+            };
+            let host_key = members.hosts.insert(&name, host);
+            if i == own {
+                members.own = host_key;
+            }
+        }
+    });
+    board.members
+}
+
+async fn platform() -> FakePlatform {
+    FakePlatform::start(PlatformSettings::default())
+        .await
+        .unwrap()
+}
+
+fn claims(fake: &FakePlatform, own: usize) -> Claims<MonoClock> {
+    let client = PlatformClient::new(&fake.url(), TIMEOUT).unwrap();
+    let store = ClaimObjects::new(client);
+    let clock = MonoClock::start();
+    Claims::start(&store, clock, &members(6, own), settings(), own as u64)
+}
+
+/// Routers of six daemons.
+fn routers(fake: &FakePlatform) -> Vec<ClaimRouter<Neighbours, MonoClock>> {
+    let peer = Neighbours::default();
+    let mut all = HashMap::new();
+    let mut routers = Vec::new();
+    for own in 0..6 {
+        let claims = claims(fake, own);
+        all.insert(format!("d{own}"), claims.clone());
+        let clock = MonoClock::start();
+        let (router, resolver) = ClaimRouter::new(peer.clone(), clock, members(6, own), claims);
+        tokio::spawn(resolver.run(SmallRng::seed_from_u64(own as u64)));
+        routers.push(router);
+    }
+    let _ = peer.claims.set(all);
+    routers
+}
+
+fn lose(fake: &FakePlatform, next: u32, share: f64) {
+    fake.control(PlatformControl {
+        lose_next: Some(next),
+        lose_share: Some(share),
+        ..PlatformControl::default()
+    });
+}
+
+#[tokio::test]
+async fn lost_answer_is_recognised() {
+    let fake = platform().await;
+    let claims = claims(&fake, 0);
+    lose(&fake, 1, 0.0);
+    let first = claims.ask(take("a", attempt("d0", 1), PATIENT)).await;
+    let second = claims.ask(take("a", attempt("d0", 2), PATIENT)).await;
+    let seen = fake.observed();
+    assert_yaml_snapshot!((
+        format!("{first:?}"),
+        second,
+        seen.creates,
+        seen.updates,
+        seen.lost
+    ));
+}
+
+#[tokio::test]
+async fn every_end_answers_the_next_take() {
+    let fake = platform().await;
+    let claims = claims(&fake, 0);
+    let ends = [
+        ("running", None),
+        ("not run", Some(ClaimEnd::NotRun)),
+        ("answered", Some(answered("receipt 7"))),
+        ("long answer", Some(answered(&"x".repeat(5_000)))),
+        ("unknown", Some(ClaimEnd::Unknown)),
+    ];
+    let mut seen = Vec::new();
+    for (name, end) in ends {
+        claims.ask(take(name, attempt("d0", 1), PATIENT)).await;
+        if let Some(end) = end {
+            claims.ask(finish(name, attempt("d0", 1), end)).await;
+        }
+        let other = ClaimAsk::Take {
+            key: key(name),
+            body: BODY + 1,
+            attempt: attempt("d1", 3),
+            remaining: PATIENT,
+        };
+        let next = claims.ask(take(name, attempt("d1", 2), PATIENT)).await;
+        seen.push((name, next, claims.ask(other).await));
+    }
+    let gone = AttemptId {
+        request: RequestId {
+            incarnation: INCARNATION - 1,
+            ..attempt("d2", 1).request
+        },
+        number: 0,
+    };
+    claims.ask(take("host gone", gone, PATIENT)).await;
+    let next = claims
+        .ask(take("host gone", attempt("d1", 2), PATIENT))
+        .await;
+    seen.push(("host gone", next.clone(), next));
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test]
+async fn outage_until_the_deadline_is_not_run_and_the_retry_runs() {
+    let fake = platform().await;
+    let routers = routers(&fake);
+    let mut seen = Vec::new();
+    for (name, outage) in [("error", Outage::Error), ("hang", Outage::Hang)] {
+        fake.set_outage(outage);
+        let first = routers[0]
+            .ask(take(name, attempt("d0", 1), IMPATIENT))
+            .await;
+        fake.set_outage(Outage::None);
+        seen.push((name, first));
+        seen.push(("retry", retry_until_ended(&routers[1], name).await));
+    }
+    // The write takes effect, its answer is lost, and the platform is away until the deadline.
+    fake.control(PlatformControl {
+        lose_next: Some(1),
+        lose_outage: Some(Outage::Error),
+        ..PlatformControl::default()
+    });
+    let first = routers[0]
+        .ask(take("lost", attempt("d0", 1), IMPATIENT))
+        .await;
+    assert_eq!(fake.observed().lost, 1);
+    fake.set_outage(Outage::None);
+    seen.push(("lost", first));
+    seen.push(("retry", retry_until_ended(&routers[1], "lost").await));
+    assert_yaml_snapshot!(seen);
+}
+
+/// Asks as a caller does that is told to come back while the first take is being resolved.
+async fn retry_until_ended(
+    router: &ClaimRouter<Neighbours, MonoClock>,
+    name: &str,
+) -> ClaimOutcome {
+    for sequence in 10.. {
+        let outcome = router
+            .ask(take(name, attempt("d1", sequence), PATIENT))
+            .await;
+        if !matches!(outcome, ClaimOutcome::InProgress { .. }) {
+            return outcome;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    ClaimOutcome::Unavailable
+}
+
+#[tokio::test]
+async fn racing_committers_take_once() {
+    let fake = platform().await;
+    let both = [claims(&fake, 0), claims(&fake, 1)];
+    let mut asks = Vec::new();
+    for i in 0..200 {
+        for (own, claims) in both.iter().cloned().enumerate() {
+            let ask = take(&format!("k{i}"), attempt(&format!("d{own}"), i), PATIENT);
+            asks.push(tokio::spawn(async move { claims.ask(ask).await }));
+        }
+    }
+    assert_yaml_snapshot!(tally(asks).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn each_key_is_taken_once_by_six_daemons() {
+    let fake = platform().await;
+    let routers = routers(&fake);
+    lose(&fake, 0, 0.2);
+    let mut asks = Vec::new();
+    for i in 0..1_000 {
+        for (own, router) in routers.iter().cloned().enumerate() {
+            let ask = take(&format!("k{i}"), attempt(&format!("d{own}"), i), PATIENT);
+            asks.push(tokio::spawn(async move { router.ask(ask).await }));
+        }
+    }
+    assert_yaml_snapshot!(tally(asks).await);
+    assert!(fake.observed().lost > 0, "answers were lost");
+}
+
+async fn tally(asks: Vec<tokio::task::JoinHandle<ClaimOutcome>>) -> BTreeMap<String, u32> {
+    let mut counts = BTreeMap::new();
+    for ask in asks {
+        let word = format!("{:?}", ask.await.unwrap());
+        let word = word.split_whitespace().next().unwrap().to_owned();
+        *counts.entry(word).or_default() += 1;
+    }
+    counts
+}
+
+#[tokio::test]
+async fn spent_budget_delays_claims_without_losing_them() {
+    let fake = platform().await;
+    let client = PlatformClient::new(&fake.url(), TIMEOUT).unwrap();
+    let clock = MonoClock::start();
+    let mut registry = Registry::default();
+    let counters = CallCounters::new(&mut registry, 20);
+    let budget = BudgetedPlatform::new(client, clock, 20, counters);
+    let store = ClaimObjects::new(budget.with_class(CallClass::Claims));
+    let claims = Claims::start(&store, clock, &members(1, 0), settings(), 0);
+    while budget.left() > 0 {
+        let status = budget.with_class(CallClass::Claims);
+        let _ = lentillead::port::Platform::hosts(&status).await;
+    }
+    let asks = (0..64).map(|i| {
+        let claims = claims.clone();
+        let ask = take(&format!("k{i}"), attempt("d0", i), PATIENT);
+        tokio::spawn(async move { claims.ask(ask).await })
+    });
+    assert_yaml_snapshot!(tally(asks.collect()).await);
+}
+
+#[tokio::test]
+async fn full_heads_move_to_archives() {
+    let fake = platform().await;
+    let first = claims(&fake, 0);
+    for i in 0..40 {
+        let asks: Vec<_> = (0..64)
+            .map(|j| {
+                let claims = first.clone();
+                let name = format!("{i}-{j}-{}", "long".repeat(40));
+                let ask = take(&name, attempt("d0", i * 64 + j), PATIENT);
+                tokio::spawn(async move { claims.ask(ask).await })
+            })
+            .collect();
+        assert_eq!(tally(asks).await, BTreeMap::from([("Taken".into(), 64)]));
+    }
+    let successor = claims(&fake, 1);
+    let name = format!("0-0-{}", "long".repeat(40));
+    let again = successor.ask(take(&name, attempt("d1", 1), PATIENT)).await;
+    assert!(matches!(again, ClaimOutcome::InProgress { .. }));
+    let written = fake.observed();
+    assert!(
+        written.creates > 16,
+        "archives were written beside the heads"
+    );
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,6 +1,8 @@
 //! Integration tests, a file for each feature.
 
 mod budget;
+mod claim_table;
+mod claims;
 mod cluster;
 mod engine;
 mod fleet;
