Test every fault of the endpoint stand-ins through the clients

Cause: the faults decide what may be said to a caller, so each must reach the client as documented. Streams send one token a chunk, so that the results do not depend on speed. A broken connection now has a length that is never reached: the server ends a failed chunked body with a clean terminator, which the service test showed as a whole answer (`lost: ok`).

--- a/src/fake/engine_batch.rs
+++ b/src/fake/engine_batch.rs
@@ -121,15 +121,13 @@
     if run.stage != Stage::Decoding {
         return None;
     }
-    if run.seen.generated < run.limit {
-        run.seen.generated += 1;
-        run.progress.send_modify(|p| p.tokens += 1);
-    }
-    let end = if run.capped { End::Length } else { End::Stop };
-    if run.seen.generated >= run.limit {
+    run.seen.generated = run.limit.min(run.seen.generated + 1);
+    if run.seen.generated == run.limit {
+        let end = if run.capped { End::Length } else { End::Stop };
         state.end(key, end);
         return None;
     }
+    run.progress.send_modify(|p| p.tokens += 1);
     let (after, time) = run.stall?;
     if run.seen.generated < after {
         return None;
--- a/src/fake/engine_routes.rs
+++ b/src/fake/engine_routes.rs
@@ -130,12 +130,7 @@
     progress: watch::Receiver<Progress>,
     index: u32,
 ) -> Response {
-    let Some(events) = events(core, key, progress, index) else {
-        return broken();
-    };
-    Response::builder()
-        .content_type("text/event-stream")
-        .body(Body::from_bytes_stream(events))
+    events(core, key, progress, index).unwrap_or_else(broken)
 }
 
 #[handler]
--- a/src/fake/engine_state.rs
+++ b/src/fake/engine_state.rs
@@ -145,7 +145,11 @@
         run.stage = Stage::Ended;
         run.seen.end = Some(end.word().to_owned());
         run.seen.end_ms = Some(now);
-        run.progress.send_modify(|p| p.end = Some(end));
+        let tokens = run.seen.generated;
+        run.progress.send_modify(|p| {
+            p.tokens = tokens;
+            p.end = Some(end);
+        });
         self.used -= run.seen.pieces;
         self.totals.wasted += u64::from(run.wasted());
         self.totals.computed += u64::from(run.seen.computed);
--- a/src/fake/engine_stream.rs
+++ b/src/fake/engine_stream.rs
@@ -4,6 +4,7 @@
         answer_text::print_text,
         engine_core::EngineCore,
         engine_run::{End, Progress, RunKey},
+        fake_answer::breaking,
         fault::FaultPlan,
     },
     crate::border::{
@@ -11,14 +12,18 @@
         endpoint_wire::{ChunkChoice, CompletionChunk, RefusalBody, RefusalBodyRan},
     },
     bytes::Bytes,
-    futures_util::{Stream, stream::unfold},
-    std::{collections::VecDeque, io, sync::Arc},
-    tokio::sync::watch,
+    futures_util::stream::unfold,
+    poem::{Body, Response},
+    std::{collections::VecDeque, io, sync::Arc, time::Duration},
+    tokio::{sync::watch, time::sleep},
 };
 
 /// Identity in the chunks of the fault `Cross`.
 const CROSSED_ATTEMPT: &str = "00000000deadbeef-1-1-0";
 
+/// Time for the server to send the chunks before a break.
+const FLUSH_TIME: Duration = Duration::from_millis(1);
+
 /// Events of one token stream.
 struct Events {
     core: Arc<EngineCore>,
@@ -33,13 +38,13 @@
     over: bool,
 }
 
-/// Streams the tokens of an attempt from `index` on as server-sent events.
+/// Answers with the tokens of an attempt from `index` on as server-sent events.
 pub(super) fn events(
     core: &Arc<EngineCore>,
     key: RunKey,
     progress: watch::Receiver<Progress>,
     index: u32,
-) -> Option<impl Stream<Item = io::Result<Bytes>> + Send + 'static> {
+) -> Option<Response> {
     let mut state = core.lock();
     let run = state.runs.get(key)?;
     let events = Events {
@@ -54,10 +59,17 @@
         over: false,
     };
     drop(state);
-    Some(unfold(events, |mut events| async {
+    let breaks = events.faults.iter().any(|f| f.kind == FaultKind::Break);
+    let stream = unfold(events, |mut events| async {
         let event = events.event().await?;
         Some((event, events))
-    }))
+    });
+    let answer = if breaks {
+        breaking(stream)
+    } else {
+        Response::builder().body(Body::from_bytes_stream(stream))
+    };
+    Some(answer.set_content_type("text/event-stream"))
 }
 
 fn draw(faults: &mut FaultPlan) -> Vec<Fault> {
@@ -78,6 +90,9 @@
     async fn event(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             if let Some(event) = self.queue.pop_front() {
+                if event.is_err() {
+                    sleep(FLUSH_TIME).await;
+                }
                 return Some(event);
             }
             if self.over {
@@ -96,11 +111,21 @@
         match progress.end {
             Some(End::CacheGone) => self.refuse(),
             Some(End::Died) => self.fail(),
-            end => self.chunk(progress.tokens, end),
+            end => self.chunks(progress.tokens, end),
+        }
+    }
+
+    /// Sends a chunk for each token, and an empty one if the end has no token of its own.
+    fn chunks(&mut self, tokens: u32, end: Option<End>) {
+        while self.next + 1 < tokens && !self.over {
+            self.chunk(1, None);
+        }
+        if !self.over {
+            self.chunk(tokens.saturating_sub(self.next), end);
         }
     }
 
-    fn chunk(&mut self, tokens: u32, end: Option<End>) {
+    fn chunk(&mut self, count: u32, end: Option<End>) {
         if self.take(FaultKind::Truncate).is_some() {
             self.over = true;
             return;
@@ -109,7 +134,6 @@
             self.fail();
             return;
         }
-        let count = tokens.saturating_sub(self.next);
         let event = self.wire(self.attempt.clone(), count, end);
         if self.take(FaultKind::Cross).is_some() {
             let crossed = self.wire(CROSSED_ATTEMPT.to_owned(), count, None);
@@ -124,7 +148,7 @@
             self.queue.push_back(Ok(event));
             self.queue.extend(self.late.take().map(Ok));
         }
-        self.next = self.next.max(tokens);
+        self.next += count;
         self.over = end.is_some();
         self.core.lock().count_sent(count);
     }
--- a/src/fake/fake_answer.rs
+++ b/src/fake/fake_answer.rs
@@ -1,7 +1,11 @@
 use {
     crate::border::endpoint_wire::{RefusalBody, RefusalBodyRan},
-    futures_util::stream::once,
-    poem::{Body, Response, http::StatusCode},
+    bytes::Bytes,
+    futures_util::{Stream, stream::once},
+    poem::{
+        Body, Response,
+        http::{StatusCode, header::CONTENT_LENGTH},
+    },
     std::{future::ready, io},
 };
 
@@ -29,8 +33,17 @@
 /// An answer that breaks the connection.
 pub(super) fn broken() -> Response {
     let error = io::Error::other("connection broken");
-    let body = once(ready(Err::<Vec<u8>, _>(error)));
+    breaking(once(ready(Err(error))))
+}
+
+/// An answer whose connection breaks when `parts` fail.
+///
+/// The length is never reached: without one the server ends a failed body as if it were whole.
+pub(super) fn breaking<S>(parts: S) -> Response
+where
+    S: Stream<Item = io::Result<Bytes>> + Send + 'static,
+{
     Response::builder()
-        .status(StatusCode::INTERNAL_SERVER_ERROR)
-        .body(Body::from_bytes_stream(body))
+        .header(CONTENT_LENGTH, u32::MAX)
+        .body(Body::from_bytes_stream(parts))
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -25,6 +25,7 @@
     pub prefill: FakeEngine,
     pub decode: FakeEngine,
     pub client: EngineClient,
+    pub stray: Counter,
 }
 
 pub fn settings(role: Role) -> EngineSettings {
@@ -34,10 +35,12 @@
 
 pub async fn pair(prefill: EngineSettings, decode: EngineSettings) -> Pair {
     let client = http_client(Duration::from_secs(5)).unwrap();
+    let stray = Counter::default();
     Pair {
         prefill: FakeEngine::start(prefill).await.unwrap(),
         decode: FakeEngine::start(decode).await.unwrap(),
-        client: EngineClient::new(client, Counter::default()),
+        client: EngineClient::new(client, stray.clone()),
+        stray,
     }
 }
 
--- /dev/null
+++ b/tests/engine_fault.rs
@@ -0,0 +1,216 @@
+//! Every fault of the engine's stand-in as the client sees it, and cancel at each stage.
+
+use {
+    crate::engine::{
+        LIMIT, MODEL, Pair, address, attempt, decode_ask, drain, kind, pair, plain_pair,
+        prefill_ask, prompt, settings, wait_used,
+    },
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::Role,
+        fake::{EngineControl, EngineSettings, FakeEngine, Fault, FaultKind, answer_text},
+        port::{Engine, TokenStream},
+    },
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// Time after which a stalled stream is taken as stalled.
+const STALL_SEEN: Duration = Duration::from_millis(100);
+/// Duration of a stall that no test waits for.
+const AGES_MS: u64 = 3_600_000;
+
+fn inject(engine: &FakeEngine, fault: Fault) {
+    engine.control(&EngineControl {
+        faults: vec![fault],
+        ..EngineControl::default()
+    });
+}
+
+/// Streams an answer under `fault` and resumes it once: what the client sees each time.
+async fn stream_under(fault: Fault) -> Vec<String> {
+    let pair = plain_pair().await;
+    let (at, prompt) = (address(&pair.decode), prompt(20));
+    inject(&pair.decode, fault);
+    let ask = decode_ask(1, &prompt, None);
+    let mut tokens = pair.client.decode(&at, &ask).await.unwrap();
+    let (text, _, end) = drain(&mut tokens).await;
+    let count = text.split_whitespace().count() as u32;
+    let mut rest = pair.client.resume(&at, ask.attempt, count).await.unwrap();
+    let (rest, finish, again) = drain(&mut rest).await;
+    let whole = text + &rest == answer_text(MODEL, &prompt, 0, 8);
+    vec![
+        format!("{count} tokens, {}", kind(&end)),
+        format!("{} stray", pair.stray.get()),
+        format!("resumed: {}, {finish:?}, whole: {whole}", kind(&again)),
+    ]
+}
+
+#[tokio::test]
+async fn faults_of_a_stream() {
+    let kinds = [
+        FaultKind::Truncate,
+        FaultKind::Break,
+        FaultKind::Repeat,
+        FaultKind::Cross,
+        FaultKind::Late,
+    ];
+    let mut seen = Vec::new();
+    for kind in kinds {
+        let fault = Fault::next(kind, 1).after(3);
+        seen.push((kind, stream_under(fault).await));
+    }
+    assert_yaml_snapshot!("engine_stream_faults", seen);
+}
+
+#[tokio::test]
+async fn a_refusal_holds_nothing() {
+    let pair = plain_pair().await;
+    inject(&pair.decode, Fault::next(FaultKind::Refuse, 1));
+    let ask = decode_ask(1, &prompt(20), None);
+    let first = pair.client.decode(&address(&pair.decode), &ask).await;
+    let used = pair.decode.observed().used;
+    let again = pair.client.decode(&address(&pair.decode), &ask).await;
+    assert_yaml_snapshot!("engine_refusal", (kind(&first), used, kind(&again)));
+}
+
+/// Runs a decode that kills the engine and looks at what is left.
+async fn death(decode: EngineSettings, fault: Option<Fault>, prompt: &str) -> Vec<String> {
+    let decode = EngineSettings {
+        down_ms: AGES_MS,
+        ..decode
+    };
+    let pair = pair(settings(Role::Prefill), decode).await;
+    let before = pair.decode.observed().incarnation;
+    if let Some(fault) = fault {
+        inject(&pair.decode, fault);
+    }
+    let at = address(&pair.decode);
+    let mut tokens = pair.client.decode(&at, &decode_ask(1, prompt, None)).await;
+    let end = match tokens.as_mut() {
+        Ok(tokens) => drain(tokens).await.2,
+        Err(e) => Err(e.clone()),
+    };
+    let after = pair.client.decode(&at, &decode_ask(2, prompt, None)).await;
+    let seen = pair.decode.observed();
+    vec![
+        kind(&end),
+        kind(&after),
+        format!("{} used, {} deaths", seen.used, seen.totals.deaths),
+        format!("new incarnation: {}", seen.incarnation > before),
+    ]
+}
+
+#[tokio::test]
+async fn a_death_breaks_streams_and_loses_all() {
+    let fault = Fault::next(FaultKind::Die, 1).after(3);
+    let poisoned = EngineSettings {
+        poison: "crash-me".into(),
+        ..settings(Role::Decode)
+    };
+    let seen = (
+        death(settings(Role::Decode), Some(fault), &prompt(20)).await,
+        death(poisoned, None, "please crash-me now").await,
+    );
+    assert_yaml_snapshot!("engine_death", seen);
+}
+
+#[tokio::test]
+async fn a_prefill_lost_with_its_engine_is_gone() {
+    let pair = plain_pair().await;
+    let prompt = prompt(20);
+    let ask = prefill_ask(1, &prompt);
+    let kv = pair.client.prefill(&address(&pair.prefill), &ask).await;
+    pair.prefill.control(&EngineControl {
+        die: true,
+        ..EngineControl::default()
+    });
+    let ask = decode_ask(2, &prompt, kv.ok());
+    let result = pair.client.decode(&address(&pair.decode), &ask).await;
+    let used = (pair.prefill.observed().used, pair.decode.observed().used);
+    assert_yaml_snapshot!("engine_prefill_lost", (kind(&result), used));
+}
+
+/// Memory used by the prefill and the decode engine.
+fn used(pair: &Pair) -> (u32, u32) {
+    (pair.prefill.observed().used, pair.decode.observed().used)
+}
+
+#[tokio::test]
+async fn cancel_frees_a_prefill_while_it_runs_and_while_it_waits() {
+    let slow = EngineSettings {
+        step_us: AGES_MS * 1_000,
+        ..settings(Role::Prefill)
+    };
+    let running = pair(slow, settings(Role::Decode)).await;
+    let (at, client) = (address(&running.prefill), running.client.clone());
+    let call = tokio::spawn(async move { client.prefill(&at, &prefill_ask(1, "a b")).await });
+    wait_used(&running.prefill, 1).await;
+    let at = address(&running.prefill);
+    let answer = running.client.cancel(&at, attempt(1)).await;
+    let result = timeout(LIMIT, call).await.unwrap().unwrap();
+    let first = (kind(&answer), kind(&result), used(&running));
+
+    let waiting = plain_pair().await;
+    let at = address(&waiting.prefill);
+    let kv = waiting.client.prefill(&at, &prefill_ask(1, "a b")).await;
+    let before = used(&waiting);
+    let answer = waiting.client.cancel(&at, attempt(1)).await;
+    let ask = decode_ask(2, "a b", kv.ok());
+    let result = waiting.client.decode(&address(&waiting.decode), &ask).await;
+    let second = (before, kind(&answer), kind(&result), used(&waiting));
+    assert_yaml_snapshot!("engine_cancel_prefill", (first, second));
+}
+
+#[tokio::test]
+async fn cancel_frees_a_stalled_transfer() {
+    let pair = plain_pair().await;
+    let prompt = prompt(200);
+    let stall = Fault::next(FaultKind::StallTransfer, 1).lasting(AGES_MS);
+    inject(&pair.prefill, stall);
+    let ask = prefill_ask(1, &prompt);
+    let kv = pair.client.prefill(&address(&pair.prefill), &ask).await;
+    let (at, ask) = (address(&pair.decode), decode_ask(2, &prompt, kv.ok()));
+    let mut tokens = pair.client.decode(&at, &ask).await.unwrap();
+    let stalled = timeout(STALL_SEEN, tokens.next()).await.is_err();
+    let before = used(&pair);
+    let answer = pair.client.cancel(&at, ask.attempt).await;
+    let between = used(&pair);
+    let at = address(&pair.prefill);
+    let other = pair.client.cancel(&at, attempt(1)).await;
+    let after = used(&pair);
+    let answers = (kind(&answer), kind(&other));
+    let seen = (stalled, before, between, after, answers);
+    assert_yaml_snapshot!("engine_cancel_transfer", seen);
+}
+
+#[tokio::test]
+async fn cancel_frees_a_decode_that_nobody_reads() {
+    let pair = plain_pair().await;
+    let at = address(&pair.decode);
+    let stall = Fault::next(FaultKind::StallTokens, 1);
+    inject(&pair.decode, stall.after(2).lasting(AGES_MS));
+    let ask = decode_ask(1, "a b", None);
+    let mut tokens = pair.client.decode(&at, &ask).await.unwrap();
+    for _ in 0..2 {
+        timeout(LIMIT, tokens.next()).await.unwrap().unwrap();
+    }
+    let stalled = timeout(STALL_SEEN, tokens.next()).await.is_err();
+    drop(tokens);
+    let load = pair.client.load(&at).await.unwrap();
+    let mut seen = vec![format!("stalled: {stalled}, held {:?}", load.held)];
+    inject(&pair.decode, Fault::next(FaultKind::LoseCancel, 1));
+    inject(&pair.decode, Fault::next(FaultKind::LoseAnswer, 1));
+    for _ in 0..3 {
+        let answer = pair.client.cancel(&at, ask.attempt).await;
+        seen.push(format!("cancel {}, used {:?}", kind(&answer), used(&pair)));
+    }
+    let early = pair.client.cancel(&at, attempt(7)).await;
+    let late = pair.client.decode(&at, &decode_ask(7, "a b", None)).await;
+    seen.push(format!(
+        "early cancel {}, then {}",
+        kind(&early),
+        kind(&late)
+    ));
+    assert_yaml_snapshot!("engine_cancel_decode", seen);
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,10 +1,12 @@
 //! Integration tests, a file for each feature.
 
 mod budget;
+mod chunk_check;
 mod claim_table;
 mod claims;
 mod cluster;
 mod engine;
+mod engine_fault;
 mod fleet;
 mod line_bench;
 mod lines;
@@ -14,6 +16,7 @@
 mod peer_listener;
 mod platform;
 mod retry;
+mod service;
 mod settings;
 mod sheet_check;
 mod sheet_spread;
