Add the operator listener, the operators' commands and logs

Cause: operators submit sheets, look at the fleet and stop daemons; every refusal has to say what to do, and nobody without the key may change anything. Change: one listener with bearer key compared in constant time, limits on headers, body and time; sheet submit, show, diff, history; status of every daemon asked through peers; drain; health, readiness and metrics without a key. Commands print tables or JSON. Log lines are JSON with request, branch, kind, attempt and endpoint.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -20,6 +20,7 @@
     rule::{Borrow, Repeat, Route, Rule, Target},
     section::{Section, Writer, section},
     sheet::Sheet,
+    status::{FleetStatus, MemberStatus, PoolStatus, Status, SuspectStatus},
     suspects::{Suspect, Suspects},
     tick::Tick,
 };
@@ -43,5 +44,6 @@
 mod rule;
 mod section;
 mod sheet;
+mod status;
 mod suspects;
 mod tick;
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -15,6 +15,11 @@
     engine_tokens::EngineTokens,
     http_client::http_client,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
+    logs::start_logs,
+    operator::Operator,
+    operator_api::REVISION_HEADER,
+    operator_listener::OperatorListener,
+    operator_problem::OperatorProblem,
     peer_client::PeerClient,
     peer_limits::PeerLimits,
     peer_listener::PeerListener,
@@ -52,6 +57,11 @@
 mod engine_tokens;
 mod http_client;
 mod limited_acceptor;
+mod logs;
+mod operator;
+mod operator_api;
+mod operator_listener;
+mod operator_problem;
 mod peer_body;
 mod peer_client;
 mod peer_limits;
--- /dev/null
+++ b/src/border/operator_problem.rs
@@ -0,0 +1,83 @@
+use {
+    crate::{control::SheetStoreError, decide::SheetFault},
+    poem::{Response, http::StatusCode},
+    serde::{Deserialize, Serialize},
+};
+
+/// Body of a refusal of the operator listener, `application/problem+json` (RFC 9457).
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OperatorProblem {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable reason.
+    pub reason: String,
+    /// What failed and what to do.
+    pub detail: String,
+    /// Revision in force, for a conflict.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// Faults of the sheet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<SheetFault>,
+}
+
+impl OperatorProblem {
+    /// Creates a problem.
+    pub fn new<D>(status: StatusCode, reason: &str, detail: D) -> Self
+    where
+        D: Into<String>,
+    {
+        Self {
+            status: status.as_u16(),
+            reason: reason.to_owned(),
+            detail: detail.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Turns the problem into a response.
+    pub fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let body = serde_json::to_vec(&self).unwrap_or_default();
+        Response::builder()
+            .status(status)
+            .content_type("application/problem+json")
+            .body(body)
+    }
+}
+
+impl From<Vec<SheetFault>> for OperatorProblem {
+    fn from(faults: Vec<SheetFault>) -> Self {
+        let status = StatusCode::UNPROCESSABLE_ENTITY;
+        let detail = "the sheet has faults and nothing was changed; mend each of them";
+        Self {
+            faults,
+            ..Self::new(status, "sheet-faults", detail)
+        }
+    }
+}
+
+impl From<SheetStoreError> for OperatorProblem {
+    fn from(error: SheetStoreError) -> Self {
+        let (status, reason) = match &error {
+            SheetStoreError::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+            SheetStoreError::ChangeReused(_) => (StatusCode::CONFLICT, "change-reused"),
+            SheetStoreError::ChangeName(_) => (StatusCode::BAD_REQUEST, "bad-request"),
+            SheetStoreError::Unknown { .. } => (StatusCode::BAD_GATEWAY, "outcome-unknown"),
+            SheetStoreError::Platform(_) => (StatusCode::SERVICE_UNAVAILABLE, "store-unavailable"),
+            SheetStoreError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
+            SheetStoreError::Format { .. } | SheetStoreError::Damaged { .. } => {
+                (StatusCode::BAD_GATEWAY, "store-damaged")
+            }
+            SheetStoreError::Gone(_) => (StatusCode::NOT_FOUND, "revision-gone"),
+        };
+        let revision = match error {
+            SheetStoreError::Conflict { current, .. } => Some(current),
+            _ => None,
+        };
+        Self {
+            revision,
+            ..Self::new(status, reason, error.to_string())
+        }
+    }
+}
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CommandError, ExitStatus, SettingsCommand},
+    super::{CommandError, DrainCommand, ExitStatus, SettingsCommand, SheetCommand, StatusCommand},
     argh::FromArgs,
     std::{env, process::ExitCode},
     tokio::runtime::Runtime,
@@ -17,14 +17,23 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Ask a daemon to stop.
+    Drain(DrainCommand),
     /// Work on settings files.
     Settings(SettingsCommand),
+    /// Work on the planners' sheet.
+    Sheet(SheetCommand),
+    /// Show the whole fleet.
+    Status(StatusCommand),
 }
 
 impl Command {
     async fn run(self) -> Result<(), CommandError> {
         match self {
+            Self::Drain(command) => command.run().await,
             Self::Settings(command) => command.run().await,
+            Self::Sheet(command) => command.run().await,
+            Self::Status(command) => command.run().await,
         }
     }
 }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -7,13 +7,33 @@
 pub use self::{
     arguments::{Arguments, Command, main},
     command_error::CommandError,
+    drain::DrainCommand,
     exit_status::ExitStatus,
+    format::{Format, print_json, table},
+    operator_client::OperatorClient,
     settings::SettingsCommand,
     settings_check::SettingsCheck,
+    sheet::SheetCommand,
+    sheet_check::SheetCheck,
+    sheet_diff::SheetDiff,
+    sheet_history::SheetHistory,
+    sheet_show::SheetShow,
+    sheet_submit::SheetSubmit,
+    status::StatusCommand,
 };
 
 mod arguments;
 mod command_error;
+mod drain;
 mod exit_status;
+mod format;
+mod operator_client;
 mod settings;
 mod settings_check;
+mod sheet;
+mod sheet_check;
+mod sheet_diff;
+mod sheet_history;
+mod sheet_show;
+mod sheet_submit;
+mod status;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
     claim_settings::ClaimSettings,
     digest_controller::DigestController,
     fleet_controller::FleetController,
+    fleet_status::fleet_status,
     health_controller::{HealthController, HealthHandle, HealthNews},
     heartbeat_ports::{DigestNews, HeartbeatInputs, HeartbeatOutlets, RevisionHint},
     host_controller::HostController,
@@ -34,6 +35,7 @@
 mod digest_controller;
 mod endpoint_view;
 mod fleet_controller;
+mod fleet_status;
 mod grant_table;
 mod health_controller;
 mod heartbeat_ports;
--- a/src/control/sheet_submit.rs
+++ b/src/control/sheet_submit.rs
@@ -9,6 +9,7 @@
         port::{BranchRules, Platform, PlatformError},
     },
     bytes::Bytes,
+    serde::{Deserialize, Serialize},
 };
 
 /// Reads of the index before the platform's reads are given up as stale.
@@ -35,7 +36,7 @@
 }
 
 /// Result of a submission.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Acceptance {
     /// Revision that holds the submitted rules.
     pub revision: u64,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
+    status_of::status_of,
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, strike},
     token_bucket::TokenBucket,
     waiting::Waiting,
@@ -62,6 +63,7 @@
 mod sheet_diff;
 mod sheet_log;
 mod sheet_row;
+mod status_of;
 mod suspicion;
 mod token_bucket;
 mod waiting;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -19,6 +19,7 @@
         SuspectNews,
     },
     platform::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    request_log::RequestLog,
     service::{Service, ServiceCall, ServiceReply},
 };
 
@@ -31,4 +32,5 @@
 mod peer;
 mod peer_call;
 mod platform;
+mod request_log;
 mod service;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -11,6 +11,7 @@
 mod line_bench;
 mod lines;
 mod membership;
+mod operator_listener;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
