--- a/src/command/sheet_submit.rs
+++ b/src/command/sheet_submit.rs
@@ -68,7 +68,10 @@
         let author = check_author(self.author)?;
         let path = format!("/v1/sheet?base={base}&change={change}&author={author}");
         let started = Instant::now();
-        let accepted = client.put::<Acceptance>(&path, body).await?;
+        let accepted = client
+            .put::<Acceptance>(&path, body)
+            .await
+            .map_err(|error| name_change(error, &change))?;
         let mut outcome = Outcome {
             revision: accepted.revision,
             branches: accepted.branches,
@@ -115,6 +118,15 @@
     }
 }
 
+/// Adds to a lost answer how to learn the outcome.
+fn name_change(error: CommandError, change: &str) -> CommandError {
+    if error.status() != ExitStatus::Unreachable {
+        return error;
+    }
+    let message = format!("{error}; submit the file again with `--change {change}`");
+    CommandError::with_status(ExitStatus::Unreachable, message)
+}
+
 fn new_change() -> String {
     format!("{:032x}", rand::random::<u128>())
 }
