--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,5 +1,8 @@
 use {
-    super::{CommandError, DrainCommand, ExitStatus, SettingsCommand, SheetCommand, StatusCommand},
+    super::{
+        CommandError, DrainCommand, ExitStatus, FakeCommand, SettingsCommand, SheetCommand,
+        StatusCommand,
+    },
     argh::FromArgs,
     std::{env, process::ExitCode},
     tokio::runtime::Runtime,
@@ -19,6 +22,8 @@
 pub enum Command {
     /// Ask a daemon to stop.
     Drain(DrainCommand),
+    /// Run a stand-in.
+    Fake(FakeCommand),
     /// Work on settings files.
     Settings(SettingsCommand),
     /// Work on the planners' sheet.
@@ -31,6 +36,7 @@
     async fn run(self) -> Result<(), CommandError> {
         match self {
             Self::Drain(command) => command.run().await,
+            Self::Fake(command) => command.run().await,
             Self::Settings(command) => command.run().await,
             Self::Sheet(command) => command.run().await,
             Self::Status(command) => command.run().await,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -9,6 +9,9 @@
     command_error::CommandError,
     drain::DrainCommand,
     exit_status::ExitStatus,
+    fake::FakeCommand,
+    fake_engine::FakeEngineCommand,
+    fake_service::FakeServiceCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
     settings::SettingsCommand,
@@ -26,6 +29,10 @@
 mod command_error;
 mod drain;
 mod exit_status;
+mod fake;
+mod fake_engine;
+mod fake_process;
+mod fake_service;
 mod format;
 mod operator_client;
 mod settings;
