Add the decision bench with two baselines and a one-owner estimate

Cause: nothing shows what the decisions are worth under load. Change: `lentillead bench` runs a seeded discrete-event model of engines under random, least-loaded (each host for itself on lagging reports), the owners' decisions and one owner that knows everything, with the same arrivals.

--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CommandError, DrainCommand, ExitStatus, FakeCommand, SettingsCommand, SheetCommand,
-        StatusCommand,
+        BenchCommand, CommandError, DrainCommand, ExitStatus, FakeCommand, SettingsCommand,
+        SheetCommand, StatusCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -20,6 +20,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Compare the decisions with plain policies.
+    Bench(BenchCommand),
     /// Ask a daemon to stop.
     Drain(DrainCommand),
     /// Run a stand-in.
@@ -35,6 +37,7 @@
 impl Command {
     async fn run(self) -> Result<(), CommandError> {
         match self {
+            Self::Bench(command) => command.run(),
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
             Self::Settings(command) => command.run().await,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -6,6 +6,7 @@
 
 pub use self::{
     arguments::{Arguments, Command, main},
+    bench::BenchCommand,
     command_error::CommandError,
     drain::DrainCommand,
     exit_status::ExitStatus,
@@ -26,6 +27,18 @@
 };
 
 mod arguments;
+mod bench;
+mod bench_engine;
+mod bench_job;
+mod bench_owned;
+mod bench_plain;
+mod bench_plot;
+mod bench_profile;
+mod bench_run;
+mod bench_score;
+mod bench_steps;
+mod bench_view;
+mod bench_world;
 mod command_error;
 mod drain;
 mod exit_status;
--- a/src/control/line_places.rs
+++ b/src/control/line_places.rs
@@ -2,7 +2,7 @@
     super::{endpoint_view::EndpointView, grant_table::GrantTable, waiter::Waiter},
     crate::{
         board::{Blackboard, Endpoint, Fleet, Members, Owners, Role, Tick},
-        decide::{Need, Place, Standing, choose_decode, choose_prefill, choose_service},
+        decide::{EndpointLoad, Need, Place, choose_decode, choose_prefill, choose_service},
         key::{EndpointKey, PoolKey},
         port::GrantAsk,
     },
@@ -10,9 +10,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Prompts that a prefill endpoint may hold at once: one computed and one waiting behind it.
-const PREFILL_DEPTH: usize = 2;
-
 /// Snapshots that one round of granting works on.
 #[derive(Debug)]
 pub(super) struct LinePlaces {
@@ -115,58 +112,63 @@
     grants: &GrantTable,
     now: Tick,
 ) -> Option<Place> {
-    let running = endpoint.slot.running();
-    let standing = view.outlier.standing(now);
-    let closed = match standing {
-        Standing::In => false,
-        Standing::Out => true,
-        Standing::Probe => running > 0,
-    };
-    if closed || view.leaving || !view.is_ready(now) {
-        return None;
-    }
-    if ask.suspect
-        && grants
-            .iter()
-            .any(|entry| entry.suspect && entry.endpoint == key)
-    {
+    if view.leaving || !view.is_ready(now) {
         return None;
     }
-    let cached = view.cached(&ask.prefixes, ask.prompt_tokens);
-    let prefill = endpoint.role == Role::Prefill;
-    let held = grants.iter().filter(|entry| entry.endpoint == key);
-    let computing = held.filter(|entry| entry.work > Duration::ZERO).count();
-    if prefill && computing >= PREFILL_DEPTH {
+    let work = GrantedWork::new(key, grants);
+    if ask.suspect && work.suspect {
         return None;
     }
-    let uncached = ask.prompt_tokens.saturating_sub(cached).max(1);
-    let unit = match endpoint.role {
-        Role::Prefill => view.fit.predict(f64::from(uncached)) / uncached,
-        Role::Decode => view.fit.predict(f64::from(running + 1)),
-        Role::Service => view.fit.predict(1.0),
-    };
-    Some(Place {
+    let load = EndpointLoad {
         endpoint: key,
+        role: endpoint.role,
         free: limit(endpoint).saturating_sub(endpoint.slot.granted()),
-        running,
-        backlog: if prefill {
-            backlog(key, grants, now)
-        } else {
-            Duration::ZERO
-        },
-        cached,
-        unit,
-        probe: standing == Standing::Probe,
-    })
+        running: endpoint.slot.running(),
+        computing: work.computing,
+        exporting: work.exporting,
+        backlog: work.left(now),
+        cached: view.cached(&ask.prefixes, ask.prompt_tokens),
+        standing: view.outlier.standing(now),
+        fit: view.fit,
+    };
+    load.place(ask.prompt_tokens)
+}
+
+/// Work granted at one endpoint.
+#[derive(Debug, Default)]
+struct GrantedWork {
+    computing: u32,
+    exporting: u32,
+    suspect: bool,
+    start: Option<Tick>,
+    total: Duration,
 }
 
-/// Predicted time until a prefill endpoint has finished what it was granted.
-fn backlog(key: EndpointKey, grants: &GrantTable, now: Tick) -> Duration {
-    let held = grants.iter().filter(|entry| entry.endpoint == key);
-    let (start, work) = held.fold((now, Duration::ZERO), |(start, work), entry| {
-        (start.min(entry.since), work + entry.work)
-    });
-    work.saturating_sub(now.since(start))
+impl GrantedWork {
+    /// Adds up the grants of an endpoint.
+    fn new(key: EndpointKey, grants: &GrantTable) -> Self {
+        let mut work = Self::default();
+        for entry in grants.iter().filter(|entry| entry.endpoint == key) {
+            work.suspect |= entry.suspect;
+            if entry.work.is_zero() {
+                work.exporting += 1;
+                continue;
+            }
+            work.computing += 1;
+            work.total += entry.work;
+            work.start = Some(
+                work.start
+                    .map_or(entry.since, |start| start.min(entry.since)),
+            );
+        }
+        work
+    }
+
+    /// Predicted time until the granted prompts are computed.
+    fn left(&self, now: Tick) -> Duration {
+        let passed = self.start.map_or(Duration::ZERO, |start| now.since(start));
+        self.total.saturating_sub(passed)
+    }
 }
 
 /// Returns the target if at least one idle endpoint could meet it.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
     call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ANSWER_BYTES_MAX, ClaimGroup, ClaimTable, ClaimTime, ask_key, record_bytes},
+    endpoint_load::EndpointLoad,
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, merge_fleet},
     host_roster::HostRoster,
@@ -38,6 +39,7 @@
 mod call_class;
 mod chunk_check;
 mod claim_table;
+mod endpoint_load;
 mod fair_share;
 mod fleet_merge;
 mod host_roster;
