Test the sheet's store under mixed faults and mend damaged parts

Cause: a damaged part at the platform refused every later submission although its message said to submit again; found by a test written for the guard against emptied parts. Change: a submission over damaged parts writes every branch anew and makes followers take the whole sheet.

--- a/src/control/sheet_store_error.rs
+++ b/src/control/sheet_store_error.rs
@@ -49,7 +49,9 @@
         format: u32,
     },
     /// An object cannot be read.
-    #[error("`{name}` at the platform is damaged: {cause}; submit the sheet again")]
+    #[error(
+        "`{name}` at the platform is damaged: {cause}; submit the sheet again, or restore the object if it is `sheet/index`"
+    )]
     Damaged {
         /// Object.
         name: String,
--- a/src/control/sheet_submit.rs
+++ b/src/control/sheet_submit.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         board::Rule,
-        decide::by_branch,
+        decide::{RulesByBranch, by_branch},
         port::{BranchRules, Platform, PlatformError},
     },
     bytes::Bytes,
@@ -92,16 +92,18 @@
         }
         let current = index.revision.max(submission.floor);
         check_base(submission.base, current)?;
-        let Some(branches) = self.changed(&index, submission).await? else {
+        let stored = self.stored(&index, submission.floor).await?;
+        let branches = changed(&index, submission, stored.as_ref());
+        if branches.is_empty() {
             return Ok(Some(Acceptance {
                 revision: current,
                 branches: 0,
             }));
-        };
+        }
         let parts = split(submission.base, branches)?;
         let directory = format!("{}.{version}", submission.change);
         self.write_parts(&directory, &parts).await?;
-        let (next, dropped) = next_index(index, submission, directory, &parts);
+        let (next, dropped) = next_index(index, submission, directory, &parts, stored.is_none());
         let acceptance = self.write_index(version, &next, submission).await?;
         if acceptance.is_some() {
             self.prune(&next, &dropped).await;
@@ -109,29 +111,20 @@
         Ok(acceptance)
     }
 
-    /// Returns the branches that `submission` changes, or nothing if it changes none.
-    ///
-    /// When the store has lost revisions, every branch counts as changed.
-    async fn changed(
+    /// Returns the stored rules; `None` if some are damaged, or the store has lost revisions.
+    async fn stored(
         &self,
         index: &Index,
-        submission: &Submission,
-    ) -> Result<Option<Vec<PartBranch>>, SheetStoreError> {
-        let lost = submission.floor > index.revision;
-        let current = self.rules_at(&index.branches).await?;
-        let mut wanted = by_branch(submission.rules.iter().cloned());
-        for branch in current.keys() {
-            wanted.entry(branch.clone()).or_default();
+        floor: u64,
+    ) -> Result<Option<RulesByBranch>, SheetStoreError> {
+        if floor > index.revision {
+            return Ok(None);
+        }
+        match self.rules_at(&index.branches).await {
+            Ok(rules) => Ok(Some(rules)),
+            Err(SheetStoreError::Damaged { .. }) => Ok(None),
+            Err(error) => Err(error),
         }
-        let changed = wanted
-            .into_iter()
-            .filter(|(branch, rules)| lost || current.get(branch) != Some(rules))
-            .map(|(branch, rules)| PartBranch {
-                before: index.branches.get(&branch).cloned(),
-                rules: BranchRules { branch, rules },
-            })
-            .collect::<Vec<_>>();
-        Ok((!changed.is_empty()).then_some(changed))
     }
 
     async fn write_parts(&self, directory: &str, parts: &[Part]) -> Result<(), SheetStoreError> {
@@ -202,14 +195,39 @@
     }
 }
 
+/// Returns the branches that `submission` changes; every branch if nothing is `stored`.
+fn changed(
+    index: &Index,
+    submission: &Submission,
+    stored: Option<&RulesByBranch>,
+) -> Vec<PartBranch> {
+    let mut wanted = by_branch(submission.rules.iter().cloned());
+    for (branch, place) in &index.branches {
+        if !place.gone {
+            wanted.entry(branch.clone()).or_default();
+        }
+    }
+    let differs = |branch: &str, rules: &Vec<Rule>| {
+        stored.is_none_or(|stored| stored.get(branch) != Some(rules))
+    };
+    wanted
+        .into_iter()
+        .filter(|(branch, rules)| differs(branch, rules))
+        .map(|(branch, rules)| PartBranch {
+            before: index.branches.get(&branch).cloned(),
+            rules: BranchRules { branch, rules },
+        })
+        .collect()
+}
+
 /// Returns the index after `submission` and the records that it no longer keeps.
 fn next_index(
     mut index: Index,
     submission: &Submission,
     directory: String,
     parts: &[Part],
+    lost: bool,
 ) -> (Index, Vec<ChangeRecord>) {
-    let lost = submission.floor > index.revision;
     let revision = index.revision.max(submission.floor) + 1;
     for (part, number) in parts.iter().zip(0..) {
         for PartBranch { rules, .. } in &part.branches {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -20,6 +20,7 @@
 mod service;
 mod settings;
 mod sheet_check;
+mod sheet_follow;
 mod sheet_spread;
 mod sheet_store;
 mod suspicion;
--- a/tests/sheet_store.rs
+++ b/tests/sheet_store.rs
@@ -1,6 +1,7 @@
 //! The sheet at the platform: whole or nothing, lost answers, racing operators, lost revisions.
 
 use {
+    bytes::Bytes,
     insta::{assert_snapshot, assert_yaml_snapshot},
     lentillead::{
         board::Rule,
@@ -203,3 +204,31 @@
         format!("oldest {oldest}; {}", show(change.as_ref()))
     );
 }
+
+#[tokio::test]
+async fn damaged_objects_are_refused_and_written_anew() {
+    const INDEX: &str = "sheet/index";
+
+    let (_fake, client, store) = start().await;
+    submit(&store, 0, "c0", rules(1)).await.unwrap();
+    let mut seen = Vec::new();
+    for (base, body) in [
+        (1, r#"{"format":1,"base":0,"branches":[]}"#),
+        (2, r#"{"format":1,"bas"#),
+    ] {
+        let part = format!("sheet/change/c{}.{}/0", base - 1, base - 1);
+        let body = Bytes::from_static(body.as_bytes());
+        client.update(&part, 1, body).await.unwrap();
+        seen.push(store.changes_since(0).await.unwrap_err().to_string());
+        let accepted = submit(&store, base, &format!("c{base}"), rules(1)).await;
+        seen.push(format!("{accepted:?}"));
+        let change = store.changes_since(base).await.unwrap();
+        seen.push(show(change.as_ref()));
+    }
+    let body = Bytes::from_static(br#"{"format":2}"#);
+    client.update(INDEX, 3, body).await.unwrap();
+    seen.push(store.changes_since(0).await.unwrap_err().to_string());
+    let refused = submit(&store, 3, "c3", rules(2)).await.unwrap_err();
+    seen.push(refused.to_string());
+    assert_snapshot!("sheet_damaged", seen.join("\n"));
+}
