--- a/src/command/fake.rs
+++ b/src/command/fake.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CommandError, FakeEngineCommand, FakeServiceCommand},
+    super::{CommandError, FakeEngineCommand, FakePlatformCommand, FakeServiceCommand},
     argh::FromArgs,
 };
 
@@ -15,6 +15,7 @@
 #[argh(subcommand)]
 enum Kind {
     Engine(FakeEngineCommand),
+    Platform(FakePlatformCommand),
     Service(FakeServiceCommand),
 }
 
@@ -23,6 +24,7 @@
     pub async fn run(self) -> Result<(), CommandError> {
         match self.kind {
             Kind::Engine(command) => command.run().await,
+            Kind::Platform(command) => command.run().await,
             Kind::Service(command) => command.run().await,
         }
     }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -12,6 +12,7 @@
     exit_status::ExitStatus,
     fake::FakeCommand,
     fake_engine::FakeEngineCommand,
+    fake_platform::FakePlatformCommand,
     fake_service::FakeServiceCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
@@ -44,6 +45,7 @@
 mod exit_status;
 mod fake;
 mod fake_engine;
+mod fake_platform;
 mod fake_process;
 mod fake_service;
 mod format;
