Test exit statuses and waiting submissions; never show a misplaced key

Change: faults of collections name only the sort of value found, other values are cut at 64 characters.

--- a/src/border/settings_reader.rs
+++ b/src/border/settings_reader.rs
@@ -4,6 +4,7 @@
     std::{cell::RefCell, net::SocketAddr, ops::RangeInclusive, time::Duration},
 };
 
+const SHOWN_CHARS: usize = 64;
 const ADDRESS: &str = "an IP address with a port, such as 10.0.0.1:7100";
 
 /// Faults gathered while the settings are read.
@@ -47,7 +48,8 @@
             Some(Value::Object(map)) => map,
             None | Some(Value::Null) => Map::new(),
             Some(other) => {
-                faults.add(&path, &show(&other), "a mapping");
+                let place = if path.is_empty() { "the file" } else { &path };
+                faults.add(place, sort(&other), "a mapping");
                 Map::new()
             }
         };
@@ -76,7 +78,7 @@
                 .map(|(i, item)| Self::new(format!("{path}[{i}]"), Some(item), self.faults))
                 .collect(),
             Some(other) => {
-                self.faults.add(&path, &show(&other), "a sequence");
+                self.faults.add(&path, sort(&other), "a sequence");
                 Vec::new()
             }
         }
@@ -207,12 +209,23 @@
     }
 }
 
+/// The value itself, shortened; for a collection its sort.
 fn show(value: &Value) -> String {
     match value {
-        Value::Null => "nothing".to_owned(),
-        Value::Array(_) => "a sequence".to_owned(),
-        Value::Object(_) => "a mapping".to_owned(),
-        scalar => scalar.to_string(),
+        Value::Null | Value::Array(_) | Value::Object(_) => sort(value).to_owned(),
+        scalar => scalar.to_string().chars().take(SHOWN_CHARS).collect(),
+    }
+}
+
+/// The sort of a value, where the value could be or hold a key.
+fn sort(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "nothing",
+        Value::Bool(_) => "true or false",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a text",
+        Value::Array(_) => "a sequence",
+        Value::Object(_) => "a mapping",
     }
 }
 
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -5,6 +5,7 @@
 mod claim_table;
 mod claims;
 mod cluster;
+mod command_line;
 mod engine;
 mod engine_fault;
 mod fleet;
--- a/tests/operator_listener.rs
+++ b/tests/operator_listener.rs
@@ -1,13 +1,15 @@
 //! The operator listener: keys, limits, the sheet, status and a planned stop.
 
 use {
-    insta::{assert_json_snapshot, assert_snapshot},
+    argh::FromArgs,
+    insta::{assert_debug_snapshot, assert_json_snapshot, assert_snapshot},
     lentillead::{
         board::{Blackboard, Host, HostState, Rule, Sheet, Tick, Writers},
         border::{
             LogLevel, LogSettings, Operator, OperatorListener, PlatformClient, SHEET_BYTES_MAX,
             SettingsBuilder, start_logs,
         },
+        command::{ExitStatus, SheetSubmit},
         control::SheetStore,
         fake::{FakePlatform, PlatformSettings},
         key::RequestId,
@@ -20,7 +22,8 @@
 };
 
 const TIMEOUT: Duration = Duration::from_secs(20);
-const KEY: &str = "operator-key-for-tests";
+/// Operators' key in the example settings.
+const KEY: &str = "example-operator-key";
 const SHEET: &[u8] = include_bytes!("../examples/trin-cymru/sheet.csv");
 const FAULTY: &[u8] = include_bytes!("sheets/faulty.csv");
 
@@ -138,7 +141,7 @@
         (Method::PUT, "/v1/sheet?base=0&change=c&author=a"),
         (Method::POST, "/v1/drain"),
     ] {
-        let line = fixture.call(method, path, "operator-key-for-testz", SHEET);
+        let line = fixture.call(method, path, "example-operator-kez", SHEET);
         writeln!(seen, "{}", line.await).unwrap();
     }
     let mut latin = SHEET.to_vec();
@@ -194,6 +197,51 @@
     assert_snapshot!("operator_sheet", seen.join("\n"));
 }
 
+/// Runs `sheet submit` with the key of the example settings.
+async fn submit(fixture: &Fixture, file: &str, more: &[&str]) -> ExitStatus {
+    let daemon = fixture.base.trim_start_matches("http://");
+    let settings = "examples/trin-cymru/settings.yaml";
+    let words = [&[file, "--daemon", daemon, "--settings", settings], more].concat();
+    let command = SheetSubmit::from_args(&["submit"], &words).unwrap();
+    let result = command.run().await;
+    result.map_or_else(|error| error.status(), |()| ExitStatus::Done)
+}
+
+#[tokio::test]
+async fn submit_waits_for_every_daemon() {
+    const FILE: &str = "examples/trin-cymru/sheet.csv";
+
+    let mut fixture = Fixture::start().await;
+    let behind = submit(&fixture, FILE, &["--wait", "--timeout", "0"]).await;
+    let (revision, rules) = fixture.store.current().await.unwrap();
+    let rules = rules.into_values().flatten().collect::<Vec<Rule>>();
+    fixture.writers.sheet.publish(Sheet::new(revision, rules));
+    let silent = submit(&fixture, FILE, &["--wait", "--timeout", "0"]).await;
+    fixture
+        .writers
+        .members
+        .update(|members| members.hosts.remove("other"));
+    let in_force = submit(&fixture, FILE, &["--wait"]).await;
+    let conflict = submit(&fixture, FILE, &["--base", "0"]).await;
+    let faulty = submit(&fixture, "tests/sheets/faulty.csv", &[]).await;
+    let usage = submit(&fixture, FILE, &["--author", "a b"]).await;
+    fixture.base = "127.0.0.1:1".to_owned();
+    let unreachable = submit(&fixture, FILE, &["--base", "1"]).await;
+    assert_eq!(revision, 1);
+    assert_debug_snapshot!(
+        "submit_statuses",
+        [
+            behind,
+            silent,
+            in_force,
+            conflict,
+            faulty,
+            usage,
+            unreachable
+        ]
+    );
+}
+
 #[test]
 fn log_lines_are_json_with_key_values() {
     let name = format!("lentillead-log-{}.jsonl", std::process::id());
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -23,6 +23,19 @@
     assert_snapshot!("settings_faults", parse_settings(FAULTY).unwrap_err());
 }
 
+#[test]
+fn a_misplaced_key_is_not_shown() {
+    let texts = [
+        "keys: top-secret",
+        "branches: [top-secret]",
+        "top-secret",
+        "keys: [top-secret",
+    ];
+    let seen = texts.map(|text| parse_settings(text).unwrap_err().to_string());
+    assert!(!seen.concat().contains("top-secret"), "{seen:?}");
+    assert!(seen[0].contains("keys: found a text; allowed: a mapping"));
+}
+
 #[test]
 fn broken_yaml_names_the_place() {
     let broken = ["host: [a", "host: a\nhost: b", "- a"];
