Send small writes at once on the HTTP listeners

Cause: poem leaves Nagle's algorithm on, so a streamed chunk waited for the delayed acknowledgement of the one before; and tokio's timer rounds a wait that is already due up to its next tick. Change: NodelayAcceptor on the caller, operator and stand-in listeners; the stand-in's steps and links skip waits that are due.

--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -1,12 +1,12 @@
 use {
     super::{
-        Caller, LimitedAcceptor, Limits,
+        Caller, LimitedAcceptor, Limits, NodelayAcceptor,
         caller_api::{completions, services},
     },
     crate::request::Parts,
     poem::{
         EndpointExt, Route, Server, endpoint,
-        listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
+        listener::{Acceptor, Listener, TcpListener},
     },
     std::{
         fmt::{self, Debug, Formatter},
@@ -28,7 +28,7 @@
 where
     P: Parts,
 {
-    acceptor: LimitedAcceptor<TcpAcceptor>,
+    acceptor: LimitedAcceptor<NodelayAcceptor>,
     caller: Caller<P>,
     limits: Limits,
 }
@@ -42,7 +42,8 @@
         let acceptor = TcpListener::bind(address.to_owned())
             .into_acceptor()
             .await?;
-        let acceptor = LimitedAcceptor::new(acceptor, limits.connections as usize);
+        let acceptor =
+            LimitedAcceptor::new(NodelayAcceptor::new(acceptor), limits.connections as usize);
         Ok(Self {
             acceptor,
             caller,
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -16,6 +16,7 @@
     http_client::http_client,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
     logs::start_logs,
+    nodelay_acceptor::NodelayAcceptor,
     operator::Operator,
     operator_api::REVISION_HEADER,
     operator_listener::OperatorListener,
@@ -58,6 +59,7 @@
 mod http_client;
 mod limited_acceptor;
 mod logs;
+mod nodelay_acceptor;
 mod operator;
 mod operator_api;
 mod operator_listener;
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -1,9 +1,9 @@
 use {
-    super::{LimitedAcceptor, Operator, operator_api::answer},
+    super::{LimitedAcceptor, NodelayAcceptor, Operator, operator_api::answer},
     crate::port::{Clock, Peer, Platform},
     poem::{
         EndpointExt, Server, endpoint,
-        listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
+        listener::{Acceptor, Listener, TcpListener},
     },
     std::{
         fmt::{self, Debug, Formatter},
@@ -21,7 +21,7 @@
 
 /// The listener for operators.
 pub struct OperatorListener<S, P, C> {
-    acceptor: LimitedAcceptor<TcpAcceptor>,
+    acceptor: LimitedAcceptor<NodelayAcceptor>,
     operator: Operator<S, P, C>,
 }
 
@@ -36,7 +36,7 @@
         let acceptor = TcpListener::bind(address).into_acceptor().await?;
         let connections = operator.limits.connections as usize;
         Ok(Self {
-            acceptor: LimitedAcceptor::new(acceptor, connections),
+            acceptor: LimitedAcceptor::new(NodelayAcceptor::new(acceptor), connections),
             operator,
         })
     }
--- a/src/fake/engine_batch.rs
+++ b/src/fake/engine_batch.rs
@@ -4,9 +4,10 @@
         engine_core::EngineCore,
         engine_run::{End, Run, RunKey, Stage},
         engine_state::EngineState,
+        link::wait_until,
     },
     std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep, sleep_until},
+    tokio::time::{Instant, sleep},
 };
 
 /// Factor of a step that the fault `Slow` hits.
@@ -41,7 +42,7 @@
             Some(_) if fatal => core.die(),
             Some(batch) => {
                 due += batch.time;
-                sleep_until(due).await;
+                wait_until(due).await;
                 let effects = apply(&mut core.lock(), &batch);
                 for effect in effects {
                     follow(&core, effect);
--- a/src/fake/link.rs
+++ b/src/fake/link.rs
@@ -1,6 +1,9 @@
 use {
     std::sync::{Mutex, PoisonError},
-    tokio::time::{Duration, Instant, sleep_until},
+    tokio::{
+        task::yield_now,
+        time::{Duration, Instant, sleep_until},
+    },
 };
 
 /// Tokens of KV cache that are sent at once; transfers share a link part by part.
@@ -24,7 +27,7 @@
     /// Waits until `tokens` more have passed the link.
     pub(super) async fn pass(&self, tokens: u32) {
         let end = self.reserve(tokens);
-        sleep_until(end).await;
+        wait_until(end).await;
     }
 
     fn reserve(&self, tokens: u32) -> Instant {
@@ -33,3 +36,12 @@
         *free
     }
 }
+
+/// Sleeps until `due`; what is already due costs no tick of the timer.
+pub(super) async fn wait_until(due: Instant) {
+    if due <= Instant::now() {
+        yield_now().await;
+    } else {
+        sleep_until(due).await;
+    }
+}
--- a/src/fake/uptime.rs
+++ b/src/fake/uptime.rs
@@ -1,4 +1,5 @@
 use {
+    crate::border::NodelayAcceptor,
     poem::{
         IntoEndpoint, Server,
         listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
@@ -42,7 +43,7 @@
         let stop = async move {
             let _ = closed.wait_for(|down| *down).await;
         };
-        let server = Server::new_with_acceptor(open);
+        let server = Server::new_with_acceptor(NodelayAcceptor::new(open));
         let run = server.run_with_graceful_shutdown(app(), stop, Some(Duration::ZERO));
         if let Err(e) = run.await {
             log::error!("a stand-in's listener failed: {e}");
