Count a prefill lost in its transfer as wasted once

Cause: a cancel during a transfer counted the prefill's tokens at both engines. Change: the importing engine takes over the count only when the import is whole. Conclusion: the sum over all engines is the wasted prefill.

--- a/src/border/engine_tokens.rs
+++ b/src/border/engine_tokens.rs
@@ -21,7 +21,7 @@
 /// Type of an event that carries a refusal.
 const ERROR_EVENT: &str = "error";
 
-/// Checked chunks of a server-sent event stream.
+/// Checked chunks of a server-sent event stream; dropping a call of `next` loses no chunk.
 pub struct EngineTokens {
     events: EventStream<BodyDataStream<Body>>,
     check: ChunkCheck,
--- a/src/fake/engine_core.rs
+++ b/src/fake/engine_core.rs
@@ -111,6 +111,7 @@
         let importing = |run: &&mut Run| run.stage == Stage::Importing;
         if let Some(run) = state.runs.get_mut(key).filter(importing) {
             run.stage = Stage::Decoding;
+            run.seen.imported = run.import;
         }
         drop(state);
         self.work.notify_one();
--- a/src/fake/engine_run.rs
+++ b/src/fake/engine_run.rs
@@ -67,6 +67,8 @@
     pub prefixes: Vec<u64>,
     /// Prompt tokens still to compute.
     pub todo: u32,
+    /// Prompt tokens that the KV cache to import took to compute.
+    pub import: u32,
     /// Tokens to generate.
     pub limit: u32,
     /// Whether the limit is the caller's.
@@ -100,7 +102,6 @@
                 attempt: ask.attempt.clone(),
                 prefill: !ask.stream,
                 prompt,
-                imported: import.map_or(0, uncached),
                 pieces: pieces(prompt, ask.max_tokens, settings.piece_tokens),
                 ..RunObserved::default()
             },
@@ -109,6 +110,7 @@
             order: 0,
             prefixes: prefixes(&ask.prompt, &ask.model, ask.adapter.as_deref()),
             todo: prompt,
+            import: import.map_or(0, uncached),
             limit,
             capped: limit == ask.max_tokens,
             print: answer_print(&ask.model, &ask.prompt),
--- a/tests/engine_fault.rs
+++ b/tests/engine_fault.rs
@@ -180,7 +180,9 @@
     let other = pair.client.cancel(&at, attempt(1)).await;
     let after = used(&pair);
     let answers = (kind(&answer), kind(&other));
-    let seen = (stalled, before, between, after, answers);
+    let engines = [&pair.prefill, &pair.decode];
+    let wasted = engines.map(|engine| engine.observed().totals.wasted);
+    let seen = (stalled, before, between, after, answers, wasted);
     assert_yaml_snapshot!("engine_cancel_transfer", seen);
 }
 
