--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -12,6 +12,7 @@
 mod line_bench;
 mod lines;
 mod membership;
+mod operations_page;
 mod operator_listener;
 mod owner_choice;
 mod ownership;
--- /dev/null
+++ b/tests/operations_page.rs
@@ -0,0 +1,17 @@
+//! The operators' page names every reason.
+
+use lentillead::board::{Refusal, RetryReason};
+
+const PAGE: &str = include_str!("../docs/OPERATIONS.md");
+
+#[test]
+fn every_refusal_and_retry_reason_is_explained() {
+    let refusals = Refusal::ALL.map(Refusal::word);
+    let retries = RetryReason::ALL.map(RetryReason::word);
+    let missing = refusals
+        .iter()
+        .chain(&retries)
+        .filter(|word| !PAGE.contains(&format!("\n| `{word}` | ")))
+        .collect::<Vec<_>>();
+    assert!(missing.is_empty(), "add rows for {missing:?}");
+}
