Test the fleet controller against the engine's stand-in

Cause: descriptions, leaving and removal were tested only as decisions. Conclusion: a listed engine appears once it is described and goes with the list.

--- a/src/border/platform_client.rs
+++ b/src/border/platform_client.rs
@@ -1,4 +1,5 @@
 use {
+    super::http_client,
     crate::port::{HostEntry, Object, ObjectName, Platform, PlatformError},
     bytes::Bytes,
     reqwest::{
@@ -38,9 +39,7 @@
             .ok_or_else(|| {
                 PlatformError::Rejected(format!("`{base}` is no URL; use `http://ip:port`"))
             })?;
-        let client = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .build()
+        let client = http_client(CONNECT_TIMEOUT)
             .map_err(|e| PlatformError::Rejected(format!("no HTTP client: {e}")))?;
         Ok(Self {
             base,
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -28,6 +28,8 @@
 const IMPATIENT: Duration = Duration::from_millis(100);
 const INCARNATION: u64 = 1_000;
 const BODY: u64 = 11;
+/// Retries of a caller, 20 ms apart.
+const RETRIES_MAX: u64 = 1_000;
 
 /// Daemons of one process that reach one another by call; a missing one is not reached.
 #[derive(Clone, Default)]
@@ -251,7 +253,7 @@
     router: &ClaimRouter<Neighbours, MonoClock>,
     name: &str,
 ) -> ClaimOutcome {
-    for sequence in 10.. {
+    for sequence in 10..RETRIES_MAX {
         let outcome = router
             .ask(take(name, attempt("d1", sequence), PATIENT))
             .await;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,12 +4,13 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Blackboard, Fleet, HostList, Role, Tick},
-        border::PlatformClient,
-        control::HostController,
+        border::{EngineClient, PlatformClient, http_client},
+        control::{FleetController, HostController},
         decide::{Descriptions, HostRoster, merge_fleet},
-        fake::{FakePlatform, Outage, PlatformSettings},
+        fake::{EngineSettings, FakeEngine, FakePlatform, Outage, PlatformSettings},
         port::{Description, HostEntry, MonoClock},
     },
+    prometheus_client::metrics::counter::Counter,
     rand::{SeedableRng, rngs::SmallRng},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -122,3 +123,38 @@
     let seen: Vec<Vec<String>> = vec![names(&kept), names(&board.hosts.load())];
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test]
+async fn engines_are_described_and_leave() {
+    let engine = EngineSettings::builder(Role::Decode).build();
+    let engine = FakeEngine::start(engine).await.unwrap();
+    let mut listed = entry("decode-1", "decode", 0);
+    listed.address = engine.address().to_string();
+    let settings = PlatformSettings {
+        hosts: vec![listed],
+        ..PlatformSettings::default()
+    };
+    let platform = FakePlatform::start(settings).await.unwrap();
+    let client = PlatformClient::new(&platform.url(), TIMEOUT).unwrap();
+    let (mut board, writers) = Blackboard::new();
+    let clock = MonoClock::start();
+    let rng = SmallRng::seed_from_u64(1);
+    let hosts = HostController::new(client, clock, INTERVAL, rng, writers.hosts);
+    let client = EngineClient::new(http_client(TIMEOUT).unwrap(), Counter::default());
+    let listed = board.hosts.clone();
+    let fleet = FleetController::new(client, clock, SERVICE_SLOTS, listed, writers.fleet);
+    tokio::spawn(hosts.run());
+    tokio::spawn(fleet.run());
+    board.fleet.changed().await;
+    let described = board.fleet.snapshot();
+    platform.set_leaving("decode-1");
+    board.fleet.changed().await;
+    let leaving = board.fleet.snapshot();
+    platform.remove_host("decode-1");
+    platform.add_host(entry("daemon-1", "daemon", 1));
+    board.fleet.changed().await;
+    let gone = board.fleet.snapshot();
+    let (_, found) = described.endpoints.iter().next().unwrap();
+    let found = (found.role, found.model.clone(), found.pieces, found.slots);
+    assert_yaml_snapshot!((found, show(&described), show(&leaving), show(&gone)));
+}
