--- a/src/border/caller_api.rs
+++ b/src/border/caller_api.rs
@@ -146,7 +146,7 @@
     P: Parts,
     K: Sink,
 {
-    let path = ModelPath::new(shared, ask, &ask.call.rule.route).ok_or_else(|| {
+    let path = ModelPath::new(shared, ask).ok_or_else(|| {
         let detail = "the kind is a plain service; call it below /v1/services/";
         Refused::not_run(Refusal::BadRequest, detail)
     })?;
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -91,15 +91,16 @@
         let mut release = self.release_with(GrantEnd::Unused);
         self.shared.spawn(async move {
             if sent {
-                release.end = cancel(&shared, &address, &release).await;
+                let confirmed = cancel(&shared, &address, &release).await;
+                release.end = if confirmed { GrantEnd::Cancelled } else { GrantEnd::Broken };
             }
             owner.release(&shared, release).await;
         });
     }
 }
 
-/// Cancels an attempt at its endpoint; `Broken` leaves the rest to the owner.
-async fn cancel<P>(shared: &Shared<P>, address: &str, release: &GrantRelease) -> GrantEnd
+/// Cancels an attempt at its endpoint; without a confirmation the owner goes on with it.
+async fn cancel<P>(shared: &Shared<P>, address: &str, release: &GrantRelease) -> bool
 where
     P: Parts,
 {
@@ -113,10 +114,10 @@
             .await
             .is_ok()
         {
-            return GrantEnd::Cancelled;
+            return true;
         }
         shared.parts().clock().sleep(wait).await;
         wait *= 2;
     }
-    GrantEnd::Broken
+    false
 }
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -5,19 +5,28 @@
     },
     crate::{
         board::{Refusal, RetryReason, Role, Route},
-        decide::{count_tokens, prefixes},
+        decide::{count_tokens, minute_of_day, prefixes, routes},
         key::AttemptId,
         port::{
             Clock, DecodeAsk, Denial, Engine, EngineError, GrantAsk, GrantEnd, KvHandle, PrefillAsk,
         },
     },
-    std::time::Duration,
+    std::{pin::pin, time::Duration},
     tokio::time::timeout,
 };
 
 /// Wait before an attempt that follows a refusal by an endpoint.
 const REFUSED_WAIT: Duration = Duration::from_millis(25);
 
+/// Places that one attempt may ask for: its own decode and prefill, and a borrowed decode.
+const PLACES: u16 = 3;
+
+/// Wait for a place in the rule's own pools before the lender is asked as well.
+const BORROW_WAIT: Duration = Duration::from_millis(100);
+
+/// Priority of borrowed places: the lender's own requests go first.
+const BORROWED_PRIORITY: u8 = u8::MAX;
+
 /// One completion on its way: decode place, prefill, handover, decode, relay.
 #[derive(Debug)]
 pub struct ModelPath<'a, P>
@@ -26,12 +35,33 @@
 {
     shared: &'a Shared<P>,
     ask: &'a Completion,
-    prefill: &'a str,
-    decode: &'a str,
+    own: Pools<'a>,
+    borrowed: Option<Pools<'a>>,
     avoid: Vec<String>,
     progress: Progress,
 }
 
+/// Pools of one route.
+#[derive(Clone, Copy, Debug)]
+struct Pools<'a> {
+    prefill: &'a str,
+    decode: &'a str,
+    priority: u8,
+}
+
+impl<'a> Pools<'a> {
+    fn new(route: &'a Route, priority: u8) -> Option<Self> {
+        match route {
+            Route::Model { prefill, decode } => Some(Self {
+                prefill,
+                decode,
+                priority,
+            }),
+            Route::Service { .. } => None,
+        }
+    }
+}
+
 /// Why an attempt ended without the whole answer.
 #[derive(Debug)]
 enum Ended {
@@ -53,16 +83,19 @@
 where
     P: Parts,
 {
-    /// Prepares a completion that `route` sends to model pools.
-    pub fn new(shared: &'a Shared<P>, ask: &'a Completion, route: &'a Route) -> Option<Self> {
-        let Route::Model { prefill, decode } = route else {
-            return None;
-        };
+    /// Prepares a completion; `None` if its rule routes to a plain service.
+    pub fn new(shared: &'a Shared<P>, ask: &'a Completion) -> Option<Self> {
+        let rule = &ask.call.rule;
+        let mut routes = routes(rule, minute_of_day(shared.unix_ms()));
+        let own = Pools::new(routes.next()?, rule.priority)?;
+        let borrowed = routes
+            .next()
+            .and_then(|route| Pools::new(route, BORROWED_PRIORITY));
         Some(Self {
             shared,
             ask,
-            prefill,
-            decode,
+            own,
+            borrowed,
             avoid: Vec::new(),
             progress: Progress::default(),
         })
@@ -103,12 +136,12 @@
         K: Sink,
     {
         let prompt = self.progress.continued(&self.ask.prompt);
-        let mut decode = self.place(Role::Decode, number * 2, &prompt).await?;
+        let (mut decode, pools) = self.decode_place(number * PLACES, &prompt).await?;
         let import = if self.is_local(&decode, &prompt) {
             self.shared.counters().local.inc();
             None
         } else {
-            Some(self.prefill(number * 2 + 1, &prompt).await?)
+            Some(self.prefill(pools, number * PLACES + 1, &prompt).await?)
         };
         let handle = import.as_ref().map(|(_, handle)| handle.clone());
         let tokens = self.decode(&mut decode, prompt, handle).await?;
@@ -117,19 +150,43 @@
         self.relay(decode, tokens, sink).await
     }
 
-    async fn place(&self, role: Role, number: u16, prompt: &str) -> Result<Held<P>, Ended> {
-        let ask = self.grant_ask(role, number, prompt);
+    /// Waits for a decode place, after a while at the lender of the rule's pools as well.
+    async fn decode_place(&self, number: u16, prompt: &str) -> Result<(Held<P>, Pools<'a>), Ended> {
+        let mut own = pin!(self.place(self.own, Role::Decode, number, prompt));
+        let Some(pools) = self.borrowed else {
+            return Ok((own.await?, self.own));
+        };
+        let borrowed = async {
+            self.shared.parts().clock().sleep(BORROW_WAIT).await;
+            self.place(pools, Role::Decode, number + 2, prompt).await
+        };
+        tokio::select! {
+            held = &mut own => return Ok((held?, self.own)),
+            held = borrowed => if let Ok(held) = held {
+                return Ok((held, pools));
+            },
+        }
+        Ok((own.await?, self.own))
+    }
+
+    async fn place(
+        &self,
+        pools: Pools<'a>,
+        role: Role,
+        number: u16,
+        prompt: &str,
+    ) -> Result<Held<P>, Ended> {
+        let ask = self.grant_ask(pools, role, number, prompt);
         acquire(self.shared, &ask, self.ask.call.deadline)
             .await
             .map_err(Ended::Denied)
     }
 
-    fn grant_ask(&self, role: Role, number: u16, prompt: &str) -> GrantAsk {
+    fn grant_ask(&self, pools: Pools<'a>, role: Role, number: u16, prompt: &str) -> GrantAsk {
         let call = &self.ask.call;
-        let pool = if role == Role::Prefill {
-            self.prefill
-        } else {
-            self.decode
+        let pool = match role {
+            Role::Prefill => pools.prefill,
+            Role::Decode | Role::Service => pools.decode,
         };
         let prompt_tokens = count_tokens(prompt);
         let output_tokens = self.ask.max_tokens - self.progress.tokens.min(self.ask.max_tokens);
@@ -142,7 +199,7 @@
             role,
             pool: pool.to_owned(),
             branch: call.rule.branch.clone(),
-            priority: call.rule.priority,
+            priority: pools.priority,
             pieces: self.pieces(role, pool, prompt_tokens, output_tokens),
             prompt_tokens,
             output_tokens,
@@ -177,8 +234,13 @@
         uncached <= self.shared.options().local_tokens
     }
 
-    async fn prefill(&self, number: u16, prompt: &str) -> Result<(Held<P>, KvHandle), Ended> {
-        let mut held = self.place(Role::Prefill, number, prompt).await?;
+    async fn prefill(
+        &self,
+        pools: Pools<'a>,
+        number: u16,
+        prompt: &str,
+    ) -> Result<(Held<P>, KvHandle), Ended> {
+        let mut held = self.place(pools, Role::Prefill, number, prompt).await?;
         let ask = PrefillAsk {
             attempt: held.grant().attempt,
             model: self.ask.call.rule.model.clone(),
@@ -189,7 +251,8 @@
         held.mark_sent();
         let address = held.grant().address.clone();
         let start = self.shared.now();
-        match self.shared.parts().engine().prefill(&address, &ask).await {
+        let prefill = self.shared.parts().engine().prefill(&address, &ask);
+        match in_time(self.shared.options().prefill_time, prefill).await {
             Ok(handle) => {
                 let tokens = handle.tokens.saturating_sub(handle.cached);
                 held.computed(self.shared.now() - start, tokens);
@@ -217,7 +280,8 @@
         held.mark_sent();
         self.progress.sent += 1;
         let address = held.grant().address.clone();
-        let decoded = self.shared.parts().engine().decode(&address, &ask).await;
+        let decoded = self.shared.parts().engine().decode(&address, &ask);
+        let decoded = in_time(self.shared.options().import_time, decoded).await;
         decoded.map_err(|error| {
             self.progress.sent -= u32::from(error.is_not_run());
             Ended::Failed(Failed::new(held.grant(), Role::Decode, error))
@@ -303,3 +367,12 @@
         }
     }
 }
+
+/// Waits for an endpoint's answer; without one in time the outcome is unknown.
+async fn in_time<T, F>(limit: Duration, answer: F) -> Result<T, EngineError>
+where
+    F: Future<Output = Result<T, EngineError>>,
+{
+    let answer = timeout(limit, answer).await;
+    answer.unwrap_or_else(|_| Err(EngineError::Broken(format!("no answer within {limit:?}"))))
+}
--- a/src/request/path_options.rs
+++ b/src/request/path_options.rs
@@ -5,6 +5,10 @@
 pub struct PathOptions {
     /// Longest time without progress of an attempt before it counts as broken.
     pub stall: Duration,
+    /// Longest time that a prefill may take.
+    pub prefill_time: Duration,
+    /// Longest time until a decode endpoint has imported the KV cache and starts its answer.
+    pub import_time: Duration,
     /// Times that a broken stream is resumed at the same endpoint.
     pub resumes: u32,
     /// Attempts of one request at most.
@@ -25,6 +29,8 @@
     fn default() -> Self {
         Self {
             stall: Duration::from_secs(5),
+            prefill_time: Duration::from_secs(30),
+            import_time: Duration::from_secs(5),
             resumes: 2,
             attempts: 6,
             owners: 2,
