Wire the daemon, and run the whole path in one process

Cause: the whole path comes first, from caller to endpoint and back. Change: src/daemon builds the clients, starts every controller on its section and binds the listeners; `serve` runs it, and stops as planned on SIGTERM. src/emulator starts a site of stand-ins and daemons over loopback, sends the seeded load of one of the two users and judges it by what stand-ins saw and callers got. `demo` prints the judgement. The prefill's place is now held until the first chunk: freeing it when the decode call returned cancelled the export under the import. Conclusion: headers of a decode answer say only that the import has begun.

--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -20,9 +20,6 @@
 /// Time without traffic after which a connection is closed once its request has ended.
 const IDLE_TIME: Duration = Duration::from_mins(2);
 
-/// Longest time that open connections are kept after the last request in progress has ended.
-const CLOSE_TIME: Duration = Duration::from_secs(1);
-
 /// The listener for callers.
 pub struct CallerListener<P>
 where
@@ -60,8 +57,8 @@
             .copied()
     }
 
-    /// Serves until `stop` is cancelled; requests in progress then end first.
-    pub async fn serve(self, stop: CancellationToken) -> io::Result<()> {
+    /// Serves until `stop` is cancelled; requests in progress then end first, within `drain`.
+    pub async fn serve(self, stop: CancellationToken, drain: Duration) -> io::Result<()> {
         let completion = self.caller.clone();
         let service = self.caller;
         let app = Route::new()
@@ -77,7 +74,7 @@
         Server::new_with_acceptor(self.acceptor)
             .idle_timeout(IDLE_TIME)
             .http2_max_header_list_size(self.limits.header_bytes as u32)
-            .run_with_graceful_shutdown(app, stop.cancelled_owned(), Some(CLOSE_TIME))
+            .run_with_graceful_shutdown(app, stop.cancelled_owned(), Some(drain))
             .await
     }
 }
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BenchCommand, CommandError, DrainCommand, ExitStatus, FakeCommand, SettingsCommand,
-        SheetCommand, StatusCommand,
+        BenchCommand, CommandError, DemoCommand, DrainCommand, ExitStatus, FakeCommand,
+        ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -22,10 +22,14 @@
 pub enum Command {
     /// Compare the decisions with plain policies.
     Bench(BenchCommand),
+    /// Run the whole path with stand-ins.
+    Demo(DemoCommand),
     /// Ask a daemon to stop.
     Drain(DrainCommand),
     /// Run a stand-in.
     Fake(FakeCommand),
+    /// Run a daemon.
+    Serve(ServeCommand),
     /// Work on settings files.
     Settings(SettingsCommand),
     /// Work on the planners' sheet.
@@ -38,8 +42,10 @@
     async fn run(self) -> Result<(), CommandError> {
         match self {
             Self::Bench(command) => command.run(),
+            Self::Demo(command) => command.run().await,
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
+            Self::Serve(command) => command.run().await,
             Self::Settings(command) => command.run().await,
             Self::Sheet(command) => command.run().await,
             Self::Status(command) => command.run().await,
--- /dev/null
+++ b/src/command/demo.rs
@@ -0,0 +1,125 @@
+use {
+    super::{CommandError, ExitStatus, OutputFormat},
+    crate::emulator::{LoadReport, Profile, Site, SiteOptions, Workload, run_load},
+    argh::FromArgs,
+    std::{
+        io::{IsTerminal, Write, stderr},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::interval,
+};
+
+/// Interval of the progress shown on a terminal.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Run the whole path in one process with stand-ins and judge the result.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct DemoCommand {
+    /// whose sheet and load: `kovacsreti` or `trin-cymru`
+    #[argh(option, default = "Profile::Kovacsreti")]
+    profile: Profile,
+    /// requests to send, 200 if absent
+    #[argh(option, default = "200")]
+    requests: u32,
+    /// requests a second, what the profile's endpoints can serve if absent
+    #[argh(option)]
+    rate: Option<f64>,
+    /// daemons to start, 3 if absent
+    #[argh(option, default = "3")]
+    daemons: usize,
+    /// seed of the load and the stand-ins
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// share of callers that go away early, 0.02 if absent
+    #[argh(option, default = "0.02")]
+    leaving: f64,
+    /// output: `table` or `json`
+    #[argh(option, default = "OutputFormat::Table")]
+    format: OutputFormat,
+}
+
+impl DemoCommand {
+    /// Starts the site, sends the load and prints the report.
+    pub async fn run(self) -> Result<(), CommandError> {
+        self.check()?;
+        let options = SiteOptions {
+            daemons: self.daemons,
+            seed: self.seed,
+            ..SiteOptions::new(self.profile)
+        };
+        let site = Site::start(options)
+            .await
+            .map_err(|e| CommandError::failed(e.to_string()))?;
+        let done = Arc::new(AtomicU32::new(0));
+        let progress = tokio::spawn(show_progress(Arc::clone(&done), self.requests));
+        let report = run_load(&site, self.load(), done).await;
+        progress.abort();
+        self.print(&report);
+        if report.verdict.is_broken() {
+            let message = "an invariant was broken; see the report above";
+            return Err(CommandError::with_status(ExitStatus::Invariant, message));
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), CommandError> {
+        let fault = |message: &str| Err(CommandError::with_status(ExitStatus::Usage, message));
+        if self.requests == 0 || self.daemons == 0 {
+            return fault("--requests and --daemons must be at least 1");
+        }
+        let rate = self.rate();
+        if !(rate.is_finite() && rate > 0.0) {
+            return fault("--rate must be a number of requests a second above 0");
+        }
+        if !(0.0..=1.0).contains(&self.leaving) {
+            return fault("--leaving must be a share from 0 to 1");
+        }
+        Ok(())
+    }
+
+    fn rate(&self) -> f64 {
+        self.rate.unwrap_or_else(|| self.profile.rate())
+    }
+
+    fn load(&self) -> Workload {
+        Workload {
+            profile: self.profile,
+            seed: self.seed,
+            requests: self.requests,
+            rate: self.rate(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn print(&self, report: &LoadReport) {
+        match self.format {
+            OutputFormat::Json => {
+                println!("{}", serde_json::to_string(report).unwrap_or_default());
+            }
+            OutputFormat::Table => println!("{}", report.table()),
+        }
+    }
+}
+
+async fn show_progress(done: Arc<AtomicU32>, requests: u32) {
+    if !stderr().is_terminal() {
+        return;
+    }
+    let mut ticks = interval(PROGRESS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let mut out = stderr();
+        let ended = done.load(Ordering::Relaxed);
+        if write!(out, "\r{ended}/{requests} requests")
+            .and_then(|()| out.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -8,6 +8,7 @@
     arguments::{Arguments, Command, main},
     bench::BenchCommand,
     command_error::CommandError,
+    demo::DemoCommand,
     drain::DrainCommand,
     exit_status::ExitStatus,
     fake::FakeCommand,
@@ -16,6 +17,8 @@
     fake_service::FakeServiceCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
+    output_format::OutputFormat,
+    serve::ServeCommand,
     settings::SettingsCommand,
     settings_check::SettingsCheck,
     sheet::SheetCommand,
@@ -41,6 +44,7 @@
 mod bench_view;
 mod bench_world;
 mod command_error;
+mod demo;
 mod drain;
 mod exit_status;
 mod fake;
@@ -50,6 +54,8 @@
 mod fake_service;
 mod format;
 mod operator_client;
+mod output_format;
+mod serve;
 mod settings;
 mod settings_check;
 mod sheet;
--- /dev/null
+++ b/src/daemon/control_plane.rs
@@ -0,0 +1,248 @@
+use {
+    super::{Base, DaemonPlatform},
+    crate::{
+        board::{Digests, Fleet, HostList, HostState, Members, Owners, Sheet, Writer, Writers},
+        border::{ClaimObjects, EngineClient, PeerClient},
+        control::{
+            ClaimRouter, ClaimSettings, Claims, DigestController, DigestNews, FleetController,
+            HealthController, HealthHandle, HeartbeatInputs, HeartbeatOutlets, HostController,
+            LineController, Lines, LoadController, MemberController, MemberHandle, MemberParts,
+            OwnerController, RevisionHint, SheetController, SheetHandle, SheetParts, SheetStore,
+            SuspectController, Suspicions,
+        },
+        decide::{CallClass, MemberTiming},
+        port::{MemberNews, MonoClock, SuspectNews},
+    },
+    std::net::SocketAddr,
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinSet,
+    },
+};
+
+/// Requests that a plain service may run at once.
+const SERVICE_SLOTS: u32 = 64;
+
+/// Messages that may wait between the member controller and others.
+const NEWS_WAITING: usize = 256;
+
+/// Handles of the running controllers.
+#[derive(Debug)]
+pub struct ControlPlane {
+    /// Lines of the endpoints owned here.
+    pub line: Lines,
+    /// Where crashes are told.
+    pub suspicions: Suspicions,
+    /// Health.
+    pub health: HealthHandle,
+    /// Membership.
+    pub members: MemberHandle<PeerClient>,
+    /// The sheet.
+    pub sheet: SheetHandle,
+    /// The sheet at the platform.
+    pub store: SheetStore<DaemonPlatform>,
+    /// Committer of this host's partitions of claims.
+    pub claims: Claims<MonoClock>,
+    /// Claims of this host's requests.
+    pub claimer: ClaimRouter<PeerClient, MonoClock>,
+}
+
+impl ControlPlane {
+    /// Starts every controller on `tasks`; other daemons reach this one at `address`.
+    pub fn start(
+        base: &Base,
+        writers: Writers,
+        address: SocketAddr,
+        tasks: &mut JoinSet<()>,
+    ) -> Self {
+        let Base {
+            board,
+            clock,
+            settings,
+            ..
+        } = base;
+        let (controller, line) = LineController::new(board.clone(), *clock, base.engine.clone());
+        tasks.spawn(controller.run());
+        let engine = base.engine.clone();
+        let loads = LoadController::new(board.clone(), *clock, engine, line.clone());
+        tasks.spawn(loads.run());
+        let lifetime = settings.timing.strike;
+        let (controller, suspicions) = SuspectController::new(*clock, writers.suspects, lifetime);
+        tasks.spawn(controller.run());
+        let (controller, health) = HealthController::new(writers.health, board.sheet.clone());
+        tasks.spawn(controller.run());
+        tasks.spawn(hosts(base, writers.hosts).run());
+        tasks.spawn(fleet(base, writers.fleet).run());
+        tasks.spawn(owners(base, writers.owners).run());
+        let (outlets, inlets) = channels();
+        tasks.spawn(digests(base, writers.digests, inlets.digests).run());
+        tasks.spawn(pass_suspects(inlets.suspects, suspicions.clone()));
+        let parts = member_parts(base, writers.members, address, outlets);
+        let (controller, members) = MemberController::new(parts);
+        tasks.spawn(controller.run());
+        let store = SheetStore::new(base.platform.with_class(CallClass::Sheet));
+        let parts = sheet_parts(base, writers.sheet, store.clone(), inlets.revision);
+        let (controller, sheet) = SheetController::new(parts);
+        tasks.spawn(controller.run());
+        let claims = claims(base);
+        let members_section = board.members.clone();
+        let (claimer, resolver) =
+            ClaimRouter::new(base.peer.clone(), *clock, members_section, claims.clone());
+        tasks.spawn(resolver.run(base.rng("resolver")));
+        Self {
+            line,
+            suspicions,
+            health,
+            members,
+            sheet,
+            store,
+            claims,
+            claimer,
+        }
+    }
+}
+
+/// Receiving ends of what heartbeats bring.
+struct Inlets {
+    digests: mpsc::Receiver<DigestNews>,
+    suspects: mpsc::Receiver<Vec<SuspectNews>>,
+    revision: watch::Receiver<RevisionHint>,
+}
+
+fn channels() -> (HeartbeatOutlets, Inlets) {
+    let (digests, digests_in) = mpsc::channel(NEWS_WAITING);
+    let (suspects, suspects_in) = mpsc::channel(NEWS_WAITING);
+    let (revision, revision_in) = watch::channel(RevisionHint::default());
+    let outlets = HeartbeatOutlets {
+        digests,
+        suspects,
+        revision,
+    };
+    let inlets = Inlets {
+        digests: digests_in,
+        suspects: suspects_in,
+        revision: revision_in,
+    };
+    (outlets, inlets)
+}
+
+fn hosts(base: &Base, writer: Writer<HostList>) -> HostController<DaemonPlatform, MonoClock> {
+    let platform = base.platform.with_class(CallClass::Hosts);
+    HostController::new(
+        platform,
+        base.clock,
+        base.settings.timing.hosts,
+        base.rng("hosts"),
+        writer,
+    )
+}
+
+fn fleet(base: &Base, writer: Writer<Fleet>) -> FleetController<EngineClient, MonoClock> {
+    let hosts = base.board.hosts.clone();
+    FleetController::new(
+        base.engine.clone(),
+        base.clock,
+        SERVICE_SLOTS,
+        hosts,
+        writer,
+    )
+}
+
+fn owners(base: &Base, owners: Writer<Owners>) -> OwnerController {
+    let fleet = base.board.fleet.clone();
+    let members = base.board.members.clone();
+    OwnerController {
+        fleet,
+        members,
+        owners,
+    }
+}
+
+fn digests(
+    base: &Base,
+    writer: Writer<Digests>,
+    inlet: mpsc::Receiver<DigestNews>,
+) -> DigestController<MonoClock> {
+    let fleet = base.board.fleet.clone();
+    let members = base.board.members.clone();
+    DigestController::new(base.clock, fleet, members, inlet, writer)
+}
+
+fn member_parts(
+    base: &Base,
+    members: Writer<Members>,
+    address: SocketAddr,
+    outlets: HeartbeatOutlets,
+) -> MemberParts<PeerClient, MonoClock> {
+    let Base {
+        board, settings, ..
+    } = base;
+    MemberParts {
+        peer: base.peer.clone(),
+        clock: base.clock,
+        own: MemberNews {
+            name: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address: address.to_string(),
+            incarnation: base.incarnation,
+            round: 0,
+            state: HostState::Alive,
+        },
+        seeds: Vec::new(),
+        timing: MemberTiming {
+            interval: settings.timing.heartbeat,
+            answer: settings.timing.peer,
+            suspicion: settings.timing.dead.saturating_sub(settings.timing.suspect),
+            ..MemberTiming::default()
+        },
+        random: base.seed("members"),
+        hosts: board.hosts.clone(),
+        inputs: HeartbeatInputs {
+            fleet: board.fleet.clone(),
+            owners: board.owners.clone(),
+            sheet: board.sheet.clone(),
+            suspects: board.suspects.clone(),
+        },
+        outlets,
+        members,
+    }
+}
+
+fn sheet_parts(
+    base: &Base,
+    sheet: Writer<Sheet>,
+    store: SheetStore<DaemonPlatform>,
+    hints: watch::Receiver<RevisionHint>,
+) -> SheetParts<PeerClient, DaemonPlatform> {
+    SheetParts {
+        peer: base.peer.clone(),
+        store,
+        wait: base.settings.timing.sheet,
+        random: base.seed("sheet"),
+        members: base.board.members.clone(),
+        hints,
+        sheet,
+    }
+}
+
+fn claims(base: &Base) -> Claims<MonoClock> {
+    let store = ClaimObjects::new(base.platform.with_class(CallClass::Claims));
+    let settings = ClaimSettings {
+        partitions: base.settings.claims.partitions,
+        window: base.settings.claims.window,
+        retention: base.settings.claims.retention,
+    };
+    Claims::start(
+        &store,
+        base.clock,
+        &base.board.members,
+        settings,
+        base.seed("claims"),
+    )
+}
+
+async fn pass_suspects(mut inlet: mpsc::Receiver<Vec<SuspectNews>>, suspicions: Suspicions) {
+    while let Some(news) = inlet.recv().await {
+        suspicions.tell(news);
+    }
+}
--- /dev/null
+++ b/src/daemon/daemon_parts.rs
@@ -0,0 +1,80 @@
+use {
+    super::{Base, ControlPlane},
+    crate::{
+        border::{EngineClient, PeerClient, ServiceClient},
+        control::{ClaimRouter, Lines, Suspicions},
+        port::MonoClock,
+        request::Parts,
+    },
+};
+
+/// The implementations of the ports in a daemon.
+#[derive(Clone, Debug)]
+pub struct DaemonParts {
+    /// Clock of the process.
+    pub clock: MonoClock,
+    /// Model engines over HTTP.
+    pub engine: EngineClient,
+    /// Plain services over HTTP.
+    pub service: ServiceClient,
+    /// Lines of the endpoints owned here.
+    pub line: Lines,
+    /// Other daemons over HTTP/2.
+    pub peer: PeerClient,
+    /// Claims of at-most-once requests.
+    pub claimer: ClaimRouter<PeerClient, MonoClock>,
+    /// Where crashes are told.
+    pub suspicions: Suspicions,
+}
+
+impl DaemonParts {
+    /// Takes the clients of `base` and the handles of `control`.
+    pub fn new(base: &Base, control: &ControlPlane) -> Self {
+        Self {
+            clock: base.clock,
+            engine: base.engine.clone(),
+            service: base.service.clone(),
+            line: control.line.clone(),
+            peer: base.peer.clone(),
+            claimer: control.claimer.clone(),
+            suspicions: control.suspicions.clone(),
+        }
+    }
+}
+
+impl Parts for DaemonParts {
+    type Clock = MonoClock;
+    type Engine = EngineClient;
+    type Service = ServiceClient;
+    type Line = Lines;
+    type Peer = PeerClient;
+    type Claimer = ClaimRouter<PeerClient, MonoClock>;
+
+    fn clock(&self) -> &MonoClock {
+        &self.clock
+    }
+
+    fn engine(&self) -> &EngineClient {
+        &self.engine
+    }
+
+    fn service(&self) -> &ServiceClient {
+        &self.service
+    }
+
+    fn line(&self) -> &Lines {
+        &self.line
+    }
+
+    fn peer(&self) -> &PeerClient {
+        &self.peer
+    }
+
+    fn claimer(&self) -> &Self::Claimer {
+        &self.claimer
+    }
+
+    fn suspicions(&self) -> &Suspicions {
+        &self.suspicions
+    }
+}
--- /dev/null
+++ b/src/daemon/dispatch.rs
@@ -0,0 +1,53 @@
+use {
+    super::ControlPlane,
+    crate::{
+        border::PeerClient,
+        control::{Claims, Lines, MemberHandle, SheetHandle},
+        port::{Claimer, Line, MonoClock, PeerCall, PeerHandler, PeerReply},
+    },
+};
+
+/// Answers calls of other daemons by passing each to the controller that it is for.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    line: Lines,
+    members: MemberHandle<PeerClient>,
+    sheet: SheetHandle,
+    claims: Claims<MonoClock>,
+}
+
+impl Dispatch {
+    /// Takes the handles of `control`.
+    pub fn new(control: &ControlPlane) -> Self {
+        Self {
+            line: control.line.clone(),
+            members: control.members.clone(),
+            sheet: control.sheet.clone(),
+            claims: control.claims.clone(),
+        }
+    }
+}
+
+impl PeerHandler for Dispatch {
+    async fn handle(&self, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Heartbeat(beat) => PeerReply::Heartbeat(self.members.heartbeat(beat).await),
+            PeerCall::Probe { address } => self.members.probe(&address).await,
+            PeerCall::Acquire(ask) => match self.line.acquire(ask).await {
+                Ok(grant) => PeerReply::Granted(grant),
+                Err(denial) => PeerReply::Denied(denial),
+            },
+            PeerCall::Release(release) => {
+                self.line.release(release);
+                PeerReply::Done
+            }
+            PeerCall::Withdraw(attempt) => {
+                self.line.withdraw(attempt);
+                PeerReply::Done
+            }
+            PeerCall::Sheet { since } => PeerReply::Sheet(self.sheet.changes(since).await),
+            PeerCall::Claim(ask) => PeerReply::Claim(self.claims.ask(ask).await),
+            PeerCall::Status => PeerReply::Failed("no status yet".to_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,17 @@
+//! The wiring of one daemon: sections to controllers, ports to their implementations.
+
+pub use self::{
+    base::{Base, DaemonPlatform},
+    control_plane::ControlPlane,
+    daemon_error::DaemonError,
+    daemon_parts::DaemonParts,
+    dispatch::Dispatch,
+    running::{Addresses, Daemon},
+};
+
+mod base;
+mod control_plane;
+mod daemon_error;
+mod daemon_parts;
+mod dispatch;
+mod running;
--- /dev/null
+++ b/src/daemon/running.rs
@@ -0,0 +1,199 @@
+use {
+    super::{Base, ControlPlane, DaemonError, DaemonParts, Dispatch},
+    crate::{
+        board::{Arena, Blackboard, Counters, Writers},
+        border::{Caller, CallerListener, PeerListener, Settings},
+        control::HealthNews,
+        request::{Entry, PathOptions, Shared},
+    },
+    prometheus_client::registry::Registry,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        task::{JoinHandle, JoinSet},
+        time::{sleep, timeout},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between the announcement of a planned stop and the end of accepting connections, for
+/// the platform's balancer to notice that the daemon is not ready.
+const NOTICE_TIME: Duration = Duration::from_millis(500);
+
+/// A running daemon. Dropping it ends it at once, as a crash would.
+#[derive(Debug)]
+pub struct Daemon {
+    addresses: Addresses,
+    base: Base,
+    control: ControlPlane,
+    shared: Shared<DaemonParts>,
+    registry: Arc<Registry>,
+    listeners: Listeners,
+    tasks: JoinSet<()>,
+}
+
+/// Addresses that the listeners are bound to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Other daemons.
+    pub peers: SocketAddr,
+}
+
+/// Running listeners and what stops them.
+#[derive(Debug)]
+struct Listeners {
+    callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
+    stop_callers: CancellationToken,
+    stop_peers: CancellationToken,
+}
+
+impl Daemon {
+    /// Starts a daemon and returns when its listeners are bound.
+    pub async fn start(settings: &Settings) -> Result<Self, DaemonError> {
+        let mut registry = Registry::with_prefix("lentillead");
+        let counters = Counters::new(&mut registry);
+        let (board, mut writers) = Blackboard::new();
+        publish_branches(settings, &mut writers);
+        let base = Base::new(settings, board, counters.stray.clone(), &mut registry)?;
+        let peers = bind(settings.listen.peers).await?;
+        let address = settings.advertise.unwrap_or(local(&peers)?);
+        let mut tasks = JoinSet::new();
+        let control = ControlPlane::start(&base, writers, address, &mut tasks);
+        let parts = DaemonParts::new(&base, &control);
+        let options = PathOptions {
+            stall: settings.timing.progress,
+            ..PathOptions::default()
+        };
+        let shared = Shared::new(parts, base.board.clone(), counters, options);
+        let (listeners, addresses) = listen(&base, &control, &shared, peers).await?;
+        let registry = Arc::new(registry);
+        Ok(Self {
+            addresses,
+            base,
+            control,
+            shared,
+            registry,
+            listeners,
+            tasks,
+        })
+    }
+
+    /// Addresses of the listeners.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// The blackboard.
+    pub fn board(&self) -> &Blackboard {
+        &self.base.board
+    }
+
+    /// Every metric.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Handles of the controllers.
+    pub fn control(&self) -> &ControlPlane {
+        &self.control
+    }
+
+    /// Stops as planned: takes no new work, tells peers, ends every request in progress.
+    ///
+    /// Returns whether everything ended within the settings' drain time.
+    pub async fn stop(mut self) -> bool {
+        let drain = self.base.settings.timing.drain;
+        let ended = timeout(drain, self.drain()).await.is_ok();
+        self.tasks.shutdown().await;
+        ended
+    }
+
+    async fn drain(&mut self) {
+        self.control.health.tell(HealthNews::Stopping);
+        self.control.members.leave().await;
+        sleep(NOTICE_TIME).await;
+        self.listeners.stop_callers.cancel();
+        ended(&mut self.listeners.callers).await;
+        self.shared.settle().await;
+        self.control.line.drain().await;
+        self.listeners.stop_peers.cancel();
+        ended(&mut self.listeners.peers).await;
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.listeners.callers.abort();
+        self.listeners.peers.abort();
+    }
+}
+
+fn publish_branches(settings: &Settings, writers: &mut Writers) {
+    let mut branches = Arena::default();
+    for branch in &settings.branches {
+        branches.insert(&branch.name, branch.clone());
+    }
+    writers.branches.publish(branches);
+}
+
+async fn listen(
+    base: &Base,
+    control: &ControlPlane,
+    shared: &Shared<DaemonParts>,
+    peers: TcpListener,
+) -> Result<(Listeners, Addresses), DaemonError> {
+    let settings = &base.settings;
+    let entry = Entry::new(shared, &settings.host, base.incarnation);
+    let caller = Caller::new(shared.clone(), entry, settings.limits);
+    let address = settings.listen.callers.to_string();
+    let callers = CallerListener::bind(&address, caller, settings.limits).await;
+    let callers = callers.map_err(|source| DaemonError::Bind { address, source })?;
+    let addresses = Addresses {
+        callers: callers.address().unwrap_or(settings.listen.callers),
+        peers: local(&peers)?,
+    };
+    let dispatch = Dispatch::new(control);
+    let peers = PeerListener::new(peers, settings.keys.peers.clone(), dispatch);
+    let peers = peers.traffic(base.traffic.clone());
+    let stop_callers = CancellationToken::new();
+    let stop_peers = CancellationToken::new();
+    let serving = callers.serve(stop_callers.clone(), settings.timing.drain);
+    let listeners = Listeners {
+        callers: tokio::spawn(async move {
+            if let Err(e) = serving.await {
+                log::error!("the caller listener failed: {e}");
+            }
+        }),
+        peers: tokio::spawn(peers.serve(stop_peers.clone())),
+        stop_callers,
+        stop_peers,
+    };
+    Ok((listeners, addresses))
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| DaemonError::Bind {
+        address: address.to_string(),
+        source,
+    })
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, DaemonError> {
+    let address = listener.local_addr();
+    address.map_err(|source| DaemonError::Bind {
+        address: "peers".to_owned(),
+        source,
+    })
+}
+
+async fn ended(task: &mut JoinHandle<()>) {
+    if let Err(e) = task.await
+        && !e.is_cancelled()
+    {
+        log::error!("a listener failed: {e}");
+    }
+}
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -92,7 +92,11 @@
         self.shared.spawn(async move {
             if sent {
                 let confirmed = cancel(&shared, &address, &release).await;
-                release.end = if confirmed { GrantEnd::Cancelled } else { GrantEnd::Broken };
+                release.end = if confirmed {
+                    GrantEnd::Cancelled
+                } else {
+                    GrantEnd::Broken
+                };
             }
             owner.release(&shared, release).await;
         });
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -145,9 +145,8 @@
         };
         let handle = import.as_ref().map(|(_, handle)| handle.clone());
         let tokens = self.decode(&mut decode, prompt, handle).await?;
-        // Dropping the prefill's place frees the exported KV cache, which is imported by now.
-        drop(import);
-        self.relay(decode, tokens, sink).await
+        let prefill = import.map(|(held, _)| held);
+        self.relay(decode, prefill, tokens, sink).await
     }
 
     /// Waits for a decode place, after a while at the lender of the rule's pools as well.
@@ -291,6 +290,7 @@
     async fn relay<K>(
         &mut self,
         held: Held<P>,
+        prefill: Option<Held<P>>,
         tokens: <P::Engine as Engine>::Tokens,
         sink: &mut K,
     ) -> Result<(), Ended>
@@ -299,7 +299,7 @@
     {
         let start = self.shared.now();
         let before = self.progress.tokens;
-        let relayed = Relay::new(self.shared, held.grant(), &mut self.progress)
+        let relayed = Relay::new(self.shared, held.grant(), &mut self.progress, prefill)
             .run(tokens, sink)
             .await;
         match relayed {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallerGone, Parts, Piece, Progress, Shared, Sink},
+    super::{CallerGone, Held, Parts, Piece, Progress, Shared, Sink},
     crate::{
         board::RetryReason,
         decide::{ChunkCheck, ChunkError, ChunkVerdict},
@@ -25,10 +25,14 @@
 
 /// Passes the tokens of one attempt on, each exactly once and in order.
 #[derive(Debug)]
-pub struct Relay<'a, P> {
+pub struct Relay<'a, P>
+where
+    P: Parts,
+{
     shared: &'a Shared<P>,
     grant: &'a Grant,
     progress: &'a mut Progress,
+    prefill: Option<Held<P>>,
     base: u32,
     check: ChunkCheck,
 }
@@ -38,12 +42,21 @@
     P: Parts,
 {
     /// Prepares to relay the attempt that holds `grant`, after what `progress` has relayed.
-    pub fn new(shared: &'a Shared<P>, grant: &'a Grant, progress: &'a mut Progress) -> Self {
+    ///
+    /// `prefill` holds the exported KV cache and is freed by the first chunk, which shows that
+    /// the import is complete.
+    pub fn new(
+        shared: &'a Shared<P>,
+        grant: &'a Grant,
+        progress: &'a mut Progress,
+        prefill: Option<Held<P>>,
+    ) -> Self {
         let base = progress.tokens;
         Self {
             shared,
             grant,
             progress,
+            prefill,
             base,
             check: ChunkCheck::new(grant.attempt, 0),
         }
@@ -120,6 +133,7 @@
             self.shared.counters().stray.inc();
             return Ok(false);
         }
+        self.prefill = None;
         let finished = chunk.finish.is_some();
         let piece = Piece {
             index: self.base + chunk.index,
