Close the listener of a dead engine before its streams break

A stream of a dead stand-in broke by itself before the listener was closed, so that the next call could still connect. Change: after a death streams and answers wait for the server to drop their connections, which it does once the listener is closed. Conclusion: this race is gone by construction; that it was the failure seen is likely, not proved.

--- a/src/fake/engine_routes.rs
+++ b/src/fake/engine_routes.rs
@@ -25,7 +25,7 @@
         web::{Data, Json, Path, Query},
     },
     serde::Deserialize,
-    std::sync::Arc,
+    std::{future::pending, sync::Arc},
     tokio::sync::watch,
 };
 
@@ -78,6 +78,16 @@
     }
 }
 
+/// Waits until an attempt is ready or has ended; for ever if the engine died, as the server then
+/// drops the connection once its listener is closed.
+async fn reached(progress: &mut watch::Receiver<Progress>) -> Progress {
+    let reached = progress.wait_for(|p| p.ready || p.end.is_some()).await;
+    match reached.map(|progress| *progress) {
+        Ok(progress) if progress.end != Some(End::Died) => progress,
+        Ok(_) | Err(_) => pending().await,
+    }
+}
+
 /// Answers a prefill when its KV cache is computed.
 async fn prefilled(
     core: &EngineCore,
@@ -85,8 +95,7 @@
     key: RunKey,
     mut progress: watch::Receiver<Progress>,
 ) -> Response {
-    let done = progress.wait_for(|p| p.ready || p.end.is_some()).await;
-    let ready = done.is_ok_and(|p| p.ready);
+    let ready = reached(&mut progress).await.ready;
     let cached = core.lock().runs.get(key).map(|run| run.seen.cached);
     let (true, Some(cached)) = (ready, cached) else {
         return problem(500, RefusalBodyRan::Unknown, End::Cancelled.word());
@@ -116,9 +125,8 @@
     mut progress: watch::Receiver<Progress>,
 ) -> Response {
     tokio::spawn(import(Arc::clone(core), key, kv));
-    let begun = progress.wait_for(|p| p.ready || p.end.is_some()).await;
-    let gone = begun.is_ok_and(|p| !p.ready && p.end == Some(End::CacheGone));
-    if gone {
+    let begun = reached(&mut progress).await;
+    if !begun.ready && begun.end == Some(End::CacheGone) {
         return not_run(CACHE_GONE_STATUS, CACHE_GONE_REASON);
     }
     stream(core, key, progress, 0)
--- a/src/fake/engine_stream.rs
+++ b/src/fake/engine_stream.rs
@@ -14,7 +14,7 @@
     bytes::Bytes,
     futures_util::stream::unfold,
     poem::{Body, Response},
-    std::{collections::VecDeque, io, sync::Arc, time::Duration},
+    std::{collections::VecDeque, future::pending, io, sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -87,6 +87,7 @@
 }
 
 impl Events {
+    /// Next event; after a death none comes, and the server drops the connection.
     async fn event(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             if let Some(event) = self.queue.pop_front() {
@@ -99,10 +100,13 @@
                 return None;
             }
             let progress = *self.progress.borrow_and_update();
+            if progress.end == Some(End::Died) {
+                return pending().await;
+            }
             if progress.tokens > self.next || progress.end.is_some() {
                 self.advance(progress);
             } else if self.progress.changed().await.is_err() {
-                self.fail();
+                return pending().await;
             }
         }
     }
@@ -110,7 +114,6 @@
     fn advance(&mut self, progress: Progress) {
         match progress.end {
             Some(End::CacheGone) => self.refuse(),
-            Some(End::Died) => self.fail(),
             end => self.chunks(progress.tokens, end),
         }
     }
