Measure the control planes of many daemons in one process

Cause: the capacity page needs slopes, and a run with faults, that anybody can repeat on one machine. Change: `lentillead capacity run` starts control planes behind real listeners on loopback and prints bytes, calls, processor time and memory of each; `capacity table` fits lines; `capacity layouts` compares two layouts of the host list; `capacity faults` kills, restarts, pauses and cuts off daemons by a seeded schedule while the sheet changes, and prints convergence, reverts and the time that endpoints were without an owner. `just capacity` runs them all.

--- a/justfile
+++ b/justfile
@@ -25,3 +25,24 @@
 # Generate the wire types of src/border from docs/schema; needs cargo-typify.
 generate:
     cargo typify --no-builder --output src/border/endpoint_wire.rs docs/schema/endpoint.json
+
+# Measure what the control planes of many daemons use; prints the tables of docs/CAPACITY.md.
+capacity: (capacity-runs "target/release/lentillead" "target/capacity")
+
+[private]
+capacity-runs BIN OUT:
+    #!/usr/bin/env bash
+    set -euo pipefail
+    [ -x '{{BIN}}' ] || cargo build --release
+    mkdir -p '{{OUT}}' && rm -f '{{OUT}}'/*.json
+    run() { '{{BIN}}' capacity run --settle 35 --seconds 15 --series "$1" "${@:3}" > "{{OUT}}/$1-$2.json"; }
+    for n in 010 025 050 100; do run daemons $n --daemons $((10#$n)) & done
+    for n in 00375 01500 04000 11000; do run endpoints $n --endpoints $((10#$n)) & done
+    wait
+    for n in 0 1 3 6.13; do run changes $n --changes $n & done
+    for n in 05 10 20; do run rules $n --changes 1 --rules $((10#$n)) & done
+    wait
+    cat '{{OUT}}'/*.json > '{{OUT}}/points'
+    '{{BIN}}' capacity table '{{OUT}}/points'
+    '{{BIN}}' capacity layouts
+    '{{BIN}}' capacity faults
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BenchCommand, CommandError, DemoCommand, DrainCommand, ExitStatus, FakeCommand,
-        ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
+        BenchCommand, CapacityCommand, CommandError, DemoCommand, DrainCommand, ExitStatus,
+        FakeCommand, ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -22,6 +22,8 @@
 pub enum Command {
     /// Compare the decisions with plain policies.
     Bench(BenchCommand),
+    /// Measure what many daemons use.
+    Capacity(CapacityCommand),
     /// Run the whole path with stand-ins.
     Demo(DemoCommand),
     /// Ask a daemon to stop.
@@ -42,6 +44,7 @@
     async fn run(self) -> Result<(), CommandError> {
         match self {
             Self::Bench(command) => command.run(),
+            Self::Capacity(command) => command.run().await,
             Self::Demo(command) => command.run().await,
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -7,6 +7,11 @@
 pub use self::{
     arguments::{Arguments, Command, main},
     bench::BenchCommand,
+    capacity::CapacityCommand,
+    capacity_faults::CapacityFaults,
+    capacity_layouts::CapacityLayouts,
+    capacity_run::CapacityRun,
+    capacity_table::CapacityTable,
     command_error::CommandError,
     demo::DemoCommand,
     drain::DrainCommand,
@@ -43,6 +48,11 @@
 mod bench_steps;
 mod bench_view;
 mod bench_world;
+mod capacity;
+mod capacity_faults;
+mod capacity_layouts;
+mod capacity_run;
+mod capacity_table;
 mod command_error;
 mod demo;
 mod drain;
--- /dev/null
+++ b/src/fake/capacity_sheet.rs
@@ -0,0 +1,77 @@
+use {
+    crate::{
+        board::{Repeat, Route, Rule, Target},
+        border::PlatformClient,
+        control::{SheetStore, Submission},
+    },
+    std::{io, time::Duration},
+};
+
+/// A sheet of many branches that an operator keeps changing, one branch at a time.
+#[derive(Debug)]
+pub(super) struct CapacitySheet {
+    store: SheetStore<PlatformClient>,
+    rules: Vec<Rule>,
+    each: usize,
+    revision: u64,
+    count: u64,
+}
+
+impl CapacitySheet {
+    pub(super) fn new(platform: PlatformClient, branches: usize, each: usize) -> Self {
+        let rules = (0..branches * each).map(|i| rule(i / each.max(1), i % each.max(1)));
+        Self {
+            store: SheetStore::new(platform),
+            rules: rules.collect(),
+            each,
+            revision: 0,
+            count: 0,
+        }
+    }
+
+    /// Revision accepted last.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Changes the priority of one rule and submits the sheet.
+    pub(super) async fn submit(&mut self) -> io::Result<()> {
+        self.count += 1;
+        let place = self.count as usize * self.each % self.rules.len().max(1);
+        if let Some(rule) = self.rules.get_mut(place) {
+            rule.priority = rule.priority % 9 + 1;
+        }
+        let submission = Submission {
+            base: self.revision,
+            rules: self.rules.clone(),
+            change: format!("change-{}", self.count),
+            author: String::from("capacity"),
+            time: self.count,
+            floor: 0,
+        };
+        let accepted = self.store.submit(submission).await;
+        self.revision = accepted.map_err(io::Error::other)?.revision;
+        Ok(())
+    }
+}
+
+fn rule(branch: usize, number: usize) -> Rule {
+    Rule {
+        branch: format!("organisation-{branch:03}"),
+        kind: format!("kind-{number:03}"),
+        route: Route::Model {
+            prefill: format!("prefill-{}", number % 7),
+            decode: format!("decode-{}", number % 7),
+        },
+        priority: 1,
+        model: format!("model-{}", number % 7),
+        version: String::from("2026-11"),
+        adapter: Some(format!("house-style-{branch:03}")),
+        repeat: Repeat::Idempotent,
+        target: Target {
+            first_token: Duration::from_millis(920),
+            per_token: Duration::from_millis(36),
+        },
+        borrow: None,
+    }
+}
--- a/src/fake/mod.rs
+++ b/src/fake/mod.rs
@@ -2,11 +2,14 @@
 
 pub use self::{
     answer_text::{answer_length, answer_text},
+    capacity_fleet::{CapacityFigures, CapacityFleet, CapacitySize},
+    capacity_layout::{LayoutCost, LayoutPoint},
     control_plane::{ControlPlane, PlaneParts, answer},
     engine::FakeEngine,
     engine_observed::{EngineControl, EngineObserved, EngineTotals, RunObserved},
     engine_settings::EngineSettings,
     fault::{Fault, FaultKind},
+    fault_report::{FaultCounts, FaultReport},
     faulty_peer::{Cuts, FaultyPeer},
     memory_platform::MemoryPlatform,
     pause::Pause,
@@ -15,11 +18,22 @@
     platform_settings::{
         Outage, PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings,
     },
+    process_usage::ProcessUsage,
     service::FakeService,
     service_settings::{ServiceControl, ServiceObserved, ServiceRun, ServiceSettings},
+    slope::Slope,
 };
 
 mod answer_text;
+mod capacity_faults;
+mod capacity_fleet;
+mod capacity_layout;
+mod fault_report;
+mod fault_watch;
+mod slope;
+
+mod capacity_host;
+mod capacity_sheet;
 mod control_plane;
 mod engine;
 mod engine_batch;
@@ -43,6 +57,7 @@
 mod platform_settings;
 mod platform_state;
 mod prefix_cache;
+mod process_usage;
 mod service;
 mod service_routes;
 mod service_settings;
