Serve operators, answer status to peers, and log failed attempts

Change: the daemon binds the operator listener, answers PeerCall::Status, starts JSON logs, stops when an operator asks; the health section is derived from the age of the host list and the sheet, so nothing has to report to it; the twin of the output format is gone. Conclusion: one writer reads two sections instead of being told by others.

--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CommandError, ExitStatus, OutputFormat},
+    super::{CommandError, ExitStatus, Format, print_json},
     crate::emulator::{LoadReport, Profile, Site, SiteOptions, Workload, run_load},
     argh::FromArgs,
     std::{
@@ -39,8 +39,8 @@
     #[argh(option, default = "0.02")]
     leaving: f64,
     /// output: `table` or `json`
-    #[argh(option, default = "OutputFormat::Table")]
-    format: OutputFormat,
+    #[argh(option, default = "Format::Table")]
+    format: Format,
 }
 
 impl DemoCommand {
@@ -59,7 +59,7 @@
         let progress = tokio::spawn(show_progress(Arc::clone(&done), self.requests));
         let report = run_load(&site, self.load(), done).await;
         progress.abort();
-        self.print(&report);
+        self.print(&report)?;
         if report.verdict.is_broken() {
             let message = "an invariant was broken; see the report above";
             return Err(CommandError::with_status(ExitStatus::Invariant, message));
@@ -96,13 +96,12 @@
         }
     }
 
-    fn print(&self, report: &LoadReport) {
-        match self.format {
-            OutputFormat::Json => {
-                println!("{}", serde_json::to_string(report).unwrap_or_default());
-            }
-            OutputFormat::Table => println!("{}", report.table()),
+    fn print(&self, report: &LoadReport) -> Result<(), CommandError> {
+        if self.format == Format::Json {
+            return print_json(report);
         }
+        println!("{}", report.table());
+        Ok(())
     }
 }
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -22,7 +22,6 @@
     fake_service::FakeServiceCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
-    output_format::OutputFormat,
     serve::ServeCommand,
     settings::SettingsCommand,
     settings_check::SettingsCheck,
@@ -64,7 +63,6 @@
 mod fake_service;
 mod format;
 mod operator_client;
-mod output_format;
 mod serve;
 mod settings;
 mod settings_check;
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -1,6 +1,9 @@
 use {
     super::{CommandError, ExitStatus},
-    crate::{border::read_settings, daemon::Daemon},
+    crate::{
+        border::{read_settings, start_logs},
+        daemon::Daemon,
+    },
     argh::FromArgs,
     std::path::PathBuf,
     tokio::signal::unix::{Signal, SignalKind, signal},
@@ -21,16 +24,21 @@
         let settings = read_settings(&self.settings).await?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
+        start_logs(&settings.log)?;
         let daemon = Daemon::start(&settings).await;
         let daemon = daemon.map_err(|e| CommandError::failed(e.to_string()))?;
         let addresses = daemon.addresses();
         log::info!(
             host = settings.host.as_str(),
             callers:% = addresses.callers,
+            operators:% = addresses.operators,
             peers:% = addresses.peers;
             "serving"
         );
-        either(&mut terminate, &mut interrupt).await;
+        tokio::select! {
+            () = either(&mut terminate, &mut interrupt) => {}
+            () = daemon.drain_asked() => {}
+        }
         log::info!("stopping; requests in progress are completed");
         tokio::select! {
             ended = daemon.stop() => if ended {
--- a/src/control/health_controller.rs
+++ b/src/control/health_controller.rs
@@ -1,75 +1,91 @@
 use {
-    crate::board::{Health, Section, Sheet, Writer},
+    crate::{
+        board::{Health, HostList, Section, Sheet, Writer},
+        port::Clock,
+    },
+    std::time::Duration,
     tokio::sync::mpsc,
 };
 
-/// Writes the `health` section.
+/// Writes the `health` section from the age of the host list and the sheet in force.
 #[derive(Debug)]
-pub struct HealthController {
+pub struct HealthController<C> {
+    clock: C,
     writer: Writer<Health>,
+    hosts: Section<HostList>,
     sheet: Section<Sheet>,
-    mail: mpsc::UnboundedReceiver<HealthNews>,
+    silence: Duration,
+    stop: mpsc::Receiver<()>,
 }
 
-/// Handle with which the rest of the daemon tells of changes.
+/// Handle with which a planned stop is announced.
 #[derive(Clone, Debug)]
 pub struct HealthHandle {
-    mail: mpsc::UnboundedSender<HealthNews>,
-}
-
-/// What the controller is told.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum HealthNews {
-    /// A platform call succeeded or failed.
-    Store(bool),
-    /// A planned stop has begun.
-    Stopping,
+    stop: mpsc::Sender<()>,
 }
 
 impl HealthHandle {
-    /// Tells of a change; a controller that has stopped is of no interest any more.
-    pub fn tell(&self, news: HealthNews) {
-        if self.mail.send(news).is_err() {
-            log::debug!("the health controller has stopped");
+    /// Announces that a planned stop has begun.
+    pub fn stopping(&self) {
+        if self.stop.try_send(()).is_err() {
+            log::debug!("a stop was announced before");
         }
     }
 }
 
-impl HealthController {
-    /// Creates the controller.
-    pub fn new(writer: Writer<Health>, sheet: Section<Sheet>) -> (Self, HealthHandle) {
-        let (sender, mail) = mpsc::unbounded_channel();
-        (
-            Self {
-                writer,
-                sheet,
-                mail,
-            },
-            HealthHandle { mail: sender },
-        )
+impl<C> HealthController<C>
+where
+    C: Clock,
+{
+    /// Creates the controller; the store counts as down after `silence` without a host list.
+    pub fn new(
+        clock: C,
+        writer: Writer<Health>,
+        hosts: Section<HostList>,
+        sheet: Section<Sheet>,
+        silence: Duration,
+    ) -> (Self, HealthHandle) {
+        let (sender, stop) = mpsc::channel(1);
+        let controller = Self {
+            clock,
+            writer,
+            hosts,
+            sheet,
+            silence,
+            stop,
+        };
+        (controller, HealthHandle { stop: sender })
     }
 
-    /// Runs until every handle is gone.
+    /// Runs until every handle or a section's writer is gone.
     pub async fn run(mut self) {
+        let mut stopping = false;
         loop {
-            let mut health = **self.writer.load();
-            health.ready = !health.stopping && self.sheet.load().revision > 0;
-            self.publish(health);
-            tokio::select! {
-                news = self.mail.recv() => match news {
-                    Some(HealthNews::Store(up)) => health.store = up,
-                    Some(HealthNews::Stopping) => health.stopping = true,
-                    None => return,
-                },
-                alive = self.sheet.changed() => if !alive {
-                    return;
-                },
+            self.publish(stopping);
+            let lasting = tokio::select! {
+                stop = self.stop.recv() => {
+                    stopping = true;
+                    stop.is_some()
+                }
+                more = self.hosts.changed() => more,
+                more = self.sheet.changed() => more,
+                () = self.clock.sleep(self.silence) => true,
+            };
+            if !lasting {
+                return;
             }
-            self.publish(health);
         }
     }
 
-    fn publish(&mut self, health: Health) {
+    fn publish(&mut self, stopping: bool) {
+        let heard = self.hosts.load().heard;
+        let listed = heard.0 > 0 && self.clock.now().since(heard) <= self.silence;
+        let ready = !stopping && self.sheet.load().revision > 0;
+        let health = Health {
+            store: listed,
+            ready,
+            stopping,
+        };
         if **self.writer.load() != health {
             self.writer.publish(health);
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,7 +8,7 @@
     digest_controller::DigestController,
     fleet_controller::FleetController,
     fleet_status::fleet_status,
-    health_controller::{HealthController, HealthHandle, HealthNews},
+    health_controller::{HealthController, HealthHandle},
     heartbeat_ports::{DigestNews, HeartbeatInputs, HeartbeatOutlets, RevisionHint},
     host_controller::HostController,
     line_controller::LineController,
--- a/src/daemon/control_plane.rs
+++ b/src/daemon/control_plane.rs
@@ -1,7 +1,9 @@
 use {
     super::{Base, DaemonPlatform},
     crate::{
-        board::{Digests, Fleet, HostList, HostState, Members, Owners, Sheet, Writer, Writers},
+        board::{
+            Digests, Fleet, Health, HostList, HostState, Members, Owners, Sheet, Writer, Writers,
+        },
         border::{ClaimObjects, EngineClient, PeerClient},
         control::{
             ClaimRouter, ClaimSettings, Claims, DigestController, DigestNews, FleetController,
@@ -23,6 +25,9 @@
 /// Requests that a plain service may run at once.
 const SERVICE_SLOTS: u32 = 64;
 
+/// Host lists that may be missed before the store counts as down.
+const LISTS_MISSED: u32 = 3;
+
 /// Messages that may wait between the member controller and others.
 const NEWS_WAITING: usize = 256;
 
@@ -69,7 +74,7 @@
         let lifetime = settings.timing.strike;
         let (controller, suspicions) = SuspectController::new(*clock, writers.suspects, lifetime);
         tasks.spawn(controller.run());
-        let (controller, health) = HealthController::new(writers.health, board.sheet.clone());
+        let (controller, health) = self::health(base, writers.health);
         tasks.spawn(controller.run());
         tasks.spawn(hosts(base, writers.hosts).run());
         tasks.spawn(fleet(base, writers.fleet).run());
@@ -137,6 +142,15 @@
     )
 }
 
+fn health(base: &Base, writer: Writer<Health>) -> (HealthController<MonoClock>, HealthHandle) {
+    let Base {
+        board, settings, ..
+    } = base;
+    let silence = settings.timing.hosts * LISTS_MISSED + settings.platform.timeout;
+    let sheet = board.sheet.clone();
+    HealthController::new(base.clock, writer, board.hosts.clone(), sheet, silence)
+}
+
 fn fleet(base: &Base, writer: Writer<Fleet>) -> FleetController<EngineClient, MonoClock> {
     let hosts = base.board.hosts.clone();
     FleetController::new(
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -1,8 +1,10 @@
 use {
     super::ControlPlane,
     crate::{
+        board::Blackboard,
         border::PeerClient,
         control::{Claims, Lines, MemberHandle, SheetHandle},
+        decide::status_of,
         port::{Claimer, Line, MonoClock, PeerCall, PeerHandler, PeerReply},
     },
 };
@@ -14,16 +16,27 @@
     members: MemberHandle<PeerClient>,
     sheet: SheetHandle,
     claims: Claims<MonoClock>,
+    board: Blackboard,
 }
 
 impl Dispatch {
-    /// Takes the handles of `control`.
-    pub fn new(control: &ControlPlane) -> Self {
+    /// Takes the handles of `control` and reads `board`.
+    pub fn new(control: &ControlPlane, board: Blackboard) -> Self {
         Self {
             line: control.line.clone(),
             members: control.members.clone(),
             sheet: control.sheet.clone(),
             claims: control.claims.clone(),
+            board,
+        }
+    }
+}
+
+impl Dispatch {
+    fn status(&self) -> PeerReply {
+        match serde_json::to_string(&status_of(&self.board)) {
+            Ok(status) => PeerReply::Status(status),
+            Err(e) => PeerReply::Failed(e.to_string()),
         }
     }
 }
@@ -47,7 +60,7 @@
             }
             PeerCall::Sheet { since } => PeerReply::Sheet(self.sheet.changes(since).await),
             PeerCall::Claim(ask) => PeerReply::Claim(self.claims.ask(ask).await),
-            PeerCall::Status => PeerReply::Failed("no status yet".to_owned()),
+            PeerCall::Status => self.status(),
         }
     }
 }
--- a/src/daemon/running.rs
+++ b/src/daemon/running.rs
@@ -1,13 +1,15 @@
 use {
-    super::{Base, ControlPlane, DaemonError, DaemonParts, Dispatch},
+    super::{Base, ControlPlane, DaemonError, DaemonParts, DaemonPlatform, Dispatch},
     crate::{
         board::{Arena, Blackboard, Counters, Writers},
-        border::{Caller, CallerListener, PeerListener, Settings},
-        control::HealthNews,
+        border::{
+            Caller, CallerListener, Operator, OperatorListener, PeerClient, PeerListener, Settings,
+        },
+        port::MonoClock,
         request::{Entry, PathOptions, Shared},
     },
     prometheus_client::registry::Registry,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         task::{JoinHandle, JoinSet},
@@ -20,6 +22,9 @@
 /// the platform's balancer to notice that the daemon is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(500);
 
+/// What the operator listener of a daemon needs.
+type DaemonOperator = Operator<DaemonPlatform, PeerClient, MonoClock>;
+
 /// A running daemon. Dropping it ends it at once, as a crash would.
 #[derive(Debug)]
 pub struct Daemon {
@@ -37,6 +42,8 @@
 pub struct Addresses {
     /// Callers.
     pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
     /// Other daemons.
     pub peers: SocketAddr,
 }
@@ -45,9 +52,11 @@
 #[derive(Debug)]
 struct Listeners {
     callers: JoinHandle<()>,
+    operators: JoinHandle<()>,
     peers: JoinHandle<()>,
     stop_callers: CancellationToken,
     stop_peers: CancellationToken,
+    drain: CancellationToken,
 }
 
 impl Daemon {
@@ -68,8 +77,9 @@
             ..PathOptions::default()
         };
         let shared = Shared::new(parts, base.board.clone(), counters, options);
-        let (listeners, addresses) = listen(&base, &control, &shared, peers).await?;
         let registry = Arc::new(registry);
+        let operator = operator(&base, &control, &registry);
+        let (listeners, addresses) = listen(&base, &control, &shared, operator, peers).await?;
         Ok(Self {
             addresses,
             base,
@@ -101,6 +111,11 @@
         &self.control
     }
 
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.listeners.drain.cancelled().await;
+    }
+
     /// Stops as planned: takes no new work, tells peers, ends every request in progress.
     ///
     /// Returns whether everything ended within the settings' drain time.
@@ -112,7 +127,7 @@
     }
 
     async fn drain(&mut self) {
-        self.control.health.tell(HealthNews::Stopping);
+        self.control.health.stopping();
         self.control.members.leave().await;
         sleep(NOTICE_TIME).await;
         self.listeners.stop_callers.cancel();
@@ -127,6 +142,7 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.listeners.callers.abort();
+        self.listeners.operators.abort();
         self.listeners.peers.abort();
     }
 }
@@ -143,6 +159,7 @@
     base: &Base,
     control: &ControlPlane,
     shared: &Shared<DaemonParts>,
+    operator: DaemonOperator,
     peers: TcpListener,
 ) -> Result<(Listeners, Addresses), DaemonError> {
     let settings = &base.settings;
@@ -151,29 +168,58 @@
     let address = settings.listen.callers.to_string();
     let callers = CallerListener::bind(&address, caller, settings.limits).await;
     let callers = callers.map_err(|source| DaemonError::Bind { address, source })?;
+    let drain = operator.drain.clone();
+    let operators = OperatorListener::bind(settings.listen.operators, operator).await;
+    let operators = operators.map_err(|source| DaemonError::Bind {
+        address: settings.listen.operators.to_string(),
+        source,
+    })?;
     let addresses = Addresses {
+        operators: operators.address().unwrap_or(settings.listen.operators),
         callers: callers.address().unwrap_or(settings.listen.callers),
         peers: local(&peers)?,
     };
-    let dispatch = Dispatch::new(control);
+    let dispatch = Dispatch::new(control, base.board.clone());
     let peers = PeerListener::new(peers, settings.keys.peers.clone(), dispatch);
     let peers = peers.traffic(base.traffic.clone());
     let stop_callers = CancellationToken::new();
     let stop_peers = CancellationToken::new();
+    let operating = operators.serve(stop_peers.clone());
     let serving = callers.serve(stop_callers.clone(), settings.timing.drain);
     let listeners = Listeners {
-        callers: tokio::spawn(async move {
-            if let Err(e) = serving.await {
-                log::error!("the caller listener failed: {e}");
-            }
-        }),
+        callers: tokio::spawn(logged("caller", serving)),
+        operators: tokio::spawn(logged("operator", operating)),
         peers: tokio::spawn(peers.serve(stop_peers.clone())),
         stop_callers,
         stop_peers,
+        drain,
     };
     Ok((listeners, addresses))
 }
 
+fn operator(base: &Base, control: &ControlPlane, registry: &Arc<Registry>) -> DaemonOperator {
+    Operator {
+        board: base.board.clone(),
+        store: control.store.clone(),
+        peer: base.peer.clone(),
+        peer_time: base.settings.timing.peer,
+        clock: base.clock,
+        registry: Arc::clone(registry),
+        drain: CancellationToken::new(),
+        key: base.settings.keys.operators.clone(),
+        limits: base.settings.limits,
+    }
+}
+
+async fn logged<F>(listener: &str, serving: F)
+where
+    F: Future<Output = io::Result<()>>,
+{
+    if let Err(e) = serving.await {
+        log::error!("the {listener} listener failed: {e}");
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| DaemonError::Bind {
--- a/src/request/failed.rs
+++ b/src/request/failed.rs
@@ -3,8 +3,9 @@
     crate::{
         board::Role,
         decide::{AttemptState, Chance, Failure, Verdict, after_failure},
-        port::{Engine, EngineError, Grant},
+        port::{Engine, EngineError, Grant, RequestLog},
     },
+    log::Level,
 };
 
 /// A call to an endpoint that failed.
@@ -14,6 +15,8 @@
     pub endpoint: String,
     /// Address of the endpoint.
     pub address: String,
+    /// Number of the attempt.
+    pub attempt: u16,
     /// What the endpoint was asked to do.
     pub role: Role,
     /// How the call failed.
@@ -25,9 +28,11 @@
     pub fn new(grant: &Grant, role: Role, error: EngineError) -> Self {
         let endpoint = grant.endpoint.clone();
         let address = grant.address.clone();
+        let attempt = grant.attempt.number;
         Self {
             endpoint,
             address,
+            attempt,
             role,
             error,
         }
@@ -111,14 +116,15 @@
 
     /// Logs the failure.
     pub fn log(&self, call: &Call, progress: &Progress) {
-        log::warn!(
-            request:% = call.id,
-            branch = call.rule.branch.as_str(),
-            kind = call.rule.kind.as_str(),
-            endpoint = self.endpoint.as_str(),
-            tokens = progress.tokens;
-            "an attempt failed: {}", self.error
-        );
+        let line = RequestLog {
+            request: call.id,
+            branch: &call.rule.branch,
+            kind: &call.rule.kind,
+            attempt: self.attempt,
+            endpoint: &self.endpoint,
+        };
+        let message = format!("failed after {} tokens: {}", progress.tokens, self.error);
+        line.write(Level::Warn, &message);
     }
 
     /// State of the attempt. A prefill answers nothing, so the request never ran by it.
