Ask as many owners as it takes to cover twelve endpoints

Cause: at today's sizes an owner has one or two endpoints of a pool, so that a request in two lines waited at a full endpoint while another one was idle. Change: owners_to_ask widens the round until the lines lead to twelve endpoints; at the design size two owners cover thirty and nothing changes there.

--- a/src/command/bench_owned.rs
+++ b/src/command/bench_owned.rs
@@ -9,7 +9,7 @@
         board::{Role, Tick},
         decide::{
             FairShare, LATE_TURN, Need, OwnerOption, Place, Waiting, choose_decode, choose_prefill,
-            late_rank, order_owners, rank,
+            late_rank, order_owners, owners_to_ask, rank,
         },
         key::{EndpointKey, HostKey},
     },
@@ -17,7 +17,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Owners in whose lines a request stands at once.
+/// Owners in whose lines a request stands at once, at least.
 const OWNERS_ASKED: usize = 2;
 
 /// Least time without an end after which a handover counts as stalled.
@@ -79,7 +79,7 @@
         order_owners(&mut options, pieces);
         let asked: Vec<u32> = options
             .iter()
-            .take(OWNERS_ASKED)
+            .take(owners_to_ask(&options, OWNERS_ASKED))
             .map(|option| self.hosts[option.host])
             .collect();
         for owner in &asked {
@@ -99,7 +99,8 @@
         let mut options = Vec::new();
         for (host, owner) in &self.hosts {
             let owns = |view: &BenchView| view.owner == *owner && view.role == role;
-            if !self.views.values().any(owns) {
+            let owned = self.views.values().filter(|view| owns(view)).count();
+            if owned == 0 {
                 continue;
             }
             let known = self.digests.get(&(*owner, role));
@@ -107,6 +108,7 @@
             options.push(OwnerOption {
                 host,
                 free,
+                endpoints: owned as u32,
                 waiting,
                 near: true,
                 tie: spread(job, *owner),
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,7 +14,7 @@
     member_timing::MemberTiming,
     news_queue::NewsQueue,
     outlier::{FIRST_OUT, Outlier, Standing},
-    owner_choice::{OwnerOption, order_owners},
+    owner_choice::{OwnerOption, order_owners, owners_to_ask},
     partners::Partners,
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
--- a/src/decide/owner_choice.rs
+++ b/src/decide/owner_choice.rs
@@ -1,5 +1,8 @@
 use crate::key::HostKey;
 
+/// Endpoints that the lines in which a request stands should lead to.
+const COVERED_ENDPOINTS: u32 = 12;
+
 /// An owner of endpoints of one pool, as the entry host sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OwnerOption {
@@ -7,6 +10,8 @@
     pub host: HostKey,
     /// Pieces free at its endpoints of the pool, by the last digest.
     pub free: u32,
+    /// Endpoints of the pool that it owns.
+    pub endpoints: u32,
     /// Requests waiting for the pool at the owner, by the last digest.
     pub waiting: u32,
     /// Whether the owner is in the entry host's availability zone.
@@ -27,3 +32,20 @@
         (short, !option.near, line, option.tie)
     });
 }
+
+/// Returns how many of the ordered owners a request asks at once, at least `least`.
+///
+/// An owner of many endpoints balances among them by itself; where each owns few, a request stands
+/// in more lines, so that it does not wait at a full endpoint while another one is idle.
+pub fn owners_to_ask(options: &[OwnerOption], least: usize) -> usize {
+    let mut covered = 0;
+    let mut asked = 0;
+    for option in options {
+        if covered >= COVERED_ENDPOINTS {
+            break;
+        }
+        covered += option.endpoints;
+        asked += 1;
+    }
+    asked.max(least).max(1)
+}
--- a/src/request/acquire.rs
+++ b/src/request/acquire.rs
@@ -2,7 +2,7 @@
     super::{Asking, Held, Owner, Parts, Shared},
     crate::{
         board::{Blackboard, Endpoint, Tick},
-        decide::{OwnerOption, order_owners},
+        decide::{OwnerOption, order_owners, owners_to_ask},
         key::{EndpointKey, HostKey, name_hash},
         port::{Clock, Denial, GrantAsk},
     },
@@ -39,7 +39,8 @@
             remaining: left,
             ..ask.clone()
         };
-        for owners in owners(shared.board(), &ask).chunks(shared.options().owners) {
+        let (owners, asked) = owners(shared.board(), &ask, shared.options().owners);
+        for owners in owners.chunks(asked) {
             match first_grant(shared, &ask, owners).await {
                 Ok(held) => return Ok(held),
                 Err(denial) => last = denial,
@@ -78,15 +79,15 @@
     Err(last)
 }
 
-/// Lists the owners of the pool's usable endpoints, best first.
-fn owners(board: &Blackboard, ask: &GrantAsk) -> Vec<Owner> {
+/// Lists the owners of the pool's usable endpoints, best first, and how many to ask at once.
+fn owners(board: &Blackboard, ask: &GrantAsk, least: usize) -> (Vec<Owner>, usize) {
     let fleet = board.fleet.load();
     let Some(pool) = fleet
         .pools
         .find(&ask.pool)
         .and_then(|key| fleet.pools.get(key))
     else {
-        return Vec::new();
+        return (Vec::new(), 1);
     };
     let usable = |endpoint: &&Endpoint| {
         !endpoint.leaving && endpoint.role == ask.role && !ask.avoid.contains(&endpoint.name)
@@ -97,10 +98,12 @@
     });
     let mut options = options(board, ask, members);
     order_owners(&mut options, ask.pieces);
-    options
+    let asked = owners_to_ask(&options, least);
+    let owners = options
         .iter()
         .filter_map(|option| locate(board, option.host))
-        .collect()
+        .collect();
+    (owners, asked)
 }
 
 fn options<'a, I>(board: &Blackboard, ask: &GrantAsk, endpoints: I) -> Vec<OwnerOption>
@@ -120,10 +123,12 @@
         let option = by_host.entry(host).or_insert_with(|| OwnerOption {
             host,
             free: 0,
+            endpoints: 0,
             waiting: waiting(&digests.waiting, host, &ask.pool),
             near: members.hosts.get(host).map(|other| other.zone.as_str()) == zone,
             tie: tie(ask, members.hosts.get(host).map_or("", |other| &other.name)),
         });
+        option.endpoints += 1;
         option.free = option.free.max(free(
             host == members.own,
             endpoint,
--- a/src/request/path_options.rs
+++ b/src/request/path_options.rs
@@ -13,7 +13,7 @@
     pub resumes: u32,
     /// Attempts of one request at most.
     pub attempts: u16,
-    /// Owners asked for a place at the same time.
+    /// Owners asked for a place at the same time, at least.
     pub owners: usize,
     /// Longest uncached part of a prompt that is prefilled where it is decoded, in tokens.
     pub local_tokens: u32,
--- a/tests/owner_choice.rs
+++ b/tests/owner_choice.rs
@@ -1,7 +1,7 @@
 //! Order in which an entry host asks owners.
 
 use lentillead::{
-    decide::{OwnerOption, order_owners},
+    decide::{OwnerOption, order_owners, owners_to_ask},
     key::HostKey,
 };
 
@@ -9,6 +9,7 @@
     OwnerOption {
         host: HostKey::default(),
         free,
+        endpoints: 5,
         waiting,
         near,
         tie,
@@ -33,3 +34,11 @@
         .collect();
     insta::assert_debug_snapshot!("owner_order", order);
 }
+
+#[test]
+fn asks_until_enough_endpoints_are_covered() {
+    let options = [option(1, 0, true, 0); 8];
+    assert_eq!(owners_to_ask(&options, 2), 3);
+    assert_eq!(owners_to_ask(&options, 4), 4);
+    assert_eq!(owners_to_ask(&[], 0), 1);
+}
