Give a prefill endpoint one prompt at a time

Cause: with two prompts granted to one endpoint the second one waited there while another endpoint fell idle. Change: PREFILL_DEPTH 2 -> 1; the others wait in lines, where the first idle endpoint takes them.

--- a/src/decide/endpoint_load.rs
+++ b/src/decide/endpoint_load.rs
@@ -4,8 +4,9 @@
     std::time::Duration,
 };
 
-/// Prompts that a prefill endpoint may hold at once: one computed and one waiting behind it.
-const PREFILL_DEPTH: u32 = 2;
+/// Prompts that a prefill endpoint is given at once; the others wait in lines, where any endpoint
+/// that falls idle can take them.
+const PREFILL_DEPTH: u32 = 1;
 
 /// KV caches that may wait for their handover or travel over one endpoint's link at once.
 ///
