Ask the roomier of two owners first and the others a moment later

Cause: every owner asked had room, and the one that answered first got the request, so that batches grew unequal and slow. Change: of the first two owners with room the roomier one (by digest) goes first; it alone is asked for 3 ms, then the others too. The withdrawals to owners that were never asked are gone with it.

--- a/src/decide/owner_choice.rs
+++ b/src/decide/owner_choice.rs
@@ -31,6 +31,19 @@
         let line = if short { option.waiting } else { 0 };
         (short, !option.near, line, option.tie)
     });
+    prefer_roomier(options, pieces);
+}
+
+/// Puts the roomier of the first two owners first: the better of two at random evens the load out
+/// without sending everybody to the one that looked best in an old digest.
+fn prefer_roomier(options: &mut [OwnerOption], pieces: u32) {
+    let [first, second, ..] = options else {
+        return;
+    };
+    let able = second.free >= pieces && second.near == first.near;
+    if able && second.free > first.free {
+        std::mem::swap(first, second);
+    }
 }
 
 /// Returns how many of the ordered owners a request asks at once, at least `least`.
--- a/src/request/acquire.rs
+++ b/src/request/acquire.rs
@@ -4,15 +4,20 @@
         board::{Blackboard, Endpoint, Tick},
         decide::{OwnerOption, order_owners, owners_to_ask},
         key::{EndpointKey, HostKey, name_hash},
-        port::{Clock, Denial, GrantAsk},
+        port::{Clock, Denial, Grant, GrantAsk},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, pin::pin, time::Duration},
+    tokio::select,
 };
 
 /// Wait before the blackboard is read again when no owner could be asked.
 const RETHINK: Duration = Duration::from_millis(100);
 
+/// Time for which the best owner alone is asked. It is longer than a call between two hosts, so
+/// that a place that is free there is taken there.
+const HEDGE: Duration = Duration::from_millis(3);
+
 /// Waits for a place at the owners of the pool that `ask` names, until `deadline`.
 ///
 /// The attempt stands in the lines of the best few owners at once, takes the first grant and
@@ -53,6 +58,7 @@
     }
 }
 
+/// Asks the first owner, and the others too when it has not granted within `HEDGE`.
 async fn first_grant<P>(
     shared: &Shared<P>,
     ask: &GrantAsk,
@@ -61,22 +67,51 @@
 where
     P: Parts,
 {
-    let mut asking = Asking::new(shared.clone(), ask.clone(), owners.to_vec());
-    let mut replies: FuturesUnordered<_> = owners
-        .iter()
-        .map(|owner| async move { (owner, owner.acquire(shared, ask.clone()).await) })
-        .collect();
+    let Some((first, mut others)) = owners.split_first() else {
+        return Err(Denial::NotOwner);
+    };
+    let mut asking = Asking::new(shared.clone(), ask.clone(), vec![first.clone()]);
+    let mut replies = FuturesUnordered::new();
+    replies.push(reply(shared, ask, first));
+    let mut hedge = pin!(shared.parts().clock().sleep(HEDGE));
     let mut last = Denial::NotOwner;
-    while let Some((owner, reply)) = replies.next().await {
-        match reply {
-            Ok(grant) => {
-                asking.answered(owner);
-                return Ok(Held::new(shared.clone(), grant, owner.clone()));
+    loop {
+        let widen = select! {
+            biased;
+            Some((owner, outcome)) = replies.next() => match outcome {
+                Ok(grant) => {
+                    asking.answered(owner);
+                    return Ok(Held::new(shared.clone(), grant, owner.clone()));
+                }
+                Err(denial) => {
+                    last = denial;
+                    replies.is_empty()
+                }
+            },
+            () = &mut hedge, if !others.is_empty() => true,
+        };
+        if widen && others.is_empty() {
+            return Err(last);
+        }
+        if widen {
+            for owner in std::mem::take(&mut others) {
+                asking.asked(owner);
+                replies.push(reply(shared, ask, owner));
             }
-            Err(denial) => last = denial,
         }
     }
-    Err(last)
+}
+
+/// Waits for the reply of one owner.
+async fn reply<'a, P>(
+    shared: &Shared<P>,
+    ask: &GrantAsk,
+    owner: &'a Owner,
+) -> (&'a Owner, Result<Grant, Denial>)
+where
+    P: Parts,
+{
+    (owner, owner.acquire(shared, ask.clone()).await)
 }
 
 /// Lists the owners of the pool's usable endpoints, best first, and how many to ask at once.
--- a/src/request/asking.rs
+++ b/src/request/asking.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Notes that `owner` is asked too.
+    pub fn asked(&mut self, owner: &Owner) {
+        self.owners.push(owner.clone());
+    }
+
     /// Notes that `owner` has answered: nothing waits there any more.
     pub fn answered(&mut self, owner: &Owner) {
         self.owners.retain(|other| other != owner);
