Split the caller's API by job, and keep runs out of the border

Change: src/request starts and finishes completions and service calls; the border keeps parsing (caller_request), answering (caller_answer) and the two handlers (caller_api). Conclusion: a second front end needs only its own parsing and answering.

--- /dev/null
+++ b/src/border/caller_answer.rs
@@ -0,0 +1,150 @@
+use {
+    super::{Caller, CompletionReply, Problem, caller_request::is_hop},
+    crate::{
+        board::Refusal,
+        request::{CompletionEvent, Parts, Piece, Progress, Refused, Reply, Shared},
+    },
+    bytes::Bytes,
+    futures_util::stream,
+    poem::{Body, Response, http::StatusCode},
+    std::io,
+    tokio::sync::mpsc,
+};
+
+/// Answers with a stream once the first piece is there; a refusal before it has a status.
+pub(super) async fn streamed<P>(
+    caller: Caller<P>,
+    mut events: mpsc::Receiver<CompletionEvent>,
+    id: String,
+    kind: String,
+) -> Result<Response, Refused>
+where
+    P: Parts,
+{
+    let first = match events.recv().await {
+        Some(CompletionEvent::Piece(piece)) => piece,
+        Some(CompletionEvent::End(Err(refused))) => return Err(refused),
+        Some(CompletionEvent::End(Ok(_))) | None => return Err(empty()),
+    };
+    let state = (caller, events, Some(first), id, kind);
+    let body = stream::unfold(state, |(caller, mut events, first, id, kind)| async move {
+        let event = match first {
+            Some(piece) => CompletionEvent::Piece(piece),
+            None => events.recv().await?,
+        };
+        let text = event_text(caller.shared(), event, &id, &kind);
+        Some((
+            Ok::<_, io::Error>(Bytes::from(text)),
+            (caller, events, None, id, kind),
+        ))
+    });
+    Ok(Response::builder()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .body(Body::from_bytes_stream(body)))
+}
+
+fn event_text<P>(shared: &Shared<P>, event: CompletionEvent, id: &str, kind: &str) -> String
+where
+    P: Parts,
+{
+    match event {
+        CompletionEvent::Piece(piece) => {
+            format!(
+                "data: {}\n\n",
+                CompletionReply::new(id, kind, piece).to_json()
+            )
+        }
+        CompletionEvent::End(Ok(_)) => {
+            shared.counters().answered.inc();
+            "data: [DONE]\n\n".to_owned()
+        }
+        CompletionEvent::End(Err(refused)) => {
+            shared.counters().refuse(refused.reason);
+            format!(
+                "event: error\ndata: {}\n\n",
+                Problem::from(&refused).to_json()
+            )
+        }
+    }
+}
+
+/// Answers with the whole text.
+pub(super) async fn whole<P>(
+    caller: Caller<P>,
+    mut events: mpsc::Receiver<CompletionEvent>,
+    id: String,
+    kind: String,
+) -> Result<Response, Refused>
+where
+    P: Parts,
+{
+    let mut finish = None;
+    while let Some(event) = events.recv().await {
+        match event {
+            CompletionEvent::Piece(piece) => finish = piece.finish.or(finish),
+            CompletionEvent::End(result) => {
+                let reply = completion_reply(&id, &kind, result?, finish);
+                return Ok(respond(caller.shared(), reply));
+            }
+        }
+    }
+    Err(empty())
+}
+
+/// A whole completion as a reply.
+pub(super) fn completion_reply(
+    id: &str,
+    kind: &str,
+    progress: Progress,
+    finish: Option<String>,
+) -> Reply {
+    let piece = Piece {
+        index: 0,
+        count: progress.tokens,
+        text: progress.text,
+        finish,
+    };
+    let body = CompletionReply::new(id, kind, piece).to_json();
+    let headers = vec![("content-type".to_owned(), "application/json".to_owned())];
+    Reply {
+        status: StatusCode::OK.as_u16(),
+        headers,
+        body: Bytes::from(body),
+        replayed: false,
+    }
+}
+
+/// Turns a reply into a response.
+pub(super) fn respond<P>(shared: &Shared<P>, reply: Reply) -> Response
+where
+    P: Parts,
+{
+    shared.counters().answered.inc();
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::builder().status(status);
+    let headers = reply.headers.iter().filter(|(name, _)| !is_hop(name));
+    for (name, value) in headers {
+        response = response.header(name.as_str(), value.as_str());
+    }
+    if reply.replayed {
+        response = response.header("idempotent-replayed", "true");
+    }
+    response.body(reply.body)
+}
+
+/// Turns a refusal into a response.
+pub(super) fn refuse<P>(shared: &Shared<P>, refused: &Refused) -> Response
+where
+    P: Parts,
+{
+    shared.counters().refuse(refused.reason);
+    Problem::from(refused).into_response()
+}
+
+fn empty() -> Refused {
+    Refused::unknown(
+        Refusal::OutcomeUnknown,
+        "the request ended without an answer; send it again",
+    )
+}
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -38,8 +38,10 @@
 };
 
 mod caller;
+mod caller_answer;
 mod caller_api;
 mod caller_listener;
+mod caller_request;
 mod claim_objects;
 mod completion_wire;
 mod counted_stream;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
     call::Call,
     claimed::claimed,
     completion::Completion,
+    completion_run::{CompletionEvent, finish_completion, start_completion},
     entry::{Admission, Arrival, Entry},
     failed::Failed,
     held::Held,
@@ -21,6 +22,7 @@
     relay::{Relay, RelayEnd},
     reply::Reply,
     service_path::ServicePath,
+    service_run::call_service,
     shared::Shared,
     sink::{CallerGone, Piece, Sink},
 };
@@ -30,6 +32,7 @@
 mod call;
 mod claimed;
 mod completion;
+mod completion_run;
 mod entry;
 mod failed;
 mod held;
@@ -42,5 +45,6 @@
 mod relay;
 mod reply;
 mod service_path;
+mod service_run;
 mod shared;
 mod sink;
