Grant only endpoints that have loaded what the rule names

Cause: an ask named a pool and a role, so a branch with a model version of its own could be sent to an engine with another version, or one without its adapter. Change: an endpoint of the fleet holds every model, version and adapter of its description; GrantAsk names what the rule needs; owner and entry host check it with the same function. An entry host whose descriptions are late asks the owners anyway. What is loaded nowhere for 5 s is refused as no-endpoint, not at the deadline.

--- a/src/board/endpoint.rs
+++ b/src/board/endpoint.rs
@@ -1,5 +1,5 @@
 use {
-    super::EndpointSlot,
+    super::{EndpointSlot, Loaded},
     crate::key::PoolKey,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -18,10 +18,8 @@
     pub pool: PoolKey,
     /// What the endpoint does.
     pub role: Role,
-    /// Model loaded, empty for a service.
-    pub model: String,
-    /// Version of the model, empty for a service.
-    pub version: String,
+    /// Models and adapters in its memory.
+    pub loaded: Loaded,
     /// Size of the engine memory in pieces.
     pub pieces: u32,
     /// Tokens of KV cache that one piece holds.
--- a/src/board/endpoint_slot.rs
+++ b/src/board/endpoint_slot.rs
@@ -13,6 +13,8 @@
     heard: AtomicU64,
     /// Requests waiting for the endpoint in this process.
     waiting: AtomicU32,
+    /// Start time of the endpoint by the last load report, in milliseconds since the Unix epoch.
+    incarnation: AtomicU64,
     /// Whether the endpoint is taken out after repeated failures.
     ejected: AtomicBool,
     /// Whether the endpoint's own load report says that it leaves.
@@ -81,6 +83,17 @@
         self.waiting.load(Ordering::Acquire)
     }
 
+    /// Records the start time that a load report told.
+    pub fn set_incarnation(&self, incarnation: u64) {
+        self.incarnation.store(incarnation, Ordering::Release);
+    }
+
+    /// Start time by the last load report, in milliseconds since the Unix epoch; 0 if there was
+    /// none.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Acquire)
+    }
+
     /// Takes the endpoint out of, or back into, the choice.
     pub fn set_ejected(&self, ejected: bool) {
         self.ejected.store(ejected, Ordering::Release);
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -12,6 +12,7 @@
     health::Health,
     host::{Host, HostState},
     host_list::{HostList, ListedEndpoint, ListedHost},
+    loaded::Loaded,
     members::Members,
     owners::{Owners, Ownership},
     pool::Pool,
@@ -36,6 +37,7 @@
 mod health;
 mod host;
 mod host_list;
+mod loaded;
 mod members;
 mod owners;
 mod pool;
--- a/src/control/fleet_controller.rs
+++ b/src/control/fleet_controller.rs
@@ -1,14 +1,18 @@
 use {
     crate::{
-        board::{Fleet, HostList, Role, Section, Tick, Writer},
+        board::{Endpoint, Fleet, HostList, Role, Section, Tick, Writer},
         decide::{Descriptions, merge_fleet},
         port::{Clock, Description, Engine, EngineError},
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap, HashSet},
         time::Duration,
     },
-    tokio::{task::JoinSet, time::timeout},
+    tokio::{
+        sync::mpsc::{Receiver, Sender, channel},
+        task::JoinSet,
+        time::timeout,
+    },
 };
 
 /// Time limit of one description.
@@ -20,6 +24,9 @@
 /// Time until a described engine is asked again, to learn of a change of model or role.
 const DESCRIBE_AGAIN: Duration = Duration::from_secs(30);
 
+/// Descriptions that may wait for the controller.
+const TOLD_MAX: usize = 64;
+
 /// Publishes endpoints and pools from the host list and the engines' own descriptions.
 #[derive(Debug)]
 pub struct FleetController<E, C> {
@@ -31,6 +38,24 @@
     descriptions: Descriptions,
     asked: HashMap<String, Tick>,
     running: JoinSet<Described>,
+    teller: Sender<Described>,
+    told: Receiver<Described>,
+}
+
+/// Where those who changed an engine tell its new description.
+#[derive(Clone, Debug)]
+pub struct FleetNews(Sender<Described>);
+
+impl FleetNews {
+    /// Tells the description that the engine at `address` gave of itself.
+    pub async fn tell(&self, address: &str, description: Description) {
+        let described = Described {
+            address: address.to_owned(),
+            result: Ok(description),
+        };
+        // A controller that has ended publishes nothing any more.
+        let _ = self.0.send(described).await;
+    }
 }
 
 /// Answer of one engine.
@@ -53,6 +78,7 @@
         hosts: Section<HostList>,
         fleet: Writer<Fleet>,
     ) -> Self {
+        let (teller, told) = channel(TOLD_MAX);
         Self {
             engine,
             clock,
@@ -62,9 +88,16 @@
             descriptions: Descriptions::new(),
             asked: HashMap::new(),
             running: JoinSet::new(),
+            teller,
+            told,
         }
     }
 
+    /// Returns where changes of engines are told.
+    pub fn news(&self) -> FleetNews {
+        FleetNews(self.teller.clone())
+    }
+
     /// Runs until the host list has no writer any more.
     pub async fn run(mut self) {
         loop {
@@ -76,6 +109,7 @@
                         return;
                     }
                 }
+                Some(described) = self.told.recv() => self.absorb(described),
                 Some(done) = self.running.join_next() => {
                     if let Ok(described) = done {
                         self.absorb(described);
@@ -114,10 +148,11 @@
             .retain(|address, _| addresses.contains(address.as_str()));
         self.asked
             .retain(|address, _| addresses.contains(address.as_str()));
+        let restarted = self.restarted();
         let free = DESCRIBES_MAX.saturating_sub(self.running.len());
         let due: Vec<_> = addresses
             .into_iter()
-            .filter(|address| self.is_due(address))
+            .filter(|address| self.is_due(address, &restarted))
             .take(free)
             .map(String::from)
             .collect();
@@ -126,8 +161,8 @@
         }
     }
 
-    fn is_due(&self, address: &str) -> bool {
-        let pause = if self.descriptions.contains_key(address) {
+    fn is_due(&self, address: &str, restarted: &HashSet<String>) -> bool {
+        let pause = if self.descriptions.contains_key(address) && !restarted.contains(address) {
             DESCRIBE_AGAIN
         } else {
             DESCRIBE_RETRY
@@ -137,6 +172,18 @@
         asked.is_none_or(|asked| now.since(*asked) >= pause)
     }
 
+    /// Addresses of owned engines whose load reports tell of a later start than the description.
+    fn restarted(&self) -> HashSet<String> {
+        let fleet = self.fleet.load();
+        let later = |endpoint: &&Endpoint| {
+            let known = self.descriptions.get(&endpoint.address);
+            known.is_some_and(|known| endpoint.slot.incarnation() > known.incarnation)
+        };
+        let endpoints = fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
+        let found = endpoints.filter(later);
+        found.map(|endpoint| endpoint.address.clone()).collect()
+    }
+
     fn describe(&mut self, address: String) {
         self.asked.insert(address.clone(), self.clock.now());
         let engine = self.engine.clone();
--- a/src/control/line_places.rs
+++ b/src/control/line_places.rs
@@ -34,26 +34,23 @@
         ownership.is_some_and(|ownership| ownership.owner == self.members.own)
     }
 
-    /// Returns the endpoints of a pool that may be granted here.
-    pub(super) fn usable(
+    /// Returns the endpoints of a pool that may be granted here to `ask`.
+    fn usable(
         &self,
         pool: PoolKey,
-        role: Role,
+        ask: &GrantAsk,
     ) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         let members = self.fleet.pools.get(pool).map(|pool| pool.members.iter());
         let endpoints = members.into_iter().flatten().filter_map(|key| {
             let endpoint = self.fleet.endpoints.get(*key)?;
             Some((*key, endpoint))
         });
-        endpoints.filter(move |(key, endpoint)| {
-            endpoint.role == role && !endpoint.leaving && self.owns(*key)
-        })
+        endpoints.filter(move |(key, endpoint)| ask.suits(endpoint) && self.owns(*key))
     }
 
     /// Whether the ask may be served here at all.
     pub(super) fn may_serve(&self, pool: PoolKey, ask: &GrantAsk) -> bool {
-        self.usable(pool, ask.role)
-            .any(|(_, endpoint)| !ask.avoid.contains(&endpoint.name))
+        self.usable(pool, ask).next().is_some()
     }
 
     /// Chooses the endpoint for a waiter and the pieces that it takes there.
@@ -65,12 +62,9 @@
         now: Tick,
     ) -> Option<(Place, u32)> {
         let ask = &waiter.ask;
-        let allowed = self
-            .usable(waiter.pool, ask.role)
-            .filter(|(_, endpoint)| !ask.avoid.contains(&endpoint.name));
         let mut places = Vec::new();
         let mut room = 0;
-        for (key, endpoint) in allowed {
+        for (key, endpoint) in self.usable(waiter.pool, ask) {
             let Some(view) = views.get(key) else {
                 continue;
             };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,7 +6,7 @@
     claim_router::ClaimRouter,
     claim_settings::ClaimSettings,
     digest_controller::DigestController,
-    fleet_controller::FleetController,
+    fleet_controller::{FleetController, FleetNews},
     fleet_status::fleet_status,
     health_controller::{HealthController, HealthHandle},
     heartbeat_ports::{DigestNews, HeartbeatInputs, HeartbeatOutlets, RevisionHint},
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        board::{Endpoint, EndpointSlot, Fleet, HostList, ListedEndpoint, Pool, Role},
+        board::{Endpoint, EndpointSlot, Fleet, HostList, ListedEndpoint, Loaded, Pool, Role},
         port::Description,
     },
     std::{
@@ -63,7 +63,6 @@
     let before = before.and_then(|key| fleet.endpoints.get(key)).cloned();
     let slot = before.as_ref().map(|old| Arc::clone(&old.slot));
     let slot = slot.unwrap_or_else(Arc::<EndpointSlot>::default);
-    let (model, version) = described.models.first_key_value().unzip();
     let pool = fleet.pools.find(&listed.pool).unwrap_or_else(|| {
         let pool = Pool {
             name: listed.pool.clone(),
@@ -77,8 +76,7 @@
         zone: listed.zone.clone(),
         pool,
         role: described.role,
-        model: model.cloned().unwrap_or_default(),
-        version: version.cloned().unwrap_or_default(),
+        loaded: loaded(described),
         pieces: described.pieces,
         piece_tokens: described.piece_tokens,
         slots: described.slots,
@@ -98,8 +96,7 @@
     old.zone == next.zone
         && old.pool == next.pool
         && old.role == next.role
-        && old.model == next.model
-        && old.version == next.version
+        && old.loaded == next.loaded
         && old.pieces == next.pieces
         && old.piece_tokens == next.piece_tokens
         && old.slots == next.slots
@@ -107,6 +104,14 @@
         && old.leaving == next.leaving
 }
 
+/// What the engine says that it has loaded.
+pub fn loaded(description: &Description) -> Loaded {
+    Loaded {
+        models: description.models.clone(),
+        adapters: description.adapters.iter().cloned().collect(),
+    }
+}
+
 fn service(slots: u32) -> Description {
     Description {
         role: Role::Service,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,7 +8,7 @@
     claim_table::{ANSWER_BYTES_MAX, ClaimGroup, ClaimTable, ClaimTime, ask_key, record_bytes},
     endpoint_load::EndpointLoad,
     fair_share::{FairShare, HALF_LIFE},
-    fleet_merge::{Descriptions, merge_fleet},
+    fleet_merge::{Descriptions, loaded, merge_fleet},
     host_roster::HostRoster,
     load_news::LoadNews,
     member_timing::MemberTiming,
--- a/src/fake/capacity_fleet.rs
+++ b/src/fake/capacity_fleet.rs
@@ -5,14 +5,16 @@
         capacity_sheet::CapacitySheet,
     },
     crate::{
-        board::{Endpoint, EndpointSlot, Fleet, HostList, HostState, ListedHost, Pool, Role},
+        board::{
+            Endpoint, EndpointSlot, Fleet, HostList, HostState, ListedHost, Loaded, Pool, Role,
+        },
         border::{PeerTraffic, PlatformClient},
         decide::MemberTiming,
         port::{MemberNews, MonoClock},
     },
     rand::{SeedableRng, rngs::StdRng},
     serde::{Deserialize, Serialize},
-    std::{io, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, io, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         time::{Instant, interval, sleep, timeout},
@@ -246,8 +248,10 @@
             zone: zone(i, size),
             pool,
             role: Role::Decode,
-            model: String::from("summaries"),
-            version: String::from("2026-11"),
+            loaded: Loaded {
+                models: BTreeMap::from([(String::from("summaries"), String::from("2026-11"))]),
+                ..Loaded::default()
+            },
             pieces: 2_000,
             piece_tokens: 16,
             slots: 20,
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        board::{HostState, Role, Rule},
+        board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
     },
     serde::{Deserialize, Serialize},
@@ -124,6 +124,12 @@
     pub role: Role,
     /// Pool.
     pub pool: String,
+    /// Model that the endpoint must have loaded, empty for a service.
+    pub model: String,
+    /// Version of the model, empty for a service.
+    pub version: String,
+    /// Adapter that the endpoint must have loaded.
+    pub adapter: Option<String>,
     /// Branch, for fair sharing.
     pub branch: String,
     /// Priority, 0 is the most urgent.
@@ -149,6 +155,24 @@
     pub suspect: bool,
 }
 
+impl GrantAsk {
+    /// Whether the attempt may run at `endpoint`.
+    pub fn suits(&self, endpoint: &Endpoint) -> bool {
+        self.admits(endpoint) && self.is_loaded(endpoint)
+    }
+
+    /// Whether the attempt may run at `endpoint`, whatever that has loaded.
+    pub fn admits(&self, endpoint: &Endpoint) -> bool {
+        endpoint.role == self.role && !endpoint.leaving && !self.avoid.contains(&endpoint.name)
+    }
+
+    /// Whether `endpoint` has the model, version and adapter.
+    pub fn is_loaded(&self, endpoint: &Endpoint) -> bool {
+        let adapter = self.adapter.as_deref();
+        endpoint.loaded.serves(&self.model, &self.version, adapter)
+    }
+}
+
 /// A granted place.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Grant {
--- a/src/request/acquire.rs
+++ b/src/request/acquire.rs
@@ -18,6 +18,9 @@
 /// that a place that is free there is taken there.
 const HEDGE: Duration = Duration::from_millis(3);
 
+/// Time for which a model, version or adapter may be loaded nowhere before the request is refused.
+const MISSING_WAIT: Duration = Duration::from_secs(5);
+
 /// Waits for a place at the owners of the pool that `ask` names, until `deadline`.
 ///
 /// The attempt stands in the lines of the best few owners at once, takes the first grant and
@@ -31,6 +34,7 @@
     P: Parts,
 {
     let mut last = Denial::NotOwner;
+    let start = shared.now();
     loop {
         let left = shared.left(deadline);
         if left.is_zero() {
@@ -54,6 +58,9 @@
         if matches!(last, Denial::Full | Denial::Late) {
             return Err(last);
         }
+        if shared.now() - start >= MISSING_WAIT && is_missing(shared.board(), &ask) {
+            return Err(Denial::NotOwner);
+        }
         shared.parts().clock().sleep(RETHINK.min(left)).await;
     }
 }
@@ -114,6 +121,18 @@
     (owner, owner.acquire(shared, ask.clone()).await)
 }
 
+/// Whether no endpoint of the pool is known to have what `ask` needs.
+fn is_missing(board: &Blackboard, ask: &GrantAsk) -> bool {
+    let fleet = board.fleet.load();
+    let pool = fleet.pools.find(&ask.pool);
+    let members = pool.and_then(|key| Some(&fleet.pools.get(key)?.members));
+    let mut endpoints = members
+        .into_iter()
+        .flatten()
+        .filter_map(|key| fleet.endpoints.get(*key));
+    !endpoints.any(|endpoint| endpoint.role == ask.role && ask.is_loaded(endpoint))
+}
+
 /// Lists the owners of the pool's usable endpoints, best first, and how many to ask at once.
 fn owners(board: &Blackboard, ask: &GrantAsk, least: usize) -> (Vec<Owner>, usize) {
     let fleet = board.fleet.load();
@@ -124,14 +143,17 @@
     else {
         return (Vec::new(), 1);
     };
-    let usable = |endpoint: &&Endpoint| {
-        !endpoint.leaving && endpoint.role == ask.role && !ask.avoid.contains(&endpoint.name)
+    let members = || {
+        let keys = pool.members.iter();
+        let found = keys.filter_map(|key| Some((*key, fleet.endpoints.get(*key)?)));
+        found.filter(|(_, endpoint)| ask.admits(endpoint))
     };
-    let members = pool.members.iter().filter_map(|key| {
-        let endpoint = fleet.endpoints.get(*key).filter(usable)?;
-        Some((*key, endpoint))
-    });
-    let mut options = options(board, ask, members);
+    let loaded = members().filter(|(_, endpoint)| ask.is_loaded(endpoint));
+    let mut options = options(board, ask, loaded);
+    if options.is_empty() {
+        // What endpoints have loaded is known late here; their owners know better.
+        options = self::options(board, ask, members());
+    }
     order_owners(&mut options, ask.pieces);
     let asked = owners_to_ask(&options, least);
     let owners = options
--- a/src/request/refused.rs
+++ b/src/request/refused.rs
@@ -75,7 +75,7 @@
             reason: Refusal::NoEndpoint,
             ran,
             retry_after: Some(FULL_WAIT),
-            detail: "no endpoint of the pool can be asked; check the pool in the sheet".to_owned(),
+            detail: "no endpoint of the pool has the model, version and adapter, or can be asked; check the pool in the sheet".to_owned(),
         },
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -155,6 +155,11 @@
     board.fleet.changed().await;
     let gone = board.fleet.snapshot();
     let (_, found) = described.endpoints.iter().next().unwrap();
-    let found = (found.role, found.model.clone(), found.pieces, found.slots);
+    let found = (
+        found.role,
+        found.loaded.models.clone(),
+        found.pieces,
+        found.slots,
+    );
     assert_yaml_snapshot!((found, show(&described), show(&leaving), show(&gone)));
 }
--- a/tests/line_bench.rs
+++ b/tests/line_bench.rs
@@ -3,8 +3,8 @@
 use {
     lentillead::{
         board::{
-            Blackboard, Endpoint, EndpointSlot, Fleet, Host, HostState, Members, Owners, Ownership,
-            Pool, Role, Tick, Writers,
+            Blackboard, Endpoint, EndpointSlot, Fleet, Host, HostState, Loaded, Members, Owners,
+            Ownership, Pool, Role, Tick, Writers,
         },
         control::{LineController, Lines, LoadController},
         key::{AttemptId, EndpointKey, HostKey, RequestId, name_hash},
@@ -15,6 +15,7 @@
         },
     },
     std::{
+        collections::BTreeMap,
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -104,6 +105,14 @@
         });
     }
 
+    /// Changes what an endpoint has loaded.
+    pub(crate) fn set_loaded(&mut self, index: usize, loaded: Loaded) {
+        let key = self.keys[index];
+        self.writers.fleet.update(|fleet| {
+            fleet.endpoints.get_mut(key).unwrap().loaded = loaded;
+        });
+    }
+
     /// Marks an endpoint as leaving.
     pub(crate) fn set_leaving(&mut self, index: usize) {
         let key = self.keys[index];
@@ -129,6 +138,9 @@
         attempt: attempt(sequence),
         role,
         pool: format!("{role:?}").to_lowercase(),
+        model: "m".to_owned(),
+        version: "1".to_owned(),
+        adapter: None,
         branch: "bangor".to_owned(),
         priority: 1,
         pieces,
@@ -155,6 +167,14 @@
     }
 }
 
+/// The model `m` in `version`, without adapters.
+pub(crate) fn loaded(version: &str) -> Loaded {
+    Loaded {
+        models: BTreeMap::from([("m".to_owned(), version.to_owned())]),
+        ..Loaded::default()
+    }
+}
+
 fn owned_by(owner: HostKey) -> Ownership {
     Ownership {
         owner,
@@ -177,8 +197,7 @@
                 zone: "a".to_owned(),
                 pool,
                 role,
-                model: "m".to_owned(),
-                version: "1".to_owned(),
+                loaded: loaded("1"),
                 pieces,
                 piece_tokens: 2000,
                 slots: 1,
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -1,7 +1,7 @@
 //! Owner-side lines and grants.
 
 use {
-    crate::line_bench::{LineBench, ask, attempt},
+    crate::line_bench::{LineBench, ask, attempt, loaded},
     lentillead::{
         board::{HostState, Role},
         port::{Denial, GrantEnd, Line},
@@ -73,6 +73,60 @@
     assert_eq!(bench.engine.cancels(), 1);
 }
 
+/// Asks by what they need and what the only two decode endpoints have loaded.
+#[tokio::test(start_paused = true)]
+async fn only_an_endpoint_with_the_version_and_adapter_is_granted() {
+    let mut bench = LineBench::new(2, 8);
+    let mut second = loaded("2");
+    second.adapters.insert("welsh".to_owned());
+    bench.set_loaded(1, second);
+    let mut seen = Vec::new();
+    let cases = [
+        ("1", None),
+        ("2", None),
+        ("2", Some("welsh")),
+        ("1", Some("welsh")),
+        ("3", None),
+    ];
+    for (sequence, (version, adapter)) in (1..).zip(cases) {
+        let mut ask = ask(sequence, Role::Decode, 1);
+        ask.version = version.to_owned();
+        ask.adapter = adapter.map(str::to_owned);
+        let granted = bench.lines.acquire(ask).await.map(|grant| grant.endpoint);
+        seen.push((version, adapter, granted));
+    }
+    // A waiting ask is denied when the version goes.
+    let mut last = ask(9, Role::Decode, 8);
+    last.version = "2".to_owned();
+    let waiting = bench.spawn(last);
+    bench.settle().await;
+    bench.set_loaded(1, loaded("1"));
+    let gone = waiting.await.unwrap().map(|grant| grant.endpoint);
+    seen.push(("2", None, gone));
+    insta::assert_debug_snapshot!("lines_loaded", seen);
+}
+
+/// Requests that may have crashed an endpoint run one to an endpoint, others beside them.
+#[tokio::test(start_paused = true)]
+async fn suspects_run_one_to_an_endpoint() {
+    let bench = LineBench::new(2, 8);
+    let suspect = |sequence| {
+        let mut ask = ask(sequence, Role::Decode, 1);
+        ask.suspect = true;
+        ask
+    };
+    let first = bench.lines.acquire(suspect(1)).await.unwrap();
+    let second = bench.lines.acquire(suspect(2)).await.unwrap();
+    assert_ne!(first.endpoint, second.endpoint);
+    let third = bench.spawn(suspect(3));
+    let _beside = bench.lines.acquire(ask(4, Role::Decode, 1)).await.unwrap();
+    bench.settle().await;
+    assert!(!third.is_finished());
+    bench.release(&second, GrantEnd::Unused);
+    let third = third.await.unwrap().unwrap();
+    assert_eq!(third.endpoint, second.endpoint);
+}
+
 #[tokio::test(start_paused = true)]
 async fn leaving_endpoint_gets_no_grant() {
     let mut bench = LineBench::new(1, 4);
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -3,7 +3,9 @@
 use {
     insta::assert_debug_snapshot,
     lentillead::{
-        board::{Endpoint, EndpointSlot, Fleet, Host, HostState, Members, Owners, Role, Tick},
+        board::{
+            Endpoint, EndpointSlot, Fleet, Host, HostState, Loaded, Members, Owners, Role, Tick,
+        },
         decide::{
             ownership::assign,
             rendezvous::{Candidate, first_two, rank},
@@ -35,8 +37,7 @@
         zone: String::from(zone),
         pool: PoolKey::default(),
         role: Role::Decode,
-        model: String::from("m"),
-        version: String::from("1"),
+        loaded: Loaded::default(),
         pieces: 2_000,
         piece_tokens: 16,
         slots: 0,
