Wait for the dead engine's listener before the next call in its test

Cause: 2 of about 70 runs of the whole suite on a machine with a load of 25 saw `broken` instead of `unsent` for the call after a death; the connection was accepted by the closing stand-in. What the test is for is the mapping of a refused connection, not how fast the stand-in closes. Ruled out: a pooled connection (the broken one is not reused). Change: the test waits until a connect is refused; the expectations are the same. Conclusion: the verdict no longer depends on the order of two closings.

--- a/tests/engine_fault.rs
+++ b/tests/engine_fault.rs
@@ -12,7 +12,7 @@
         port::{Engine, TokenStream},
     },
     std::time::Duration,
-    tokio::time::timeout,
+    tokio::{net::TcpStream, task::yield_now, time::timeout},
 };
 
 /// Time after which a stalled stream is taken as stalled.
@@ -91,6 +91,10 @@
         Ok(tokens) => drain(tokens).await.2,
         Err(e) => Err(e.clone()),
     };
+    // The stand-in's listener may outlive the broken stream by a moment on a busy machine.
+    while TcpStream::connect(&at).await.is_ok() {
+        yield_now().await;
+    }
     let after = pair.client.decode(&at, &decode_ask(2, prompt, None)).await;
     let seen = pair.decode.observed();
     vec![
