Give the places of a completion a type of their own, and end a whole answer

Change: CompletionPlaces waits for places in own and borrowed pools; ModelPath keeps the attempts. When no token is left to generate the answer is ended instead of continued.

--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
     call::Call,
     claimed::claimed,
     completion::Completion,
+    completion_places::{CompletionPlaces, Want},
     completion_run::{CompletionEvent, finish_completion, start_completion},
     entry::{Admission, Arrival, Entry},
     failed::Failed,
@@ -17,6 +18,7 @@
     owner::Owner,
     parts::Parts,
     path_options::PathOptions,
+    pools::Pools,
     progress::Progress,
     refused::{Ran, Refused, denied, exhausted, late},
     relay::{Relay, RelayEnd},
@@ -32,6 +34,7 @@
 mod call;
 mod claimed;
 mod completion;
+mod completion_places;
 mod completion_run;
 mod entry;
 mod failed;
@@ -40,6 +43,7 @@
 mod owner;
 mod parts;
 mod path_options;
+mod pools;
 mod progress;
 mod refused;
 mod relay;
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -1,32 +1,20 @@
 use {
     super::{
-        CallerGone, Completion, Failed, Held, Parts, Progress, Ran, Refused, Relay, RelayEnd,
-        Shared, Sink, acquire, denied, exhausted, late,
+        CallerGone, Completion, CompletionPlaces, Failed, Held, Parts, Piece, Pools, Progress, Ran,
+        Refused, Relay, RelayEnd, Shared, Sink, Want, denied, exhausted, late,
     },
     crate::{
-        board::{Refusal, RetryReason, Role, Route},
-        decide::{count_tokens, minute_of_day, prefixes, routes},
-        key::AttemptId,
-        port::{
-            Clock, DecodeAsk, Denial, Engine, EngineError, GrantAsk, GrantEnd, KvHandle, PrefillAsk,
-        },
+        board::{Refusal, RetryReason, Role},
+        decide::count_tokens,
+        port::{Clock, DecodeAsk, Denial, Engine, EngineError, GrantEnd, KvHandle, PrefillAsk},
     },
-    std::{pin::pin, time::Duration},
+    std::time::Duration,
     tokio::time::timeout,
 };
 
 /// Wait before an attempt that follows a refusal by an endpoint.
 const REFUSED_WAIT: Duration = Duration::from_millis(25);
 
-/// Places that one attempt may ask for: its own decode and prefill, and a borrowed decode.
-const PLACES: u16 = 3;
-
-/// Wait for a place in the rule's own pools before the lender is asked as well.
-const BORROW_WAIT: Duration = Duration::from_millis(100);
-
-/// Priority of borrowed places: the lender's own requests go first.
-const BORROWED_PRIORITY: u8 = u8::MAX;
-
 /// One completion on its way: decode place, prefill, handover, decode, relay.
 #[derive(Debug)]
 pub struct ModelPath<'a, P>
@@ -35,33 +23,11 @@
 {
     shared: &'a Shared<P>,
     ask: &'a Completion,
-    own: Pools<'a>,
-    borrowed: Option<Pools<'a>>,
+    places: CompletionPlaces<'a, P>,
     avoid: Vec<String>,
     progress: Progress,
 }
 
-/// Pools of one route.
-#[derive(Clone, Copy, Debug)]
-struct Pools<'a> {
-    prefill: &'a str,
-    decode: &'a str,
-    priority: u8,
-}
-
-impl<'a> Pools<'a> {
-    fn new(route: &'a Route, priority: u8) -> Option<Self> {
-        match route {
-            Route::Model { prefill, decode } => Some(Self {
-                prefill,
-                decode,
-                priority,
-            }),
-            Route::Service { .. } => None,
-        }
-    }
-}
-
 /// Why an attempt ended without the whole answer.
 #[derive(Debug)]
 enum Ended {
@@ -79,23 +45,22 @@
     }
 }
 
+impl From<Denial> for Ended {
+    fn from(denial: Denial) -> Self {
+        Self::Denied(denial)
+    }
+}
+
 impl<'a, P> ModelPath<'a, P>
 where
     P: Parts,
 {
     /// Prepares a completion; `None` if its rule routes to a plain service.
     pub fn new(shared: &'a Shared<P>, ask: &'a Completion) -> Option<Self> {
-        let rule = &ask.call.rule;
-        let mut routes = routes(rule, minute_of_day(shared.unix_ms()));
-        let own = Pools::new(routes.next()?, rule.priority)?;
-        let borrowed = routes
-            .next()
-            .and_then(|route| Pools::new(route, BORROWED_PRIORITY));
         Some(Self {
             shared,
             ask,
-            own,
-            borrowed,
+            places: CompletionPlaces::new(shared, ask)?,
             avoid: Vec::new(),
             progress: Progress::default(),
         })
@@ -135,13 +100,22 @@
     where
         K: Sink,
     {
+        if self.left() == 0 {
+            return self.conclude(sink).await;
+        }
         let prompt = self.progress.continued(&self.ask.prompt);
-        let (mut decode, pools) = self.decode_place(number * PLACES, &prompt).await?;
+        let want = Want {
+            attempt: number,
+            prompt: &prompt,
+            tokens: self.left(),
+            avoid: &self.avoid,
+        };
+        let (mut decode, pools) = self.places.decode(&want).await?;
         let import = if self.is_local(&decode, &prompt) {
             self.shared.counters().local.inc();
             None
         } else {
-            Some(self.prefill(pools, number * PLACES + 1, &prompt).await?)
+            Some(self.prefill(pools, &want).await?)
         };
         let handle = import.as_ref().map(|(_, handle)| handle.clone());
         let tokens = self.decode(&mut decode, prompt, handle).await?;
@@ -149,85 +123,24 @@
         self.relay(decode, prefill, tokens, sink).await
     }
 
-    /// Waits for a decode place, after a while at the lender of the rule's pools as well.
-    async fn decode_place(&self, number: u16, prompt: &str) -> Result<(Held<P>, Pools<'a>), Ended> {
-        let mut own = pin!(self.place(self.own, Role::Decode, number, prompt));
-        let Some(pools) = self.borrowed else {
-            return Ok((own.await?, self.own));
-        };
-        let borrowed = async {
-            self.shared.parts().clock().sleep(BORROW_WAIT).await;
-            self.place(pools, Role::Decode, number + 2, prompt).await
-        };
-        tokio::select! {
-            held = &mut own => return Ok((held?, self.own)),
-            held = borrowed => if let Ok(held) = held {
-                return Ok((held, pools));
-            },
-        }
-        Ok((own.await?, self.own))
-    }
-
-    async fn place(
-        &self,
-        pools: Pools<'a>,
-        role: Role,
-        number: u16,
-        prompt: &str,
-    ) -> Result<Held<P>, Ended> {
-        let ask = self.grant_ask(pools, role, number, prompt);
-        acquire(self.shared, &ask, self.ask.call.deadline)
-            .await
-            .map_err(Ended::Denied)
+    /// Tokens that are still to be generated.
+    fn left(&self) -> u32 {
+        self.ask.max_tokens.saturating_sub(self.progress.tokens)
     }
 
-    fn grant_ask(&self, pools: Pools<'a>, role: Role, number: u16, prompt: &str) -> GrantAsk {
-        let call = &self.ask.call;
-        let pool = match role {
-            Role::Prefill => pools.prefill,
-            Role::Decode | Role::Service => pools.decode,
-        };
-        let prompt_tokens = count_tokens(prompt);
-        let output_tokens = self.ask.max_tokens - self.progress.tokens.min(self.ask.max_tokens);
-        let waited = self.shared.now() - call.arrived;
-        GrantAsk {
-            attempt: AttemptId {
-                request: call.id,
-                number,
-            },
-            role,
-            pool: pool.to_owned(),
-            model: call.rule.model.clone(),
-            version: call.rule.version.clone(),
-            adapter: call.rule.adapter.clone(),
-            branch: call.rule.branch.clone(),
-            priority: pools.priority,
-            pieces: self.pieces(role, pool, prompt_tokens, output_tokens),
-            prompt_tokens,
-            output_tokens,
-            prefixes: prefixes(prompt, &call.rule.model, call.rule.adapter.as_deref()),
-            first_token: call.rule.target.first_token.saturating_sub(waited),
-            per_token: call.rule.target.per_token,
-            remaining: self.shared.left(call.deadline),
-            avoid: self.avoid.clone(),
-            suspect: self.shared.is_suspect(call.print),
-        }
-    }
-
-    /// Pieces of memory that the attempt may come to hold.
-    fn pieces(&self, role: Role, pool: &str, prompt: u32, output: u32) -> u32 {
-        let fleet = self.shared.board().fleet.load();
-        let first = fleet
-            .pools
-            .find(pool)
-            .and_then(|key| fleet.pools.get(key)?.members.first());
-        let piece = first.and_then(|key| Some(fleet.endpoints.get(*key)?.piece_tokens));
-        let tokens = if role == Role::Prefill {
-            prompt
-        } else {
-            prompt + output
+    /// Ends an answer of which every token was relayed but not the end.
+    async fn conclude<K>(&mut self, sink: &mut K) -> Result<(), Ended>
+    where
+        K: Sink,
+    {
+        let piece = Piece {
+            index: self.progress.tokens,
+            count: 0,
+            text: String::new(),
+            finish: Some("length".to_owned()),
         };
-        tokens.div_ceil(piece.unwrap_or(1).max(1)).max(1)
+        self.progress.record(&piece);
+        Ok(sink.send(piece).await?)
     }
 
     /// Whether so little of the prompt is uncached that a handover would cost more.
@@ -239,15 +152,14 @@
     async fn prefill(
         &self,
         pools: Pools<'a>,
-        number: u16,
-        prompt: &str,
+        want: &Want<'_>,
     ) -> Result<(Held<P>, KvHandle), Ended> {
-        let mut held = self.place(pools, Role::Prefill, number, prompt).await?;
+        let mut held = self.places.prefill(pools, want).await?;
         let ask = PrefillAsk {
             attempt: held.grant().attempt,
             model: self.ask.call.rule.model.clone(),
             adapter: self.ask.call.rule.adapter.clone(),
-            prompt: prompt.to_owned(),
+            prompt: want.prompt.to_owned(),
             priority: self.ask.call.rule.priority,
         };
         held.mark_sent();
@@ -275,7 +187,7 @@
             model: self.ask.call.rule.model.clone(),
             adapter: self.ask.call.rule.adapter.clone(),
             prompt,
-            max_tokens: self.ask.max_tokens - self.progress.tokens,
+            max_tokens: self.left(),
             priority: self.ask.call.rule.priority,
             import,
         };
