Count the compute time when a prefill is late; send asks away from ejected endpoints

Cause: a prompt counted as late only after its due time, so places went to prompts that could no longer be in time; and asks waited at an owner whose only endpoint was ejected. Change: the order of a prefill line adds the predicted compute time; an owner without an endpoint in service denies with NotOwner, so that the ask moves on.

--- a/src/command/bench_owned.rs
+++ b/src/command/bench_owned.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        bench_job::{JobKey, Stage},
+        bench_job::{Job, JobKey, Stage},
         bench_profile::{FIRST_TOKEN, HOSTS, LINK_RATE, PATIENCE, PER_TOKEN, PIECE_TOKENS},
         bench_view::{BenchGrant, BenchView},
         bench_world::{Notice, Policy, Wake, World},
@@ -149,11 +149,25 @@
             arrived: ask.since,
             priority: job.priority,
             due: job.arrived + FIRST_TOKEN,
-            work: Duration::ZERO,
+            work: self.work(job, ask),
             share: share.map_or(0.0, |share| share.used(world.now)) / mean,
         }
     }
 
+    /// Predicted time to compute the prompt; the owner of a decode place cannot tell.
+    fn work(&self, job: &Job, ask: &BenchAsk) -> Duration {
+        if ask.role != Role::Prefill {
+            return Duration::ZERO;
+        }
+        let views = self.views.values();
+        let owned = views.filter(|view| view.owner == ask.owner && view.role == ask.role);
+        let times = owned.map(|view| {
+            let uncached = job.prompt - view.cached(job);
+            view.fit.predict(f64::from(uncached))
+        });
+        times.min().unwrap_or_default()
+    }
+
     fn mean_share(&self, now: Tick) -> f64 {
         let total: f64 = self.shares.values().map(|share| share.used(now)).sum();
         (total / self.shares.len().max(1) as f64).max(1.0)
--- a/src/control/line_places.rs
+++ b/src/control/line_places.rs
@@ -2,7 +2,9 @@
     super::{endpoint_view::EndpointView, grant_table::GrantTable, waiter::Waiter},
     crate::{
         board::{Blackboard, Endpoint, Fleet, Members, Owners, Role, Tick},
-        decide::{EndpointLoad, Need, Place, choose_decode, choose_prefill, choose_service},
+        decide::{
+            EndpointLoad, Need, Place, Standing, choose_decode, choose_prefill, choose_service,
+        },
         key::{EndpointKey, PoolKey},
         port::GrantAsk,
     },
@@ -48,9 +50,19 @@
         endpoints.filter(move |(key, endpoint)| ask.suits(endpoint) && self.owns(*key))
     }
 
-    /// Whether the ask may be served here at all.
-    pub(super) fn may_serve(&self, pool: PoolKey, ask: &GrantAsk) -> bool {
-        self.usable(pool, ask).next().is_some()
+    /// Whether the ask may be served here at all; an ejected endpoint counts while it is probed.
+    pub(super) fn may_serve(
+        &self,
+        pool: PoolKey,
+        ask: &GrantAsk,
+        views: &SecondaryMap<EndpointKey, EndpointView>,
+        now: Tick,
+    ) -> bool {
+        let open = |key: EndpointKey| {
+            let view = views.get(key);
+            view.is_none_or(|view| !view.leaving && view.outlier.standing(now) != Standing::Out)
+        };
+        self.usable(pool, ask).any(|(key, _)| open(key))
     }
 
     /// Chooses the endpoint for a waiter and the pieces that it takes there.
--- a/src/control/line_reconcile.rs
+++ b/src/control/line_reconcile.rs
@@ -1,7 +1,7 @@
 //! Reconciles the grants of an owner with what its endpoints report.
 
 use {
-    super::{grant_table::GrantEntry, line_state::LineState},
+    super::{grant_table::GrantEntry, line_places::LinePlaces, line_state::LineState},
     crate::{
         board::{Blackboard, Endpoint, HostState, Members, Tick},
         decide::Outlier,
@@ -188,6 +188,7 @@
         if let Some(view) = self.views.get_mut(key) {
             view.outlier.fail(now);
             show_standing(board, key, &view.outlier);
+            self.send_away(&LinePlaces::new(board), now);
         }
     }
 
--- a/src/control/line_state.rs
+++ b/src/control/line_state.rs
@@ -48,7 +48,7 @@
     ) {
         let places = LinePlaces::new(board);
         let pool = places.fleet.pools.find(&ask.pool);
-        let served = pool.filter(|pool| places.may_serve(*pool, &ask));
+        let served = pool.filter(|pool| places.may_serve(*pool, &ask, &self.views, now));
         let denial = match served {
             _ if self.closed => Denial::Stopping,
             None => Denial::NotOwner,
@@ -122,8 +122,15 @@
         let places = LinePlaces::new(board);
         self.follow_endpoints(&places, now);
         self.follow_members(&board.members.load(), now);
-        let asks = self.waiting.iter();
-        let lost = asks.filter(|(_, waiter)| !places.may_serve(waiter.pool, &waiter.ask));
+        self.send_away(&places, now);
+    }
+
+    /// Denies the asks that no endpoint here may serve, so that they go to other owners.
+    pub(super) fn send_away(&mut self, places: &LinePlaces, now: Tick) {
+        let lost = self
+            .waiting
+            .iter()
+            .filter(|(_, waiter)| !places.may_serve(waiter.pool, &waiter.ask, &self.views, now));
         let keys: Vec<WaitKey> = lost.map(|(key, _)| key).collect();
         for key in keys {
             self.deny(key, Denial::NotOwner);
@@ -148,7 +155,7 @@
 
     /// Grants one place of a pool; `false` if nothing fits.
     fn serve_one(&mut self, places: &LinePlaces, pool: PoolKey, role: Role, now: Tick) -> bool {
-        for key in self.ordered(pool, role, now) {
+        for key in self.ordered(places, pool, role, now) {
             let waiter = &self.waiting[key];
             let Some((place, pieces)) = places.choose(waiter, &self.views, &self.grants, now)
             else {
@@ -162,14 +169,14 @@
     }
 
     /// Returns the waiting asks of a line, the first to be served first.
-    fn ordered(&self, pool: PoolKey, role: Role, now: Tick) -> Vec<WaitKey> {
+    fn ordered(&self, places: &LinePlaces, pool: PoolKey, role: Role, now: Tick) -> Vec<WaitKey> {
         let mean = self.mean_share(now);
         let late = self.turn % LATE_TURN == LATE_TURN - 1;
         let asks = self.waiting.iter();
         let line = asks.filter(|(_, waiter)| waiter.pool == pool && waiter.ask.role == role);
         let mut ranked: Vec<(Rank, WaitKey)> = line
             .map(|(key, waiter)| {
-                let waiting = self.describe(waiter, mean, now);
+                let waiting = self.describe(places, waiter, mean, now);
                 let order = if late { late_rank } else { rank };
                 (order(&waiting, now), key)
             })
@@ -179,17 +186,32 @@
     }
 
     /// Describes a waiter to the order of the queue.
-    fn describe(&self, waiter: &Waiter, mean: f64, now: Tick) -> Waiting {
+    fn describe(&self, places: &LinePlaces, waiter: &Waiter, mean: f64, now: Tick) -> Waiting {
         let used = self.shares.get(waiter.branch).map(|share| share.used(now));
         Waiting {
             arrived: waiter.arrived,
             priority: waiter.ask.priority,
             due: waiter.due,
-            work: Duration::ZERO,
+            work: self.work(places, waiter),
             share: used.unwrap_or_default() / mean,
         }
     }
 
+    /// Predicted time to compute the prompt; the owner of a decode place cannot tell.
+    fn work(&self, places: &LinePlaces, waiter: &Waiter) -> Duration {
+        let ask = &waiter.ask;
+        if ask.role != Role::Prefill {
+            return Duration::ZERO;
+        }
+        let owned = places.usable(waiter.pool, ask);
+        let views = owned.filter_map(|(key, _)| self.views.get(key));
+        let times = views.map(|view| {
+            let cached = view.cached(&ask.prefixes, ask.prompt_tokens);
+            view.fit.predict(f64::from(ask.prompt_tokens - cached))
+        });
+        times.min().unwrap_or_default()
+    }
+
     /// Mean use over the branches that have used anything lately.
     fn mean_share(&self, now: Tick) -> f64 {
         let total: f64 = self.shares.iter().map(|(_, share)| share.used(now)).sum();
