--- a/src/control/line_places.rs
+++ b/src/control/line_places.rs
@@ -37,7 +37,7 @@
     }
 
     /// Returns the endpoints of a pool that may be granted here to `ask`.
-    fn usable(
+    pub(super) fn usable(
         &self,
         pool: PoolKey,
         ask: &GrantAsk,
