Test the attempts of a completion against scripted engines

Change: four cases with real lines and scripted engines: what was asked, what the caller got, what is granted afterwards. Conclusion: no gap, no repetition, nothing left granted.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -13,6 +13,7 @@
 mod line_memory;
 mod lines;
 mod membership;
+mod model_path;
 mod operations_page;
 mod operator_listener;
 mod owner_choice;
--- /dev/null
+++ b/tests/model_path.rs
@@ -0,0 +1,302 @@
+//! Attempts of a completion against engines that follow a script.
+
+use {
+    crate::line_bench::LineBench,
+    lentillead::{
+        board::{Counters, Repeat, Route, Rule, Target, section},
+        control::{Lines, SuspectController, Suspicions},
+        key::{AttemptId, BranchKey, RequestId},
+        port::{
+            CacheEvents, Chunk, ClaimAsk, ClaimOutcome, Claimer, Clock, DecodeAsk, Description,
+            Engine, EngineError, KvHandle, LoadReport, MonoClock, Order, Peer, PeerCall, PeerError,
+            PeerReply, PrefillAsk, Service, ServiceCall, ServiceReply, TokenStream,
+        },
+        request::{Call, Completion, ModelPath, Parts, PathOptions, Piece, Shared},
+    },
+    prometheus_client::registry::Registry,
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+/// Tokens that the caller asks for.
+const TOKENS: u32 = 4;
+
+/// What the engine does with one decode.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    /// Refuses the import.
+    CacheGone,
+    /// Sends that many tokens, then breaks off.
+    Break(u32),
+    /// Sends that many tokens, the last with the end.
+    Finish(u32),
+}
+
+#[derive(Clone, Debug, Default)]
+struct ScriptEngine {
+    acts: Arc<Mutex<VecDeque<Act>>>,
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+#[derive(Debug)]
+struct ScriptTokens {
+    attempt: AttemptId,
+    next: u32,
+    act: Act,
+}
+
+impl ScriptEngine {
+    fn note(&self, call: String) {
+        self.calls.lock().unwrap().push(call);
+    }
+}
+
+impl TokenStream for ScriptTokens {
+    async fn next(&mut self) -> Result<Option<Chunk>, EngineError> {
+        let (count, finishes) = match self.act {
+            Act::CacheGone => (0, false),
+            Act::Break(count) => (count, false),
+            Act::Finish(count) => (count, true),
+        };
+        if self.next == count {
+            return if finishes {
+                Ok(None)
+            } else {
+                Err(EngineError::Broken("script".to_owned()))
+            };
+        }
+        self.next += 1;
+        let finish = (finishes && self.next == count).then(|| "length".to_owned());
+        let (attempt, index) = (self.attempt, self.next - 1);
+        Ok(Some(Chunk {
+            attempt,
+            index,
+            count: 1,
+            text: format!("t{index} "),
+            finish,
+        }))
+    }
+}
+
+impl Engine for ScriptEngine {
+    type Tokens = ScriptTokens;
+
+    async fn prefill(&self, address: &str, ask: &PrefillAsk) -> Result<KvHandle, EngineError> {
+        self.note(format!("prefill of `{}`", ask.prompt));
+        Ok(KvHandle {
+            address: address.to_owned(),
+            handle: "kv".to_owned(),
+            tokens: 1,
+            cached: 0,
+            expires_ms: 800,
+        })
+    }
+
+    async fn decode(&self, _: &str, ask: &DecodeAsk) -> Result<ScriptTokens, EngineError> {
+        self.note(format!("decode of {} tokens", ask.max_tokens));
+        let act = self.acts.lock().unwrap().pop_front().unwrap();
+        match act {
+            Act::CacheGone => Err(EngineError::CacheGone),
+            act => Ok(ScriptTokens {
+                attempt: ask.attempt,
+                next: 0,
+                act,
+            }),
+        }
+    }
+
+    async fn resume(&self, _: &str, _: AttemptId, _: u32) -> Result<ScriptTokens, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn cancel(&self, _: &str, _: AttemptId) -> Result<(), EngineError> {
+        Ok(())
+    }
+
+    async fn describe(&self, _: &str) -> Result<Description, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+
+    async fn load(&self, _: &str) -> Result<LoadReport, EngineError> {
+        Ok(LoadReport::default())
+    }
+
+    async fn events(&self, _: &str, _: u64) -> Result<CacheEvents, EngineError> {
+        Ok(CacheEvents::default())
+    }
+
+    async fn order(&self, _: &str, _: &Order) -> Result<Description, EngineError> {
+        Err(EngineError::UnknownAttempt)
+    }
+}
+
+/// Ports that no completion uses.
+#[derive(Clone, Debug)]
+struct Unused;
+
+impl Service for Unused {
+    async fn call(&self, _: &str, _: &ServiceCall) -> Result<ServiceReply, EngineError> {
+        Err(EngineError::Unsent("unused".to_owned()))
+    }
+}
+
+impl Peer for Unused {
+    async fn call(&self, _: &str, _: PeerCall) -> Result<PeerReply, PeerError> {
+        Err(PeerError::Unsent("unused".to_owned()))
+    }
+}
+
+impl Claimer for Unused {
+    async fn ask(&self, _: ClaimAsk) -> ClaimOutcome {
+        ClaimOutcome::Unavailable
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ScriptParts {
+    clock: MonoClock,
+    engine: ScriptEngine,
+    unused: Unused,
+    lines: Lines,
+    suspicions: Suspicions,
+}
+
+impl Parts for ScriptParts {
+    type Clock = MonoClock;
+    type Engine = ScriptEngine;
+    type Service = Unused;
+    type Line = Lines;
+    type Peer = Unused;
+    type Claimer = Unused;
+
+    fn clock(&self) -> &MonoClock {
+        &self.clock
+    }
+
+    fn engine(&self) -> &ScriptEngine {
+        &self.engine
+    }
+
+    fn service(&self) -> &Unused {
+        &self.unused
+    }
+
+    fn line(&self) -> &Lines {
+        &self.lines
+    }
+
+    fn peer(&self) -> &Unused {
+        &self.unused
+    }
+
+    fn claimer(&self) -> &Unused {
+        &self.unused
+    }
+
+    fn suspicions(&self) -> &Suspicions {
+        &self.suspicions
+    }
+}
+
+fn rule() -> Rule {
+    Rule {
+        branch: "bangor".to_owned(),
+        kind: "note-summary".to_owned(),
+        route: Route::Model {
+            prefill: "prefill".to_owned(),
+            decode: "decode".to_owned(),
+        },
+        priority: 1,
+        model: "m".to_owned(),
+        version: "1".to_owned(),
+        adapter: None,
+        repeat: Repeat::Idempotent,
+        target: Target {
+            first_token: Duration::from_secs(1),
+            per_token: Duration::from_millis(36),
+        },
+        borrow: None,
+    }
+}
+
+/// Runs one completion under `acts`: what the engines were asked, what the caller got, the end,
+/// and the pieces that are granted afterwards.
+async fn run(acts: &[Act]) -> (Vec<String>, Vec<Piece>, String, u32) {
+    let bench = LineBench::new(3, 40);
+    let clock = MonoClock::start();
+    let (writer, _suspects) = section(lentillead::board::Suspects::default());
+    let (controller, suspicions) = SuspectController::new(clock, writer, Duration::from_mins(1));
+    tokio::spawn(controller.run());
+    let engine = ScriptEngine::default();
+    engine.acts.lock().unwrap().extend(acts);
+    let parts = ScriptParts {
+        clock,
+        engine: engine.clone(),
+        unused: Unused,
+        lines: bench.lines.clone(),
+        suspicions,
+    };
+    let counters = Counters::new(&mut Registry::default());
+    let options = PathOptions {
+        local_tokens: 0,
+        ..PathOptions::default()
+    };
+    let shared = Shared::new(parts, bench.board.clone(), counters, options);
+    let call = Call {
+        id: RequestId {
+            host: 1,
+            incarnation: 1,
+            sequence: 1,
+        },
+        branch: BranchKey::default(),
+        rule: Arc::new(rule()),
+        key: None,
+        arrived: clock.now(),
+        deadline: clock.now() + Duration::from_mins(1),
+        print: 1,
+    };
+    let ask = Completion {
+        call,
+        prompt: "coat notes".to_owned(),
+        max_tokens: TOKENS,
+    };
+    let (mut sender, mut receiver) = mpsc::channel(64);
+    let end = ModelPath::new(&shared, &ask)
+        .unwrap()
+        .run(&mut sender)
+        .await;
+    let end = end.map_or_else(|refused| refused.to_string(), |progress| progress.text);
+    drop(sender);
+    let mut pieces = Vec::new();
+    while let Some(piece) = receiver.recv().await {
+        pieces.push(piece);
+    }
+    shared.settle().await;
+    bench.settle().await;
+    let calls = engine.calls.lock().unwrap().clone();
+    (calls, pieces, end, bench.granted())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_stream_goes_on_elsewhere_without_gap_or_repetition() {
+    insta::assert_debug_snapshot!("path_moved", run(&[Act::Break(2), Act::Finish(2)]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_lacks_only_its_end_is_not_run_again() {
+    insta::assert_debug_snapshot!("path_concluded", run(&[Act::Break(TOKENS)]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_evicted_cache_is_computed_again() {
+    insta::assert_debug_snapshot!("path_evicted", run(&[Act::CacheGone, Act::Finish(4)]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn attempts_are_bounded() {
+    insta::assert_debug_snapshot!("path_exhausted", run(&[Act::CacheGone; 6]).await);
+}
