Replay recorded traces against stated outcomes and two baselines

Cause: the real daemon's path was only judged by the demo's drawn load, without faults, stated outcomes or a router to compare it with. Change: a trace format in JSON lines with typed errors that name the line, seven shipped scenarios for each profile, `trace make` and `replay` (status 8 when an invariant is broken or an outcome missed). A small trait `Router` lets the same arrivals go through the daemons or through baseline hosts that choose on lagging reports; no dyn is involved.

--- a/justfile
+++ b/justfile
@@ -46,3 +46,17 @@
     '{{BIN}}' capacity table '{{OUT}}/points'
     '{{BIN}}' capacity layouts
     '{{BIN}}' capacity faults
+
+# Write the shipped traces, see docs/TRACES.md.
+traces:
+    #!/usr/bin/env bash
+    set -euo pipefail
+    for profile in kovacsreti trin-cymru; do
+      for scenario in steady morning-burst evening long-histories hot-prefix failing-endpoint stalled-link; do
+        cargo run --quiet -- trace make --scenario $scenario --profile $profile > traces/$profile-$scenario.jsonl
+      done
+    done
+
+# Play the shipped traces through the daemons and two baselines.
+replay *ARGS:
+    cargo run --release -- replay traces/*.jsonl {{ARGS}}
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         BenchCommand, CapacityCommand, CommandError, DemoCommand, DrainCommand, ExitStatus,
-        FakeCommand, ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
+        FakeCommand, ReplayCommand, ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
+        TraceCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -30,6 +31,8 @@
     Drain(DrainCommand),
     /// Run a stand-in.
     Fake(FakeCommand),
+    /// Play recorded traces.
+    Replay(ReplayCommand),
     /// Run a daemon.
     Serve(ServeCommand),
     /// Work on settings files.
@@ -38,6 +41,8 @@
     Sheet(SheetCommand),
     /// Show the whole fleet.
     Status(StatusCommand),
+    /// Work on traces.
+    Trace(TraceCommand),
 }
 
 impl Command {
@@ -48,10 +53,12 @@
             Self::Demo(command) => command.run().await,
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
+            Self::Replay(command) => command.run().await,
             Self::Serve(command) => command.run().await,
             Self::Settings(command) => command.run().await,
             Self::Sheet(command) => command.run().await,
             Self::Status(command) => command.run().await,
+            Self::Trace(command) => command.run(),
         }
     }
 }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -22,6 +22,7 @@
     fake_service::FakeServiceCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
+    replay::ReplayCommand,
     serve::ServeCommand,
     settings::SettingsCommand,
     settings_check::SettingsCheck,
@@ -32,6 +33,8 @@
     sheet_show::SheetShow,
     sheet_submit::SheetSubmit,
     status::StatusCommand,
+    trace::TraceCommand,
+    trace_make::TraceMake,
 };
 
 mod arguments;
@@ -63,6 +66,7 @@
 mod fake_service;
 mod format;
 mod operator_client;
+mod replay;
 mod serve;
 mod settings;
 mod settings_check;
@@ -73,3 +77,5 @@
 mod sheet_show;
 mod sheet_submit;
 mod status;
+mod trace;
+mod trace_make;
--- a/src/emulator/caller.rs
+++ b/src/emulator/caller.rs
@@ -17,7 +17,7 @@
 
 /// Tokens of an answer as they arrive.
 #[derive(Debug, Default)]
-struct Received {
+pub(super) struct Received {
     text: String,
     tokens: u32,
     done: bool,
@@ -127,7 +127,7 @@
 
 impl Observation {
     /// An observation of nothing but the end.
-    fn ended(end: Ending) -> Self {
+    pub(super) fn ended(end: Ending) -> Self {
         Self {
             kind: String::new(),
             key: None,
@@ -157,7 +157,7 @@
             .find_map(|line| line.strip_prefix("data: "))
             .unwrap_or_default();
         if data == "[DONE]" {
-            self.done = true;
+            self.finish();
             return;
         }
         let Ok(value) = serde_json::from_str::<Value>(data) else {
@@ -176,13 +176,30 @@
                 self.tokens, choice["token_index"]
             ));
         }
+        self.add(text);
+    }
+
+    /// Takes over the text of the next tokens.
+    pub(super) fn add(&mut self, text: &str) {
         self.tokens += text.split_whitespace().count() as u32;
         self.text.push_str(text);
         self.first.get_or_insert_with(Instant::now);
         self.last = Some(Instant::now());
     }
 
-    fn judge(&self, start: Instant, model: &str, prompt: &str, max_tokens: u32) -> Observation {
+    /// Notes that the final chunk came.
+    pub(super) fn finish(&mut self) {
+        self.done = true;
+    }
+
+    /// Judges the answer to `prompt` that was asked for at `start`.
+    pub(super) fn judge(
+        &self,
+        start: Instant,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Observation {
         let first_token = self.first.map(|first| first - start);
         let gaps = self.tokens.saturating_sub(1).max(1);
         let per_token = self
@@ -239,8 +256,15 @@
 /// Checks that a service's answer repeats the call.
 async fn echo(response: Response, path: &str, body: &str) -> Ending {
     match response.json::<Value>().await {
-        Ok(answer) if answer["path"] == path && answer["body"] == body => Ending::Answered,
-        Ok(answer) => Ending::Wrong(answer.to_string()),
+        Ok(answer) => echoed(&answer, path, body),
         Err(error) => Ending::Broken(error.to_string()),
     }
 }
+
+/// Judges a service's answer, which repeats the call.
+pub(super) fn echoed(answer: &Value, path: &str, body: &str) -> Ending {
+    if answer["path"] == path && answer["body"] == body {
+        return Ending::Answered;
+    }
+    Ending::Wrong(answer.to_string())
+}
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -3,11 +3,20 @@
 pub use self::{
     caller::Caller,
     load_item::{LoadAsk, LoadItem},
-    load_run::{LoadReport, run_load},
+    load_run::{LoadReport, Quantiles, run_load},
     observation::{Ending, Observation, RefusalSeen},
+    outcomes::{Missed, Outcomes},
+    plain_router::{PlainChoice, PlainRouter},
     profile::{Profile, ProfileKind},
+    replay::{ReplayReport, Replayer},
+    router::{DaemonRouter, Router},
+    scenario::Scenario,
     site::{Site, SiteError},
     site_options::SiteOptions,
+    trace::Trace,
+    trace_error::TraceError,
+    trace_line::{TraceFault, TraceHeader, TraceLine, TraceRequest},
+    trace_maker::TraceMaker,
     verdict::Verdict,
     workload::Workload,
 };
@@ -16,8 +25,18 @@
 mod load_item;
 mod load_run;
 mod observation;
+mod outcomes;
+mod plain_endpoint;
+mod plain_router;
 mod profile;
+mod replay;
+mod router;
+mod scenario;
 mod site;
 mod site_options;
+mod trace;
+mod trace_error;
+mod trace_line;
+mod trace_maker;
 mod verdict;
 mod workload;
--- a/src/emulator/profile.rs
+++ b/src/emulator/profile.rs
@@ -4,11 +4,13 @@
         border::read_sheet,
         decide::{SheetFault, sheet_check},
     },
+    serde::{Deserialize, Serialize},
     std::str::FromStr,
 };
 
 /// One of the users whose load and sheet the stand-ins imitate.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Profile {
     /// Kovácsréti Nagykereskedelmi Árjegyzék: ten summarisers, three order-and-stock services.
     Kovacsreti,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -21,6 +21,7 @@
 mod peer_listener;
 mod platform;
 mod queue_order;
+mod replay;
 mod retry;
 mod service;
 mod settings;
