--- a/justfile
+++ b/justfile
@@ -33,14 +33,19 @@
 capacity-runs BIN OUT:
     #!/usr/bin/env bash
     set -euo pipefail
-    [ -x '{{BIN}}' ] || cargo build --release
+    cargo build --release
     mkdir -p '{{OUT}}' && rm -f '{{OUT}}'/*.json
     run() { '{{BIN}}' capacity run --settle 35 --seconds 15 --series "$1" "${@:3}" > "{{OUT}}/$1-$2.json"; }
-    for n in 010 025 050 100; do run daemons $n --daemons $((10#$n)) & done
-    for n in 00375 01500 04000 11000; do run endpoints $n --endpoints $((10#$n)) & done
+    for n in 025-1 050-2 075-3 100-4; do
+      run daemons $n --daemons $((10#${n%-*})) --zones ${n#*-} --endpoints 1500 &
+    done
+    for n in 010 025 050 100; do run zone $n --daemons $((10#$n)) --zones 1 --endpoints 1500 & done
     wait
-    for n in 0 1 3 6.13; do run changes $n --changes $n & done
-    for n in 05 10 20; do run rules $n --changes 1 --rules $((10#$n)) & done
+    for n in 00375 01500 04000 11000; do run endpoints $n --zones 1 --endpoints $((10#$n)) & done
+    for n in 0 1 3 6.13; do run changes $n --zones 1 --endpoints 1500 --changes $n & done
+    for n in 05 10 20; do
+      run rules $n --zones 1 --endpoints 1500 --changes 1 --rules $((10#$n)) &
+    done
     wait
     cat '{{OUT}}'/*.json > '{{OUT}}/points'
     '{{BIN}}' capacity table '{{OUT}}/points'
--- a/src/command/capacity_table.rs
+++ b/src/command/capacity_table.rs
@@ -22,13 +22,19 @@
     target: f64,
 }
 
-const SERIES: [Series; 4] = [
+const SERIES: [Series; 5] = [
     Series {
         name: "daemons",
         unit: "daemon",
         value: |size| size.daemons as f64,
         target: 740.0,
     },
+    Series {
+        name: "zone",
+        unit: "daemon of the zone",
+        value: |size| size.daemons as f64 / size.zones as f64,
+        target: 44.0,
+    },
     Series {
         name: "endpoints",
         unit: "endpoint",
--- a/src/control/member_controller.rs
+++ b/src/control/member_controller.rs
@@ -24,6 +24,9 @@
 /// Hosts that probe a silent one.
 const HELPERS: usize = 2;
 
+/// Intervals, after a start or a pause, in which heartbeats ask for what was missed.
+const CATCH_UP: u32 = 3;
+
 /// Shortest time between two heartbeats sent for a new revision of the sheet.
 const TELL_PAUSE: Duration = Duration::from_millis(250);
 
@@ -72,6 +75,7 @@
     flying: HashSet<String>,
     ticked: Tick,
     resumed: Tick,
+    catching: u32,
     told: Tick,
     parting: Option<oneshot::Sender<()>>,
 }
@@ -107,6 +111,7 @@
             flying: HashSet::new(),
             ticked: now,
             resumed: now,
+            catching: CATCH_UP,
             told: now,
             parting: None,
             parts,
@@ -158,9 +163,11 @@
         let late = self.parts.timing.interval + self.parts.timing.answer;
         if now.since(self.ticked) > late {
             self.resumed = now;
+            self.catching = CATCH_UP;
             self.membership.resume(now);
         }
         self.ticked = now;
+        self.catching = self.catching.saturating_sub(1);
         self.membership.expire(now);
         self.publish();
         self.news = self.load.choose(
@@ -205,7 +212,7 @@
         }
         let beat = Beat {
             view: target.and_then(|target| self.membership.view(target)),
-            heartbeat: self.heartbeat(target),
+            heartbeat: self.beat_to(target),
             helpers: self.helpers(target),
             answer: self.parts.timing.answer,
             started: self.parts.clock.now(),
@@ -224,9 +231,23 @@
         helpers.map(|host| host.address.clone()).collect()
     }
 
-    /// Makes what `target` is told; load goes to hosts of the own zone alone.
-    fn heartbeat(&mut self, target: Option<HostKey>) -> Heartbeat {
+    /// Makes a heartbeat; incarnation 0 asks for a large part of the members in the answer.
+    fn beat_to(&mut self, target: Option<HostKey>) -> Heartbeat {
         let members = self.membership.tell(target);
+        let mut heartbeat = self.heartbeat(target, members);
+        if self.catching > 0 {
+            heartbeat.incarnation = 0;
+        }
+        heartbeat
+    }
+
+    fn answer_to(&mut self, target: Option<HostKey>, current: bool) -> Heartbeat {
+        let members = self.membership.answer(target, current);
+        self.heartbeat(target, members)
+    }
+
+    /// Makes what `target` is told; load goes to hosts of the own zone alone.
+    fn heartbeat(&self, target: Option<HostKey>, members: Vec<MemberNews>) -> Heartbeat {
         let held = self.membership.members();
         let own = held.hosts.get(held.own);
         let zone = target
@@ -269,10 +290,11 @@
         match message {
             MemberMessage::Heartbeat(heartbeat, reply) => {
                 let sender = heartbeat.host.clone();
+                let current = self.membership.is_current(&sender, heartbeat.incarnation);
                 self.absorb(heartbeat);
                 let target = self.membership.members().hosts.find(&sender);
                 // A caller that gave up needs no reply.
-                let _ = reply.send(self.heartbeat(target));
+                let _ = reply.send(self.answer_to(target, current));
             }
             MemberMessage::Leave(done) => {
                 self.membership.leave(self.parts.clock.now());
--- a/src/decide/membership.rs
+++ b/src/decide/membership.rs
@@ -15,7 +15,7 @@
 /// Members repeated in each heartbeat in turn, so that a view that missed a change is mended.
 const REFRESH_COUNT: usize = 2;
 
-/// Members told to a host that joins.
+/// Members told to a host that joins, or that was out of touch.
 const JOIN_COUNT: usize = 64;
 
 /// What a daemon knows of all hosts, and what it still has to tell.
@@ -189,17 +189,32 @@
 
     /// Chooses what to tell `host`, the own state first.
     pub fn tell(&mut self, host: Option<HostKey>) -> Vec<MemberNews> {
+        self.compose(host, REFRESH_COUNT)
+    }
+
+    /// Chooses what to answer `host`.
+    ///
+    /// A host that is not `current` has missed news that is no longer spread; it gets a large part
+    /// of the members at once.
+    pub fn answer(&mut self, host: Option<HostKey>, current: bool) -> Vec<MemberNews> {
+        self.compose(host, if current { REFRESH_COUNT } else { JOIN_COUNT })
+    }
+
+    /// Whether the host has been in touch: it is known in this incarnation and not doubted.
+    pub fn is_current(&self, name: &str, incarnation: u64) -> bool {
+        let key = self.members.hosts.find(name);
+        let held = key.and_then(|key| self.members.hosts.get(key));
+        held.is_some_and(|h| h.incarnation == incarnation && h.state == HostState::Alive)
+    }
+
+    fn compose(&mut self, host: Option<HostKey>, refreshed: usize) -> Vec<MemberNews> {
         let own = self.members.own;
         let limit = 3 * (usize::BITS - self.members.hosts.len().leading_zeros());
         let mut keys = vec![own];
         let doubted = host.filter(|key| self.doubts(*key));
         keys.extend(doubted);
         keys.extend(self.queue.take(NEWS_MAX, limit));
-        keys.extend(self.refresh(if host.is_some() {
-            REFRESH_COUNT
-        } else {
-            JOIN_COUNT
-        }));
+        keys.extend(self.refresh(refreshed));
         let mut told = Vec::new();
         for (i, key) in keys.iter().enumerate() {
             if !keys[..i].contains(key) {
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -60,7 +60,7 @@
 pub struct Heartbeat {
     /// Name of the sender.
     pub host: String,
-    /// Incarnation of the sender.
+    /// Incarnation of the sender; 0 in a call asks for a large part of the members in the reply.
     pub incarnation: u64,
     /// Revision of the sheet that the sender has in force.
     pub revision: u64,
