Check chunks in one place

Cause: the engine client and the relay both held each stream against ChunkCheck; the relay's could never find anything, so its counter could not move. Change: the contract of TokenStream says who checks; the relay trusts it. Conclusion: another engine client has one rule to keep.

--- a/src/port/engine.rs
+++ b/src/port/engine.rs
@@ -67,7 +67,8 @@
 pub trait TokenStream: Send + 'static {
     /// Returns the next chunk, or `None` after the final one.
     ///
-    /// An end without a final chunk is an error, never `None`.
+    /// An implementation holds the stream against `ChunkCheck`: it drops chunks that are crossed,
+    /// repeated or late, and returns an error for a gap or an end without a final chunk.
     fn next(&mut self) -> impl Future<Output = Result<Option<Chunk>, EngineError>> + Send;
 }
 
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -2,7 +2,6 @@
     super::{CallerGone, Held, Parts, Piece, Progress, Shared, Sink},
     crate::{
         board::RetryReason,
-        decide::{ChunkCheck, ChunkError, ChunkVerdict},
         port::{Chunk, Engine, EngineError, Grant, TokenStream},
     },
     tokio::time::timeout,
@@ -34,7 +33,6 @@
     progress: &'a mut Progress,
     prefill: Option<Held<P>>,
     base: u32,
-    check: ChunkCheck,
 }
 
 impl<'a, P> Relay<'a, P>
@@ -58,7 +56,6 @@
             progress,
             prefill,
             base,
-            check: ChunkCheck::new(grant.attempt, 0),
         }
     }
 
@@ -93,7 +90,11 @@
     async fn resume(&self) -> Result<<P::Engine as Engine>::Tokens, EngineError> {
         let engine = self.shared.parts().engine();
         engine
-            .resume(&self.grant.address, self.grant.attempt, self.check.next())
+            .resume(
+                &self.grant.address,
+                self.grant.attempt,
+                self.progress.tokens - self.base,
+            )
             .await
     }
 
@@ -112,29 +113,19 @@
                 .map_err(stalled)
                 .and_then(|next| next)
                 .map_err(RelayEnd::Failed)?;
-            let Some(chunk) = chunk else {
-                let end = self.check.end();
-                return end.map_err(broken);
-            };
-            if self.pass(chunk, sink).await? {
-                return Ok(());
+            match chunk {
+                Some(chunk) => self.pass(chunk, sink).await?,
+                None => return Ok(()),
             }
         }
     }
 
-    /// Checks a chunk and passes it on; returns whether it was the final one.
-    async fn pass<K>(&mut self, chunk: Chunk, sink: &mut K) -> Result<bool, RelayEnd>
+    /// Passes a chunk on.
+    async fn pass<K>(&mut self, chunk: Chunk, sink: &mut K) -> Result<(), RelayEnd>
     where
         K: Sink,
     {
-        let verdict = self.check.accept(&chunk);
-        let verdict = verdict.map_err(broken)?;
-        if let ChunkVerdict::Drop(_) = verdict {
-            self.shared.counters().stray.inc();
-            return Ok(false);
-        }
         self.prefill = None;
-        let finished = chunk.finish.is_some();
         let piece = Piece {
             index: self.base + chunk.index,
             count: chunk.count,
@@ -143,11 +134,6 @@
         };
         self.progress.record(&piece);
         self.shared.counters().tokens.inc_by(u64::from(piece.count));
-        sink.send(piece).await?;
-        Ok(finished)
+        Ok(sink.send(piece).await?)
     }
 }
-
-fn broken(error: ChunkError) -> RelayEnd {
-    RelayEnd::Failed(EngineError::Broken(error.to_string()))
-}
