Order engines to load what the sheet in force asks for

Cause: a sheet that names a new version or adapter had no effect on the engines. Change: a pure plan from sheet and fleet; a controller that orders the engines its host owns and reads the state back; a lease object for each engine whose version is the fence, and leases for the loads at once of a zone; settings, status and pages. Seen: orders_late_holder, a paused holder against both sorts of engine; orders_off and orders_carried_out, a daemon with three engines. Changes of role and shares by load are not built.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Arena, Branch, Digests, Fleet, Health, HostList, Members, Owners, Section, Sheet, Suspects,
-        Writer, section,
+        Arena, Branch, Digests, Fleet, Health, HostList, Members, Orders, Owners, Section, Sheet,
+        Suspects, Writer, section,
     },
     crate::key::BranchKey,
 };
@@ -21,6 +21,8 @@
     pub hosts: Section<HostList>,
     /// Hosts that run daemons.
     pub members: Section<Members>,
+    /// Owned engines that are not as the sheet asks.
+    pub orders: Section<Orders>,
     /// Owner of each endpoint.
     pub owners: Section<Owners>,
     /// The sheet in force.
@@ -44,6 +46,8 @@
     pub hosts: Writer<HostList>,
     /// Written by the member controller.
     pub members: Writer<Members>,
+    /// Written by the order controller.
+    pub orders: Writer<Orders>,
     /// Written by the owner controller.
     pub owners: Writer<Owners>,
     /// Written by the sheet controller.
@@ -61,6 +65,7 @@
         let health = section(Health::default());
         let hosts = section(HostList::default());
         let members = section(Members::default());
+        let orders = section(Orders::default());
         let owners = section(Owners::default());
         let sheet = section(Sheet::default());
         let suspects = section(Suspects::default());
@@ -71,6 +76,7 @@
             health: health.0,
             hosts: hosts.0,
             members: members.0,
+            orders: orders.0,
             owners: owners.0,
             sheet: sheet.0,
             suspects: suspects.0,
@@ -82,6 +88,7 @@
             health: health.1,
             hosts: hosts.1,
             members: members.1,
+            orders: orders.1,
             owners: owners.1,
             sheet: sheet.1,
             suspects: suspects.1,
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -14,6 +14,7 @@
     host_list::{HostList, ListedEndpoint, ListedHost},
     loaded::Loaded,
     members::Members,
+    orders::{OrderStatus, Orders},
     owners::{Owners, Ownership},
     pool::Pool,
     refusal::Refusal,
@@ -39,6 +40,7 @@
 mod host_list;
 mod loaded;
 mod members;
+mod orders;
 mod owners;
 mod pool;
 mod refusal;
--- a/src/board/status.rs
+++ b/src/board/status.rs
@@ -1,5 +1,5 @@
 use {
-    super::HostState,
+    super::{HostState, OrderStatus},
     serde::{Deserialize, Serialize},
 };
 
@@ -26,6 +26,9 @@
     pub pools: Vec<PoolStatus>,
     /// Requests suspected of crashing endpoints.
     pub suspects: Vec<SuspectStatus>,
+    /// Owned engines that have not loaded what the sheet asks for.
+    #[serde(default)]
+    pub orders: Vec<OrderStatus>,
 }
 
 /// A host as another one sees it.
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -29,7 +29,8 @@
     problem::Problem,
     service_client::ServiceClient,
     settings::{
-        Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings, Timing,
+        Claims, Keys, Limits, Listen, LogLevel, LogSettings, OrderLimits, PlatformSettings,
+        Settings, Timing,
     },
     settings_builder::SettingsBuilder,
     settings_error::{SettingsError, SettingsFault},
--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -30,6 +30,8 @@
     pub timing: Timing,
     /// Claims of at-most-once requests.
     pub claims: Claims,
+    /// Orders to engines.
+    pub orders: OrderLimits,
     /// Logs.
     pub log: LogSettings,
 }
@@ -182,6 +184,31 @@
     }
 }
 
+/// Orders to engines to load what the sheet asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderLimits {
+    /// Engines of one availability zone that may load at once, the same on every daemon; 0 sends
+    /// no orders.
+    pub loads: u32,
+    /// Time limit of one order.
+    pub limit: Duration,
+    /// Term of a lease, longer than `limit`.
+    pub term: Duration,
+    /// Time between two tries at one endpoint.
+    pub retry: Duration,
+}
+
+impl Default for OrderLimits {
+    fn default() -> Self {
+        Self {
+            loads: 2,
+            limit: Duration::from_mins(2),
+            term: Duration::from_mins(5),
+            retry: Duration::from_secs(5),
+        }
+    }
+}
+
 /// Logs.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LogSettings {
--- a/src/border/settings_builder.rs
+++ b/src/border/settings_builder.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        Claims, Keys, Limits, Listen, LogSettings, PlatformSettings, Settings, Timing,
+        Claims, Keys, Limits, Listen, LogSettings, OrderLimits, PlatformSettings, Settings, Timing,
         settings::LogLevel,
     },
     crate::board::{Branch, Secret},
@@ -40,6 +40,7 @@
             limits: Limits::default(),
             timing: Timing::default(),
             claims: Claims::default(),
+            orders: OrderLimits::default(),
             log: LogSettings {
                 level: LogLevel::Warn,
                 file: None,
@@ -90,6 +91,13 @@
         self
     }
 
+    /// Sets the bounds of orders to engines.
+    #[must_use]
+    pub fn orders(mut self, orders: OrderLimits) -> Self {
+        self.settings.orders = orders;
+        self
+    }
+
     /// Sets the claims.
     #[must_use]
     pub fn claims(mut self, claims: Claims) -> Self {
--- a/src/border/settings_parse.rs
+++ b/src/border/settings_parse.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Claims, Keys, Limits, Listen, LogLevel, LogSettings, PlatformSettings, Settings,
-        SettingsError, Timing,
+        Claims, Keys, Limits, Listen, LogLevel, LogSettings, OrderLimits, PlatformSettings,
+        Settings, SettingsError, Timing,
         settings_reader::{Faults, Reader},
     },
     crate::board::{Branch, Secret},
@@ -60,6 +60,7 @@
         limits: read_limits(top.section("limits")),
         timing: read_timing(top.section("timing")),
         claims: read_claims(top.section("claims")),
+        orders: read_orders(top.section("orders")),
         log: read_log(top.section("log")),
     };
     top.finish();
@@ -151,6 +152,18 @@
     claims
 }
 
+fn read_orders(mut reader: Reader<'_>) -> OrderLimits {
+    let default = OrderLimits::default();
+    let orders = OrderLimits {
+        loads: reader.number("loads", default.loads.into(), 0..=1_000) as u32,
+        limit: reader.duration("limit", default.limit),
+        term: reader.duration("term", default.term),
+        retry: reader.duration("retry", default.retry),
+    };
+    reader.finish();
+    orders
+}
+
 fn read_log(mut reader: Reader<'_>) -> LogSettings {
     let levels = [
         ("error", LogLevel::Error),
@@ -168,7 +181,7 @@
 }
 
 fn check(settings: &Settings, faults: &Faults) {
-    check_timing(&settings.timing, faults);
+    check_timing(settings, faults);
     check_secret("keys.operators", &settings.keys.operators, faults);
     check_secret("keys.peers", &settings.keys.peers, faults);
     check_branches(&settings.branches, faults);
@@ -181,7 +194,8 @@
     }
 }
 
-fn check_timing(timing: &Timing, faults: &Faults) {
+fn check_timing(settings: &Settings, faults: &Faults) {
+    let Settings { timing, orders, .. } = settings;
     let pairs = [
         (
             "timing.suspect",
@@ -190,6 +204,7 @@
             timing.heartbeat,
         ),
         ("timing.dead", timing.dead, "timing.suspect", timing.suspect),
+        ("orders.term", orders.term, "orders.limit", orders.limit),
     ];
     for (path, value, other, least) in pairs {
         if value <= least && !faults.has(path) && !faults.has(other) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,11 @@
     load_controller::{LoadController, POLL_INTERVAL},
     member_controller::{MemberController, MemberParts},
     member_handle::MemberHandle,
+    order_claims::{OrderClaim, OrderClaims},
+    order_controller::{OrderController, OrderParts},
+    order_error::OrderError,
+    order_run::send_order,
+    order_settings::OrderSettings,
     owner_controller::OwnerController,
     sheet_controller::{SheetController, SheetParts},
     sheet_handle::SheetHandle,
@@ -52,6 +57,11 @@
 mod member_controller;
 mod member_handle;
 mod member_message;
+mod order_claims;
+mod order_controller;
+mod order_error;
+mod order_run;
+mod order_settings;
 mod orphan_cancel;
 mod owner_controller;
 mod sheet_controller;
--- a/src/daemon/control_plane.rs
+++ b/src/daemon/control_plane.rs
@@ -2,15 +2,16 @@
     super::{Base, DaemonPlatform},
     crate::{
         board::{
-            Digests, Fleet, Health, HostList, HostState, Members, Owners, Sheet, Writer, Writers,
+            Digests, Fleet, Health, HostList, HostState, Members, Orders, Owners, Sheet, Writer,
+            Writers,
         },
-        border::{ClaimObjects, EngineClient, PeerClient},
+        border::{ClaimObjects, EngineClient, OrderLimits, PeerClient},
         control::{
             ClaimRouter, ClaimSettings, Claims, DigestController, DigestNews, FleetController,
-            HealthController, HealthHandle, HeartbeatInputs, HeartbeatOutlets, HostController,
-            LineController, Lines, LoadController, MemberController, MemberHandle, MemberParts,
-            OwnerController, RevisionHint, SheetController, SheetHandle, SheetParts, SheetStore,
-            SuspectController, Suspicions,
+            FleetNews, HealthController, HealthHandle, HeartbeatInputs, HeartbeatOutlets,
+            HostController, LineController, Lines, LoadController, MemberController, MemberHandle,
+            MemberParts, OrderController, OrderParts, OrderSettings, OwnerController, RevisionHint,
+            SheetController, SheetHandle, SheetParts, SheetStore, SuspectController, Suspicions,
         },
         decide::{CallClass, MemberTiming},
         port::{MemberNews, MonoClock, SuspectNews},
@@ -77,7 +78,9 @@
         let (controller, health) = self::health(base, writers.health);
         tasks.spawn(controller.run());
         tasks.spawn(hosts(base, writers.hosts).run());
-        tasks.spawn(fleet(base, writers.fleet).run());
+        let fleet = fleet(base, writers.fleet);
+        tasks.spawn(orders(base, writers.orders, fleet.news()).run());
+        tasks.spawn(fleet.run());
         tasks.spawn(owners(base, writers.owners).run());
         let (outlets, inlets) = channels();
         tasks.spawn(digests(base, writers.digests, inlets.digests).run());
@@ -162,6 +165,36 @@
     )
 }
 
+fn orders(
+    base: &Base,
+    writer: Writer<Orders>,
+    news: FleetNews,
+) -> OrderController<DaemonPlatform, EngineClient, MonoClock> {
+    let OrderLimits {
+        loads,
+        limit,
+        term,
+        retry,
+    } = base.settings.orders;
+    let parts = OrderParts {
+        platform: base.platform.with_class(CallClass::Orders),
+        engine: base.engine.clone(),
+        clock: base.clock,
+        settings: OrderSettings {
+            loads,
+            limit,
+            term,
+            retry,
+        },
+        host: base.settings.host.clone(),
+        incarnation: base.incarnation,
+        board: base.board.clone(),
+        news,
+        rng: base.rng("orders"),
+    };
+    OrderController::new(parts, writer)
+}
+
 fn owners(base: &Base, owners: Writer<Owners>) -> OwnerController {
     let fleet = base.board.fleet.clone();
     let members = base.board.members.clone();
--- a/src/decide/call_class.rs
+++ b/src/decide/call_class.rs
@@ -7,13 +7,21 @@
     Sheet,
     /// The host list.
     Hosts,
+    /// Leases of orders to engines.
+    Orders,
     /// Status.
     Status,
 }
 
 impl CallClass {
     /// Every class, for registration of counters.
-    pub const ALL: [Self; 4] = [Self::Claims, Self::Sheet, Self::Hosts, Self::Status];
+    pub const ALL: [Self; 5] = [
+        Self::Claims,
+        Self::Sheet,
+        Self::Hosts,
+        Self::Orders,
+        Self::Status,
+    ];
 
     /// The label of the counters.
     pub fn word(self) -> &'static str {
@@ -21,6 +29,7 @@
             Self::Claims => "claims",
             Self::Sheet => "sheet",
             Self::Hosts => "hosts",
+            Self::Orders => "orders",
             Self::Status => "status",
         }
     }
@@ -31,6 +40,7 @@
             Self::Claims => 0,
             Self::Sheet => burst / 8,
             Self::Hosts => burst / 4,
+            Self::Orders => burst * 3 / 8,
             Self::Status => burst / 2,
         }
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
     load_news::LoadNews,
     member_timing::MemberTiming,
     news_queue::NewsQueue,
+    order_plan::{is_covered, order_plan},
     outlier::{FIRST_OUT, Outlier, Standing},
     owner_choice::{OwnerOption, order_owners, owners_to_ask},
     partners::Partners,
@@ -47,6 +48,7 @@
 mod member_timing;
 pub mod membership;
 mod news_queue;
+mod order_plan;
 mod outlier;
 mod owner_choice;
 pub mod ownership;
--- /dev/null
+++ b/src/decide/order_plan.rs
@@ -0,0 +1,94 @@
+use {
+    crate::{
+        board::{Fleet, Loaded, Role, Route, Rule, Sheet, Tick},
+        key::{EndpointKey, PoolKey},
+    },
+    slotmap::SecondaryMap,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Everything that the rules ask of one pool.
+#[derive(Debug, Default)]
+struct PoolNeeds<'a> {
+    models: BTreeMap<&'a str, BTreeSet<&'a str>>,
+    adapters: BTreeSet<String>,
+}
+
+/// What each engine should have loaded by the sheet in force; engines of unused pools are left out.
+///
+/// Versions of one model share the engines of a pool and role in equal blocks by name. The answer
+/// depends on the sheet and on names alone, not on what is loaded, so that owners with different
+/// views do not reverse each other's orders.
+pub fn order_plan(sheet: &Sheet, fleet: &Fleet) -> SecondaryMap<EndpointKey, Loaded> {
+    let needs = pool_needs(sheet);
+    let mut plan = SecondaryMap::new();
+    for (key, pool) in fleet.pools.iter() {
+        let Some(needs) = needs.get(pool.name.as_str()) else {
+            continue;
+        };
+        for role in [Role::Prefill, Role::Decode] {
+            let engines = engines(fleet, key, role);
+            for (rank, engine) in engines.iter().enumerate() {
+                plan.insert(*engine, needs.share(rank, engines.len()));
+            }
+        }
+    }
+    plan
+}
+
+/// Whether an order that takes up to `limit` ends inside a lease that lasts until `until`.
+pub fn is_covered(until: Tick, now: Tick, limit: Duration) -> bool {
+    until.since(now) > limit
+}
+
+impl PoolNeeds<'_> {
+    fn add<'a>(needs: &mut BTreeMap<&'a str, PoolNeeds<'a>>, pool: &'a str, rule: &'a Rule) {
+        let pool = needs.entry(pool).or_default();
+        let versions = pool.models.entry(&rule.model).or_default();
+        versions.insert(&rule.version);
+        pool.adapters.extend(rule.adapter.clone());
+    }
+
+    /// Share of the engine at `rank` among `count`.
+    fn share(&self, rank: usize, count: usize) -> Loaded {
+        let version = |versions: &BTreeSet<&str>| {
+            let index = rank * versions.len() / count.max(1);
+            versions.iter().nth(index).map(ToString::to_string)
+        };
+        let models = self.models.iter();
+        Loaded {
+            models: models
+                .filter_map(|(model, versions)| Some(((*model).to_owned(), version(versions)?)))
+                .collect(),
+            adapters: self.adapters.clone(),
+        }
+    }
+}
+
+fn pool_needs(sheet: &Sheet) -> BTreeMap<&str, PoolNeeds<'_>> {
+    let mut needs = BTreeMap::new();
+    for rule in sheet.rules.values() {
+        let borrowed = rule.borrow.iter().map(|borrow| &borrow.route);
+        for route in [&rule.route].into_iter().chain(borrowed) {
+            if let Route::Model { prefill, decode } = route {
+                PoolNeeds::add(&mut needs, prefill, rule);
+                PoolNeeds::add(&mut needs, decode, rule);
+            }
+        }
+    }
+    needs
+}
+
+/// Engines of a pool with one role, ordered by name.
+fn engines(fleet: &Fleet, pool: PoolKey, role: Role) -> Vec<EndpointKey> {
+    let members = fleet.pools.get(pool).map(|pool| pool.members.iter());
+    let has_role = |key: &&EndpointKey| {
+        let endpoint = fleet.endpoints.get(**key);
+        endpoint.is_some_and(|endpoint| endpoint.role == role)
+    };
+    let found = members.into_iter().flatten().filter(has_role);
+    found.copied().collect()
+}
--- a/src/decide/status_of.rs
+++ b/src/decide/status_of.rs
@@ -29,6 +29,7 @@
         members: member_statuses(&members),
         pools: pool_statuses(&fleet, owns),
         suspects: suspect_statuses(&board.suspects.load()),
+        orders: board.orders.load().open.values().cloned().collect(),
     }
 }
 
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -16,6 +16,7 @@
 mod model_path;
 mod operations_page;
 mod operator_listener;
+mod orders;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -15,6 +15,8 @@
 limits: {header_time: 5}
 timing: {heartbeat: 5s, suspect: 2s, load: 0ms, hosts: 2 weeks}
 claims: []
+orders:
+  term: 1m
 log: {level: loud, file: ''}
 ";
 
