Continue a moved answer in the engine's stand-in

Cause: a stream that moves to another endpoint sends the relayed tokens as the end of the prompt, but the stand-in's text is a function of the whole prompt, so the moved answer looked wrong to callers. Change: the stand-in recognises a prompt that ends with its own tokens, numbers the next ones after them and counts the length from the original prompt. Seen: tests/engine.rs continues an answer after 1, 3, 7 and 8 of 8 tokens; it passes.

--- a/src/fake/engine_run.rs
+++ b/src/fake/engine_run.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         EngineSettings, FaultKind, RunObserved,
-        answer_text::{answer_length, answer_print},
+        answer_text::{answer_length, answer_print, split_answer},
         fault::FaultPlan,
     },
     crate::{
@@ -75,6 +75,8 @@
     pub capped: bool,
     /// Seed of the text.
     pub print: u64,
+    /// Tokens of the answer that the prompt already has.
+    pub base: u32,
     pub progress: watch::Sender<Progress>,
     /// Tokens after which generation stops for a while.
     pub stall: Option<(u32, Duration)>,
@@ -96,7 +98,8 @@
         let prompt = count_tokens(&ask.prompt);
         let import = ask.kv_transfer_params.as_ref().filter(|kv| is_import(kv));
         let stall = faults.draw(FaultKind::StallTokens);
-        let limit = answer_length(&ask.prompt, ask.max_tokens);
+        let (start, base) = split_answer(&ask.model, &ask.prompt);
+        let limit = answer_length(start, ask.max_tokens.saturating_add(base)).saturating_sub(base);
         Self {
             seen: RunObserved {
                 attempt: ask.attempt.clone(),
@@ -113,7 +116,8 @@
             import: import.map_or(0, uncached),
             limit,
             capped: limit == ask.max_tokens,
-            print: answer_print(&ask.model, &ask.prompt),
+            print: answer_print(&ask.model, start),
+            base,
             progress: watch::Sender::default(),
             stall: stall.map(|stall| (stall.after, settings.scaled_ms(stall.ms))),
             stalled: false,
--- a/src/fake/engine_stream.rs
+++ b/src/fake/engine_stream.rs
@@ -30,6 +30,8 @@
     progress: watch::Receiver<Progress>,
     attempt: String,
     print: u64,
+    /// Tokens of the answer that the prompt already has.
+    base: u32,
     next: u32,
     faults: Vec<Fault>,
     queue: VecDeque<io::Result<Bytes>>,
@@ -52,6 +54,7 @@
         progress,
         attempt: run.seen.attempt.clone(),
         print: run.print,
+        base: run.base,
         next: index,
         faults: draw(&mut state.faults),
         queue: VecDeque::new(),
@@ -164,11 +167,12 @@
     }
 
     fn wire(&self, attempt: String, count: u32, end: Option<End>) -> Bytes {
+        let from = self.base + self.next;
         let chunk = CompletionChunk {
             choices: vec![ChunkChoice {
                 finish_reason: end.map(|end| end.word().to_owned()),
                 index: 0,
-                text: print_text(self.print, self.next, self.next + count),
+                text: print_text(self.print, from, from + count),
             }],
             id: attempt,
             object: "text_completion".to_owned(),
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -249,3 +249,20 @@
     let (_, finish, _) = drain(&mut tokens).await;
     assert_yaml_snapshot!("engine_leaving", (kind(&refused), load.leaving, finish));
 }
+
+#[tokio::test]
+async fn a_prompt_with_its_first_tokens_is_continued() {
+    let pair = plain_pair().await;
+    let prompt = prompt(20);
+    for (sequence, count) in [(1, 1), (2, 3), (3, 7), (4, 8)] {
+        let start = answer_text(MODEL, &prompt, 0, count);
+        let ask = DecodeAsk {
+            max_tokens: 8 - count,
+            ..decode_ask(sequence, &format!("{prompt} {}", start.trim()), None)
+        };
+        let decode = pair.client.decode(&address(&pair.decode), &ask).await;
+        let (rest, _, end) = drain(&mut decode.unwrap()).await;
+        assert_eq!(start + &rest, answer_text(MODEL, &prompt, 0, 8));
+        assert_eq!(end, Ok(()));
+    }
+}
