Run seeded schedules of faults against whole sites

Change: `lentillead faults` and `just faults` draw schedules from seeds, mix faults of engines, services, the platform and callers, crash daemons (each has a runtime of its own, which is shut down without cleanup) and start them again, send keyed requests again and to several daemons at once, and judge what callers got and stand-ins saw. A caller that got no end at all now counts as lost.

--- a/justfile
+++ b/justfile
@@ -10,6 +10,10 @@
 demo *ARGS:
     cargo run --release -- demo {{ARGS}}
 
+# Schedules of faults from SEED on, COUNT of them.
+faults SEED="0" COUNT="2000" *ARGS:
+    cargo run --release -- faults --from {{SEED}} --count {{COUNT}} {{ARGS}}
+
 # Format the sources.
 fmt:
     cargo fmt --all
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         BenchCommand, CapacityCommand, CommandError, DemoCommand, DrainCommand, ExitStatus,
-        FakeCommand, ReplayCommand, ServeCommand, SettingsCommand, SheetCommand, StatusCommand,
-        TraceCommand,
+        FakeCommand, FaultsCommand, ReplayCommand, ServeCommand, SettingsCommand, SheetCommand,
+        StatusCommand, TraceCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -31,6 +31,8 @@
     Drain(DrainCommand),
     /// Run a stand-in.
     Fake(FakeCommand),
+    /// Run schedules of faults.
+    Faults(FaultsCommand),
     /// Play recorded traces.
     Replay(ReplayCommand),
     /// Run a daemon.
@@ -53,6 +55,7 @@
             Self::Demo(command) => command.run().await,
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
+            Self::Faults(command) => command.run().await,
             Self::Replay(command) => command.run().await,
             Self::Serve(command) => command.run().await,
             Self::Settings(command) => command.run().await,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -20,6 +20,7 @@
     fake_engine::FakeEngineCommand,
     fake_platform::FakePlatformCommand,
     fake_service::FakeServiceCommand,
+    faults::FaultsCommand,
     format::{Format, print_json, table},
     operator_client::OperatorClient,
     replay::ReplayCommand,
@@ -64,6 +65,7 @@
 mod fake_platform;
 mod fake_process;
 mod fake_service;
+mod faults;
 mod format;
 mod operator_client;
 mod replay;
--- a/src/emulator/caller.rs
+++ b/src/emulator/caller.rs
@@ -59,7 +59,7 @@
             },
             Err(_) if item.leave.is_some() => unseen,
             Err(_) => Observation {
-                end: Ending::Broken("no answer".to_owned()),
+                end: Ending::Lost,
                 ..unseen
             },
         }
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -2,6 +2,10 @@
 
 pub use self::{
     caller::Caller,
+    fault_event::{FaultAction, FaultEvent},
+    fault_report::FaultReport,
+    fault_run::run_schedule,
+    fault_schedule::{FaultSchedule, FaultSend},
     load_item::{LoadAsk, LoadItem},
     load_run::{LoadReport, Quantiles, run_load},
     observation::{Ending, Observation, RefusalSeen},
@@ -12,6 +16,7 @@
     router::{DaemonRouter, Router},
     scenario::Scenario,
     site::{Site, SiteError},
+    site_daemon::SiteDaemon,
     site_options::SiteOptions,
     trace::Trace,
     trace_error::TraceError,
@@ -22,6 +27,10 @@
 };
 
 mod caller;
+mod fault_event;
+mod fault_report;
+mod fault_run;
+mod fault_schedule;
 mod load_item;
 mod load_run;
 mod observation;
@@ -33,6 +42,7 @@
 mod router;
 mod scenario;
 mod site;
+mod site_daemon;
 mod site_options;
 mod trace;
 mod trace_error;
--- a/src/emulator/observation.rs
+++ b/src/emulator/observation.rs
@@ -34,6 +34,8 @@
     Broken(String),
     /// The caller went away on purpose.
     Left,
+    /// The caller got no answer, no refusal and no end of the connection.
+    Lost,
 }
 
 /// A refusal as the caller read it.
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -1,10 +1,10 @@
 use {
-    super::SiteOptions,
+    super::{SiteDaemon, SiteOptions},
     crate::{
         board::{HostState, Role},
-        border::{Settings, SettingsBuilder},
+        border::{Limits, Settings, SettingsBuilder},
         control::Submission,
-        daemon::{Daemon, DaemonError},
+        daemon::DaemonError,
         fake::{
             EngineObserved, EngineSettings, FakeEngine, FakePlatform, FakeService,
             PlatformSettings, ServiceObserved, ServiceSettings,
@@ -36,15 +36,15 @@
     pub engines: Vec<FakeEngine>,
     /// Plain services.
     pub services: Vec<FakeService>,
-    /// Daemons; a slot is empty after the daemon has stopped.
-    pub daemons: Vec<Option<Daemon>>,
+    /// Daemons; a slot is empty after the daemon has stopped or crashed.
+    pub daemons: Vec<Option<SiteDaemon>>,
 }
 
 /// Why a site did not start.
 #[derive(Debug, Error)]
 pub enum SiteError {
-    /// A stand-in could not be started.
-    #[error("a stand-in could not be started: {0}")]
+    /// A stand-in or a runtime could not be started.
+    #[error("a stand-in or a runtime could not be started: {0}")]
     Fake(#[from] io::Error),
     /// A daemon could not be started.
     #[error("a daemon could not be started: {0}")]
@@ -94,21 +94,32 @@
 
     /// Starts one more daemon and lists it at the platform.
     pub async fn add_daemon(&mut self) -> Result<(), SiteError> {
-        let number = self.daemons.len();
+        self.daemons.push(None);
+        self.start_daemon(self.daemons.len() - 1).await
+    }
+
+    /// Starts the daemon in an empty slot, with a new incarnation, and lists it at the platform.
+    pub async fn start_daemon(&mut self, number: usize) -> Result<(), SiteError> {
         let settings = self.settings(number);
-        let daemon = Daemon::start(&settings).await?;
+        let (name, zone) = (settings.host.clone(), settings.zone.clone());
+        let daemon = SiteDaemon::start(settings).await?;
         self.platform.add_host(HostEntry {
-            name: settings.host,
+            name,
             role: "daemon".to_owned(),
             address: daemon.addresses().peers.to_string(),
-            zone: settings.zone,
+            zone,
             pool: String::new(),
             leaving: false,
         });
-        self.daemons.push(Some(daemon));
+        self.daemons[number] = Some(daemon);
         Ok(())
     }
 
+    /// Ends a daemon without warning; the host list goes on showing it.
+    pub fn crash_daemon(&mut self, number: usize) {
+        self.daemons[number] = None;
+    }
+
     /// What the engines saw.
     pub fn engines_seen(&self) -> Vec<EngineObserved> {
         self.engines.iter().map(FakeEngine::observed).collect()
@@ -143,7 +154,11 @@
         let builder = branches.fold(builder, |builder, branch| {
             builder.branch(branch, &Self::branch_key(branch))
         });
-        builder.build()
+        let limits = Limits {
+            request_time: self.options.request_time,
+            ..Limits::default()
+        };
+        builder.timing(self.options.timing).limits(limits).build()
     }
 
     async fn start_engines(&mut self) -> Result<(), SiteError> {
--- a/src/emulator/verdict.rs
+++ b/src/emulator/verdict.rs
@@ -77,6 +77,7 @@
             Ending::Wrong(_) => self.wrong += 1,
             Ending::Broken(_) => self.broken += 1,
             Ending::Left => self.left += 1,
+            Ending::Lost => self.lost += 1,
             Ending::Refused(seen) => *self.refused.entry(seen.reason.clone()).or_default() += 1,
         }
     }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod engine;
 mod engine_fault;
+mod fault_schedule;
 mod fleet;
 mod line_bench;
 mod line_memory;
