Know a crash before deciding on another attempt

Cause: after a failed attempt the path first decided on the next one and then told the suspect controller, by a message that it did not wait for. A request that had crashed two endpoints was refused only after it had crashed a third. Change: the strike is applied, and its effect shown, before the verdict is drawn. Ruled out: a race of daemons; it happened with one daemon and one caller.

--- a/src/control/suspect_controller.rs
+++ b/src/control/suspect_controller.rs
@@ -5,7 +5,7 @@
         port::{Clock, SuspectNews},
     },
     std::time::Duration,
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
 };
 
 /// Longest sleep without a suspect that could lapse.
@@ -30,10 +30,14 @@
 }
 
 /// What the controller is told.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 enum SuspectMail {
     /// An endpoint crashed while running a request.
-    Strike { print: u64, endpoint: String },
+    Strike {
+        print: u64,
+        endpoint: String,
+        applied: oneshot::Sender<()>,
+    },
     /// Another host passed suspects on.
     News(Vec<SuspectNews>),
     /// An operator cleared a suspect, or all of them.
@@ -42,11 +46,17 @@
 
 impl Suspicions {
     /// Tells that `endpoint` crashed while running the request with fingerprint `print`.
-    pub fn strike(&self, print: u64, endpoint: &str) {
+    ///
+    /// Returns when the section shows it.
+    pub async fn strike(&self, print: u64, endpoint: &str) {
+        let (applied, shown) = oneshot::channel();
         self.send(SuspectMail::Strike {
             print,
             endpoint: endpoint.to_owned(),
+            applied,
         });
+        // An error means that the controller was behind or has stopped.
+        let _ = shown.await;
     }
 
     /// Passes on what another host knows.
@@ -105,11 +115,16 @@
     fn apply(&mut self, mail: SuspectMail) {
         let expires = self.clock.now() + self.lifetime;
         match mail {
-            SuspectMail::Strike { print, endpoint } => {
+            SuspectMail::Strike {
+                print,
+                endpoint,
+                applied,
+            } => {
                 let refused = self
                     .writer
                     .update(|all| strike(all, print, &endpoint, expires));
                 log::warn!(print, endpoint = endpoint.as_str(), refused; "an endpoint crashed");
+                let _ = applied.send(());
             }
             SuspectMail::News(news) => self.merge(&news),
             SuspectMail::Clear(Some(print)) => {
--- a/src/request/failed.rs
+++ b/src/request/failed.rs
@@ -47,7 +47,8 @@
             shared
                 .parts()
                 .suspicions()
-                .strike(call.print, &self.endpoint);
+                .strike(call.print, &self.endpoint)
+                .await;
         }
     }
 
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -242,10 +242,11 @@
     /// Decides what follows a failed attempt; returns when the next one may start.
     async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
         let call = &self.ask.call;
+        // A crash must be known before another attempt is decided on.
+        failed.suspect(self.shared, call).await;
         let verdict = failed.verdict(self.shared, call, self.progress.sent > 0);
         let reason = Self::retry_reason(failed);
         failed.log(call, &self.progress);
-        failed.suspect(self.shared, call).await;
         self.avoid = vec![failed.endpoint.clone()];
         failed.settle(verdict)?;
         self.shared.counters().retry(reason);
--- a/src/request/service_path.rs
+++ b/src/request/service_path.rs
@@ -125,9 +125,10 @@
     }
 
     async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
+        // A crash must be known before another attempt is decided on.
+        failed.suspect(self.shared, self.call).await;
         let verdict = failed.verdict(self.shared, self.call, self.sent > 0);
         failed.log(self.call, &Progress::default());
-        failed.suspect(self.shared, self.call).await;
         self.avoid = vec![failed.endpoint.clone()];
         failed.settle(verdict)?;
         self.shared.counters().retry(match failed.error {
