--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -54,6 +54,7 @@
         Ok((
             LimitedIo {
                 inner,
+                ended: false,
                 _permit: permit,
             },
             local,
@@ -64,9 +65,13 @@
 }
 
 /// A connection that counts against the limit while it is open.
+///
+/// Once the other end has closed, flushing fails. The server polls a connection again after it has
+/// read the end, and without this error it would keep an answer that is silent at that moment.
 #[derive(Debug)]
 pub struct LimitedIo<I> {
     inner: I,
+    ended: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -79,7 +84,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let (before, room) = (buf.filled().len(), buf.remaining());
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let empty = room > 0 && buf.filled().len() == before;
+        self.ended |= empty && matches!(read, Poll::Ready(Ok(())));
+        read
     }
 }
 
@@ -96,6 +105,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.ended {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
         Pin::new(&mut self.inner).poll_flush(cx)
     }
 
