Limit the time of a request head

Cause: `limits.header_time` was read and checked, and no listener enforced it, so a sender of one byte a minute kept a connection. Change: the connections of LimitedAcceptor time each head from its first byte to its last. An idle connection, a body and an answer of any length are not limited; on HTTP/2 only the preface is. HTTP/2 frames after the preface remain without this limit.

--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -39,8 +39,11 @@
         let acceptor = TcpListener::bind(address.to_owned())
             .into_acceptor()
             .await?;
-        let acceptor =
-            LimitedAcceptor::new(NodelayAcceptor::new(acceptor), limits.connections as usize);
+        let acceptor = LimitedAcceptor::new(
+            NodelayAcceptor::new(acceptor),
+            limits.connections as usize,
+            limits.header_time,
+        );
         Ok(Self {
             acceptor,
             caller,
--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -1,4 +1,5 @@
 use {
+    super::HeadTimer,
     poem::{
         http::uri::Scheme,
         listener::Acceptor,
@@ -8,7 +9,8 @@
         io,
         pin::Pin,
         sync::Arc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -16,20 +18,23 @@
     },
 };
 
-/// Acceptor that keeps at most a given number of connections open.
+/// Acceptor that keeps at most a given number of connections open, and closes those on which a
+/// request head takes too long.
 ///
 /// Further connections wait in the kernel's backlog.
 #[derive(Debug)]
 pub struct LimitedAcceptor<A> {
     inner: A,
     permits: Arc<Semaphore>,
+    head_time: Duration,
 }
 
 impl<A> LimitedAcceptor<A> {
-    /// Wraps `inner`.
-    pub fn new(inner: A, connections: usize) -> Self {
+    /// Wraps `inner`; a request head must arrive within `head_time` of its first byte.
+    pub fn new(inner: A, connections: usize, head_time: Duration) -> Self {
         Self {
             inner,
+            head_time,
             permits: Arc::new(Semaphore::new(connections)),
         }
     }
@@ -55,6 +60,8 @@
             LimitedIo {
                 inner,
                 ended: false,
+                head: HeadTimer::new(self.head_time),
+                answered: false,
                 _permit: permit,
             },
             local,
@@ -72,6 +79,8 @@
 pub struct LimitedIo<I> {
     inner: I,
     ended: bool,
+    head: HeadTimer,
+    answered: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -85,10 +94,20 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let (before, room) = (buf.filled().len(), buf.remaining());
-        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
-        let empty = room > 0 && buf.filled().len() == before;
-        self.ended |= empty && matches!(read, Poll::Ready(Ok(())));
-        read
+        let this = &mut *self;
+        match Pin::new(&mut this.inner).poll_read(cx, buf) {
+            Poll::Ready(result) => {
+                let bytes = &buf.filled()[before..];
+                this.ended |= room > 0 && bytes.is_empty() && result.is_ok();
+                this.head.read(bytes, !this.answered);
+                Poll::Ready(result)
+            }
+            Poll::Pending => {
+                ready!(this.head.poll_expired(cx));
+                let message = "a request head did not arrive in time";
+                Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
+            }
+        }
     }
 }
 
@@ -101,7 +120,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let this = &mut *self;
+        let written = ready!(Pin::new(&mut this.inner).poll_write(cx, buf))?;
+        this.head.wrote(&buf[..written]);
+        this.answered = true;
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -13,6 +13,7 @@
     },
     engine_client::EngineClient,
     engine_tokens::EngineTokens,
+    head_timer::HeadTimer,
     http_client::http_client,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
     logs::start_logs,
@@ -59,6 +60,7 @@
 mod call_counters;
 mod engine_client;
 mod engine_tokens;
+mod head_timer;
 mod http_client;
 mod limited_acceptor;
 mod logs;
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -34,9 +34,13 @@
     /// Binds `address`.
     pub async fn bind(address: SocketAddr, operator: Operator<S, P, C>) -> io::Result<Self> {
         let acceptor = TcpListener::bind(address).into_acceptor().await?;
-        let connections = operator.limits.connections as usize;
+        let limits = operator.limits;
         Ok(Self {
-            acceptor: LimitedAcceptor::new(NodelayAcceptor::new(acceptor), connections),
+            acceptor: LimitedAcceptor::new(
+                NodelayAcceptor::new(acceptor),
+                limits.connections as usize,
+                limits.header_time,
+            ),
             operator,
         })
     }
