Show operators that an engine itself announced its leaving

Cause: the owner learnt it from the load report and gave the engine no work, but never wrote it to the endpoint's slot, so that `status` said `leaving: 0` for as long as the host list lagged. Ruled out: new work at the engine; the owner's own view already stopped it. Conclusion: one line; tests/process_daemon.rs waits for it.

--- a/src/control/line_reconcile.rs
+++ b/src/control/line_reconcile.rs
@@ -60,6 +60,7 @@
         self.follow_incarnation(key, report.incarnation, now);
         endpoint.slot.report(report.used, now.0);
         endpoint.slot.set_incarnation(report.incarnation);
+        endpoint.slot.set_leaving(report.leaving);
         let taken = Tick(now.0.saturating_sub(report.age_ms.saturating_mul(1000)));
         let held: HashSet<AttemptId> = report
             .held
