Refuse an empty idempotency key

Cause: `Idempotency-Key:` without a text was taken as a key, so that all orders sent that way were repetitions of one. Change: an empty or blank key counts as missing: 400, key-missing. Seen: before, 200 and a run at the service; after, key-missing and no run (tests/process_input.rs).

--- a/src/border/caller.rs
+++ b/src/border/caller.rs
@@ -92,7 +92,7 @@
         let arrival = Arrival {
             branch,
             kind,
-            key: text("idempotency-key"),
+            key: text("idempotency-key").filter(|key| !key.trim().is_empty()),
             body,
             timeout: self.timeout(text("request-timeout"))?,
         };
