Test daemons as processes

A harness starts stand-ins and daemons as processes on loopback, submits the shipped sheet with the command, and ends only what it started, by id. Keys of the emulator's branches are long enough for a settings file. Not covered: a daemon started in an outage learns no hosts, because they come from the platform.

--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -89,7 +89,7 @@
 
     /// Key of a branch.
     pub fn branch_key(branch: &str) -> String {
-        format!("{branch}-key")
+        format!("key-of-branch-{branch}")
     }
 
     /// Starts one more daemon and lists it at the platform.
--- /dev/null
+++ b/tests/process_site.rs
@@ -0,0 +1,391 @@
+//! A site of processes on loopback: stand-ins, daemons and the command line.
+
+use {
+    super::process::{LIMIT, PAUSE, Process},
+    lentillead::{
+        board::{FleetStatus, HostState, Role, Status},
+        emulator::{Caller, Ending, LoadItem, Observation, Profile, Site, Verdict, Workload},
+        fake::{EngineObserved, EngineSettings, ServiceObserved, ServiceSettings},
+    },
+    reqwest::Client,
+    rustix::process::Signal,
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        fs::write,
+        process::{Command, Output},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::{
+        task::{JoinHandle, JoinSet},
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// User whose sheet and load are taken.
+pub const PROFILE: Profile = Profile::Kovacsreti;
+
+/// Key of the operator listeners.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-tests";
+
+/// Engines of each role.
+const ENGINES: usize = 2;
+
+/// Factor on the times of the stand-ins.
+const SCALE: f64 = 0.3;
+
+/// Addresses that the balancer sends callers to.
+type Balancer = Arc<Mutex<Vec<String>>>;
+
+/// A running daemon.
+pub struct DaemonProcess {
+    pub process: Process,
+    pub settings: String,
+}
+
+impl DaemonProcess {
+    /// Address of a listener: `callers`, `operators` or `peers`.
+    pub fn address(&self, listener: &str) -> String {
+        let address = self.process.said["kvs"][listener].as_str();
+        address.expect("the daemon logs its addresses").to_owned()
+    }
+}
+
+/// A running site.
+pub struct ProcessSite {
+    pub client: Client,
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub services: Vec<Process>,
+    /// Running daemons.
+    pub daemons: Vec<DaemonProcess>,
+    folder: TempDir,
+    started: usize,
+    balancer: Balancer,
+    /// Lines added to the settings of each daemon.
+    extra: &'static str,
+}
+
+impl ProcessSite {
+    /// Starts the stand-ins and `daemons`, and submits the shipped sheet.
+    pub async fn start(daemons: usize, extra: &'static str) -> Self {
+        let folder = TempDir::new().unwrap();
+        let mut site = Self {
+            client: Client::builder().no_proxy().build().unwrap(),
+            platform: Process::start(&["fake", "platform"], "address"),
+            engines: Vec::new(),
+            services: Vec::new(),
+            daemons: Vec::new(),
+            folder,
+            started: 0,
+            balancer: Arc::default(),
+            extra,
+        };
+        site.start_endpoints().await;
+        for _ in 0..daemons {
+            site.add_daemon().await;
+        }
+        let sheet = format!("examples/{}/sheet.csv", PROFILE.name());
+        let output = site.submit(&sheet);
+        assert!(output.status.success(), "{output:?}");
+        site.ready().await;
+        site
+    }
+
+    /// Runs `sheet submit --wait` against the first daemon.
+    pub fn submit(&self, sheet: &str) -> Output {
+        let daemon = &self.daemons[0];
+        Command::new(env!("CARGO_BIN_EXE_lentillead"))
+            .args(["sheet", "submit", "--wait", "--settings", &daemon.settings])
+            .args(["--daemon", &daemon.address("operators"), sheet])
+            .output()
+            .unwrap()
+    }
+
+    /// Writes a file into the folder of the site and returns its path.
+    pub fn file<B>(&self, name: &str, text: B) -> String
+    where
+        B: AsRef<[u8]>,
+    {
+        let path = self.folder.path().join(name);
+        write(&path, text).unwrap();
+        path.to_string_lossy().into_owned()
+    }
+
+    /// Starts one more daemon, lists it at the platform and sends callers to it.
+    pub async fn add_daemon(&mut self) {
+        self.add_unlisted();
+        let number = self.daemons.len() - 1;
+        let peers = self.daemons[number].address("peers");
+        let name = format!("entry-{}", self.started);
+        self.list(&name, "daemon", "", &peers).await;
+    }
+
+    /// Starts one more daemon and sends callers to it, without a word to the platform.
+    pub fn add_unlisted(&mut self) {
+        self.started += 1;
+        let platform = address(&self.platform);
+        let branch = |name: &&str| format!("{{name: {name}, key: {}}}", Site::branch_key(name));
+        let branches: Vec<_> = PROFILE.branches().iter().map(branch).collect();
+        let text = format!(
+            "host: entry-{}\nzone: zone-a\nplatform: {{address: \"{platform}\"}}\n\
+             listen: {{callers: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}}\n\
+             keys: {{operators: {OPERATOR_KEY}, peers: peer-key-of-the-tests}}\n\
+             branches: [{}]\n{}",
+            self.started,
+            branches.join(", "),
+            self.extra,
+        );
+        let settings = self.file(&format!("entry-{}.yaml", self.started), text);
+        let process = Process::start(&["serve", "--settings", &settings], "serving");
+        let daemon = DaemonProcess { process, settings };
+        self.balancer
+            .lock()
+            .unwrap()
+            .push(daemon.address("callers"));
+        self.daemons.push(daemon);
+    }
+
+    /// Takes a daemon out of the balancer and out of the site.
+    pub fn take(&mut self, number: usize) -> DaemonProcess {
+        let daemon = self.daemons.remove(number);
+        let callers = daemon.address("callers");
+        self.balancer.lock().unwrap().retain(|one| *one != callers);
+        daemon
+    }
+
+    /// Stops a daemon as planned while callers are sent to it until it is not ready.
+    pub async fn stop(&mut self, number: usize) -> Option<i32> {
+        let operators = self.daemons[number].address("operators");
+        self.daemons[number].process.signal(Signal::TERM);
+        until("the daemon is not ready", async || {
+            !self.is_ready(&operators).await
+        })
+        .await;
+        let mut daemon = self.take(number);
+        daemon.process.ended().await
+    }
+
+    /// Sends a control call to the platform.
+    pub async fn control(&self, body: Value) {
+        self.control_at(&self.platform, body).await;
+    }
+
+    /// Sends a control call to a stand-in.
+    pub async fn control_at(&self, fake: &Process, body: Value) {
+        let url = format!("http://{}/fake/control", address(fake));
+        let answer = self.client.post(url).json(&body).send().await.unwrap();
+        assert!(answer.status().is_success(), "{answer:?}");
+    }
+
+    /// What a daemon says of itself.
+    pub async fn status(&self, number: usize) -> Option<Status> {
+        let operators = self.daemons[number].address("operators");
+        let url = format!("http://{operators}/v1/status?own=true");
+        let request = self.client.get(url).bearer_auth(OPERATOR_KEY);
+        let text = request.send().await.ok()?.text().await.ok()?;
+        let fleet: FleetStatus = serde_json::from_str(&text).ok()?;
+        fleet.daemons.into_iter().next()
+    }
+
+    /// What the engines saw.
+    pub async fn engines_seen(&self) -> Vec<EngineObserved> {
+        self.seen(&self.engines).await
+    }
+
+    /// What the services saw.
+    pub async fn services_seen(&self) -> Vec<ServiceObserved> {
+        self.seen(&self.services).await
+    }
+
+    /// Waits until no engine holds memory; the time that it took.
+    pub async fn memory_free(&self) -> Duration {
+        let start = Instant::now();
+        until("memory is free", async || {
+            self.engines_seen().await.iter().all(|seen| seen.used == 0)
+        })
+        .await;
+        start.elapsed()
+    }
+
+    /// Waits until an engine generates tokens.
+    pub async fn generating(&self) {
+        until("an engine generates", async || {
+            let seen = self.engines_seen().await;
+            let tokens = |seen: &EngineObserved| seen.totals.generated > 0 && seen.used > 0;
+            seen.iter().any(tokens)
+        })
+        .await;
+    }
+
+    /// Waits until every daemon knows all daemons and endpoints, and each endpoint has an owner.
+    pub async fn ready(&self) {
+        until("the site is ready", async || {
+            let mut owned = 0;
+            for number in 0..self.daemons.len() {
+                let Some(status) = self.status(number).await else {
+                    return false;
+                };
+                let alive = status.members.iter();
+                let alive = alive.filter(|member| member.state == HostState::Alive);
+                let known: u32 = status.pools.iter().map(|pool| pool.endpoints).sum();
+                if alive.count() != self.daemons.len()
+                    || known as usize != self.endpoints()
+                    || status.revision == 0
+                {
+                    return false;
+                }
+                owned += status.owned as usize;
+            }
+            owned == self.endpoints()
+        })
+        .await;
+    }
+
+    /// Starts a load of `requests` through the balancer.
+    pub fn load(&self, requests: u32, rate: f64) -> JoinHandle<Vec<Observation>> {
+        let items = items(requests, rate);
+        let balancer = Arc::clone(&self.balancer);
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            let start = Instant::now();
+            let mut running = JoinSet::new();
+            for (item, number) in items.into_iter().zip(0..) {
+                let balancer = Arc::clone(&balancer);
+                let caller = Caller::new(client.clone(), LIMIT);
+                running.spawn(async move {
+                    sleep_until(start + item.at).await;
+                    send(&caller, &balancer, number, &item).await
+                });
+            }
+            running.join_all().await
+        })
+    }
+
+    /// Judges a load.
+    pub async fn judge(&self, seen: &[Observation]) -> Verdict {
+        self.memory_free().await;
+        let engines = self.engines_seen().await;
+        let services = self.services_seen().await;
+        Verdict::judge(seen.len() as u32, seen, &engines, &services)
+    }
+
+    async fn is_ready(&self, operators: &str) -> bool {
+        let url = format!("http://{operators}/readyz");
+        let answer = self.client.get(url).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    async fn seen<T>(&self, fakes: &[Process]) -> Vec<T>
+    where
+        T: DeserializeOwned,
+    {
+        let mut all = Vec::new();
+        for fake in fakes {
+            let url = format!("http://{}/fake/observed", address(fake));
+            let answer = self.client.get(url).send().await.unwrap();
+            all.push(answer.json().await.unwrap());
+        }
+        all
+    }
+
+    fn endpoints(&self) -> usize {
+        self.engines.len() + self.services.len()
+    }
+
+    async fn start_endpoints(&mut self) {
+        let (model, version, adapters) = PROFILE.model();
+        let [prefill, decode, service] = PROFILE.pools();
+        for (role, name, pool) in [
+            (Role::Prefill, "prefill", prefill),
+            (Role::Decode, "decode", decode),
+        ] {
+            let settings = EngineSettings::builder(role)
+                .models(BTreeMap::from([(model.to_owned(), version.to_owned())]))
+                .adapters(adapters.iter().map(|one| (*one).to_owned()).collect())
+                .scale(SCALE)
+                .build();
+            for number in 0..ENGINES {
+                let name = format!("{name}-{number}");
+                let engine = self.start_fake("engine", &name, &settings);
+                self.list(&name, &name[..name.len() - 2], pool, &address(&engine))
+                    .await;
+                self.engines.push(engine);
+            }
+        }
+        let settings = ServiceSettings::builder().build();
+        let fake = self.start_fake("service", "service-0", &settings);
+        self.list("service-0", "service", service, &address(&fake))
+            .await;
+        self.services.push(fake);
+    }
+
+    fn start_fake<T>(&self, kind: &str, name: &str, settings: &T) -> Process
+    where
+        T: Serialize,
+    {
+        let text = serde_json::to_string(settings).unwrap();
+        let path = self.file(&format!("{name}.yaml"), text);
+        Process::start(&["fake", kind, "--settings", &path], "address")
+    }
+
+    async fn list(&self, name: &str, role: &str, pool: &str, address: &str) {
+        let host = json!({
+            "name": name, "role": role, "address": address, "zone": "zone-a", "pool": pool,
+            "leaving": false,
+        });
+        self.control(json!({ "add_hosts": [host] })).await;
+    }
+}
+
+/// Requests of a load.
+pub fn items(requests: u32, rate: f64) -> Vec<LoadItem> {
+    let load = Workload {
+        profile: PROFILE,
+        seed: 7,
+        requests,
+        rate,
+        leaving: 0.0,
+    };
+    load.items()
+}
+
+/// Waits until `test` holds.
+pub async fn until<F>(what: &str, mut test: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let start = Instant::now();
+    while !test().await {
+        assert!(start.elapsed() < LIMIT, "{what}: not within {LIMIT:?}");
+        sleep(PAUSE).await;
+    }
+}
+
+/// Address that a stand-in wrote.
+pub fn address(fake: &Process) -> String {
+    fake.said["address"].as_str().unwrap().to_owned()
+}
+
+/// Sends to a daemon, and to another one where the first provably did not run the request.
+async fn send(caller: &Caller, balancer: &Balancer, number: usize, item: &LoadItem) -> Observation {
+    let (model, _, _) = PROFILE.model();
+    let key = Site::branch_key(&item.branch);
+    let mut tries = 0;
+    loop {
+        let address = {
+            let addresses = balancer.lock().unwrap();
+            addresses[(number + tries) % addresses.len()].clone()
+        };
+        let seen = caller.send(&address, &key, model, item).await;
+        tries += 1;
+        let stopping =
+            matches!(&seen.end, Ending::Refused(refused) if refused.reason == "stopping");
+        if !stopping || tries > 10 {
+            return seen;
+        }
+    }
+}
