End the planned stop of a daemon without peers

Cause: a daemon that leaves waits for its last heartbeats, and was told of their end only when one of them ended; an only daemon sends none, so that it never stopped. Before: tests/process_daemon.rs (an_only_daemon) and the README's example hung beyond 50 s. After: exit 0. Ruled out: grants and requests still held; status showed none.

--- a/src/control/member_controller.rs
+++ b/src/control/member_controller.rs
@@ -303,6 +303,7 @@
                     self.beat_host(target);
                 }
                 self.parting = Some(done);
+                self.part();
             }
         }
     }
@@ -314,6 +315,11 @@
             Answer::Vouched => {}
             Answer::Silence => self.miss(&outcome),
         }
+        self.part();
+    }
+
+    /// Tells the one who asked to leave when no heartbeat is under way.
+    fn part(&mut self) {
         if self.beats.is_empty()
             && let Some(done) = self.parting.take()
         {
--- a/tests/process_daemon.rs
+++ b/tests/process_daemon.rs
@@ -87,6 +87,17 @@
     assert_json_snapshot!("process_planned_stop", json!({"exit": exit, "load": seen}));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_only_daemon_stops_as_planned() {
+    let mut site = ProcessSite::start(1, "").await;
+    let seen = send_order(&site, 0, "before-the-stop").await;
+    let exit = site.stop(0).await;
+    assert_json_snapshot!(
+        "process_only_daemon",
+        json!({"exit": exit, "order": seen.end})
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn every_daemon_is_replaced_under_load() {
     let mut site = ProcessSite::start(2, "").await;
