--- a/justfile
+++ b/justfile
@@ -69,3 +69,17 @@
 # Play the shipped traces through the daemons and two baselines.
 replay *ARGS:
     cargo run --release -- replay traces/*.jsonl {{ARGS}}
+
+# Start the stand-ins of the README's worked example; ends them on an interrupt.
+stand-ins: build
+    #!/usr/bin/env bash
+    trap 'kill $(jobs -p)' EXIT
+    target/debug/lentillead fake platform --settings examples/kovacsreti/platform.yaml &
+    target/debug/lentillead fake engine --settings examples/kovacsreti/prefill.yaml &
+    target/debug/lentillead fake engine --settings examples/kovacsreti/decode.yaml &
+    target/debug/lentillead fake service --settings examples/kovacsreti/service.yaml &
+    wait
+
+# Build for development.
+build:
+    cargo build --locked
