Let a daemon that starts in an outage join through named peers

Cause: serve passed no seeds, so a daemon that started while the platform was away heard of nobody. Change: setting `seeds`; the emulator names the running daemons. Figures: before, the test waits for ever (no member, revision 0); after, it has both members and revision 1 with an empty host list. Conclusion: members and sheet come from peers; the list of endpoints still comes from the platform alone, so such a daemon serves when the outage ends.

--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -18,6 +18,8 @@
     pub listen: Listen,
     /// Address at which other daemons reach the peer listener; that of the listener if absent.
     pub advertise: Option<SocketAddr>,
+    /// Peer listeners of other daemons that are asked while the platform has named none.
+    pub seeds: Vec<SocketAddr>,
     /// The platform.
     pub platform: PlatformSettings,
     /// Keys of the operator and peer listeners.
--- a/src/border/settings_builder.rs
+++ b/src/border/settings_builder.rs
@@ -28,6 +28,7 @@
                 peers: free,
             },
             advertise: None,
+            seeds: Vec::new(),
             platform: PlatformSettings {
                 address: platform.to_owned(),
                 ..PlatformSettings::default()
@@ -56,6 +57,13 @@
         self
     }
 
+    /// Sets the peer listeners that are asked while the platform has named none.
+    #[must_use]
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.settings.seeds = seeds;
+        self
+    }
+
     /// Sets the keys of the operator and peer listeners.
     #[must_use]
     pub fn keys(mut self, operators: &str, peers: &str) -> Self {
--- a/src/border/settings_parse.rs
+++ b/src/border/settings_parse.rs
@@ -50,6 +50,7 @@
         zone: top.text("zone"),
         listen: read_listen(top.section("listen")),
         advertise: top.optional_address("advertise"),
+        seeds: top.addresses("seeds"),
         platform: read_platform(top.section("platform")),
         keys: read_keys(top.section("keys")),
         branches: top
--- a/src/border/settings_reader.rs
+++ b/src/border/settings_reader.rs
@@ -106,6 +106,24 @@
         self.check(key, &value, address, ADDRESS)
     }
 
+    /// Reads a sequence of addresses that may be absent.
+    pub(super) fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        let path = self.at(key);
+        let items = match self.take(key) {
+            None | Some(Value::Null) => return Vec::new(),
+            Some(Value::Array(items)) => items,
+            Some(other) => {
+                self.faults.add(&path, sort(&other), "a sequence");
+                return Vec::new();
+            }
+        };
+        let read = |(value, i): (Value, usize)| {
+            let address = value.as_str().and_then(|text| text.parse().ok());
+            self.check(&format!("{key}[{i}]"), &value, address, ADDRESS)
+        };
+        items.into_iter().zip(0..).filter_map(read).collect()
+    }
+
     /// Reads an address that must be present.
     pub(super) fn required_address(&mut self, key: &'static str) -> String {
         if !self.map.contains_key(key) {
--- a/src/daemon/control_plane.rs
+++ b/src/daemon/control_plane.rs
@@ -235,7 +235,7 @@
             round: 0,
             state: HostState::Alive,
         },
-        seeds: Vec::new(),
+        seeds: settings.seeds.iter().map(ToString::to_string).collect(),
         timing: MemberTiming {
             interval: settings.timing.heartbeat,
             answer: settings.timing.peer,
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -151,6 +151,12 @@
         let zone = ZONES[number % ZONES.len()];
         let builder = SettingsBuilder::new(&format!("entry-{}", number + 1), zone, &platform);
         let branches = self.options.profile.branches().iter();
+        let peers = self
+            .daemons
+            .iter()
+            .flatten()
+            .map(|daemon| daemon.addresses().peers);
+        let builder = builder.seeds(peers.collect());
         let builder = branches.fold(builder, |builder, branch| {
             builder.branch(branch, &Self::branch_key(branch))
         });
--- a/src/request/acquire.rs
+++ b/src/request/acquire.rs
@@ -3,7 +3,7 @@
     crate::{
         board::{Blackboard, Endpoint, Tick},
         decide::{OwnerOption, order_owners, owners_to_ask},
-        key::{EndpointKey, HostKey, name_hash},
+        key::{AttemptId, EndpointKey, HostKey, name_hash},
         port::{Clock, Denial, Grant, GrantAsk},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
@@ -21,10 +21,17 @@
 /// Time for which a model, version or adapter may be loaded nowhere before the request is refused.
 const MISSING_WAIT: Duration = Duration::from_secs(5);
 
+/// Attempt numbers that one round of asking sets apart for the places of a request.
+const ROUND_NUMBERS: u16 = 64;
+
+/// Rounds after which the numbers start again; by then no message of the first is on its way.
+const ROUNDS: u16 = 1_000;
+
 /// Waits for a place at the owners of the pool that `ask` names, until `deadline`.
 ///
 /// The attempt stands in the lines of the best few owners at once, takes the first grant and
-/// withdraws from the others.
+/// withdraws from the others. Each round of asking has attempt numbers of its own, so that a late
+/// withdrawal of one round cannot release the grant of the next.
 pub async fn acquire<P>(
     shared: &Shared<P>,
     ask: &GrantAsk,
@@ -35,6 +42,7 @@
 {
     let mut last = Denial::NotOwner;
     let start = shared.now();
+    let mut round = 0;
     loop {
         let left = shared.left(deadline);
         if left.is_zero() {
@@ -44,10 +52,16 @@
                 Denial::Late
             });
         }
+        let attempt = AttemptId {
+            number: ask.attempt.number + round % ROUNDS * ROUND_NUMBERS,
+            ..ask.attempt
+        };
         let ask = GrantAsk {
+            attempt,
             remaining: left,
             ..ask.clone()
         };
+        round += 1;
         let (owners, asked) = owners(shared.board(), &ask, shared.options().owners);
         for owners in owners.chunks(asked) {
             match first_grant(shared, &ask, owners).await {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod cluster;
 mod command_line;
+mod emulator;
 mod engine;
 mod engine_fault;
 mod fault_caller_gone;
