--- a/tests/emulator.rs
+++ b/tests/emulator.rs
@@ -2,10 +2,10 @@
 
 use {
     lentillead::{
-        emulator::{Profile, Site, SiteOptions},
+        emulator::{Profile, Site, SiteOptions, Workload, run_load},
         fake::Outage,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Speed of the stand-ins.
@@ -39,3 +39,38 @@
         .unwrap()
         .unwrap();
 }
+
+/// A planned stop ends, whatever the other daemons, idle connections and owned endpoints do.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_ends() {
+    let options = SiteOptions {
+        scale: SCALE,
+        ..SiteOptions::new(Profile::Kovacsreti)
+    };
+    let mut site = Site::start(options).await.unwrap();
+    let load = Workload {
+        profile: Profile::Kovacsreti,
+        seed: 1,
+        requests: 20,
+        rate: 100.0,
+        leaving: 0.0,
+    };
+    let report = run_load(&site, load, Arc::default()).await;
+    let idle = reqwest::Client::new();
+    for address in site.addresses() {
+        let url = format!("http://{address}/v1/completions");
+        idle.get(url).send().await.unwrap().bytes().await.unwrap();
+    }
+    let mut ended = Vec::new();
+    let lone = Site::start(SiteOptions {
+        daemons: 1,
+        ..options
+    })
+    .await
+    .unwrap();
+    site.daemons.extend(lone.daemons);
+    for daemon in &mut site.daemons {
+        ended.push(daemon.take().unwrap().stop().await);
+    }
+    insta::assert_debug_snapshot!("stop_ends", (report.verdict.answered, ended));
+}
