--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -34,6 +34,8 @@
     CrashSuspect,
     /// The retry budget is spent.
     RetryBudget,
+    /// The daemon is starting and has no sheet yet.
+    NotReady,
     /// The daemon is stopping.
     Stopping,
     /// The answer broke off after some of it had been sent.
@@ -42,7 +44,7 @@
 
 impl Refusal {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::UnknownBranch,
         Self::UnknownKind,
         Self::BadRequest,
@@ -58,6 +60,7 @@
         Self::OutcomeUnknown,
         Self::CrashSuspect,
         Self::RetryBudget,
+        Self::NotReady,
         Self::Stopping,
         Self::Truncated,
     ];
@@ -80,6 +83,7 @@
             Self::OutcomeUnknown => "outcome-unknown",
             Self::CrashSuspect => "crash-suspect",
             Self::RetryBudget => "retry-budget",
+            Self::NotReady => "not-ready",
             Self::Stopping => "stopping",
             Self::Truncated => "truncated",
         }
--- a/src/border/problem.rs
+++ b/src/border/problem.rs
@@ -77,6 +77,7 @@
         | Refusal::EndpointRefused
         | Refusal::ClaimUnavailable
         | Refusal::RetryBudget
+        | Refusal::NotReady
         | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -14,6 +14,9 @@
     },
 };
 
+/// Wait suggested to a caller of a daemon without a sheet.
+const NOT_READY_WAIT: Duration = Duration::from_secs(1);
+
 /// Turns what a front end received into a `Call`, or refuses it.
 #[derive(Debug)]
 pub struct Entry {
@@ -84,6 +87,10 @@
             let detail = "this daemon is stopping; send the request to another";
             return Err(Refused::not_run(Refusal::Stopping, detail));
         }
+        if shared.board().sheet.load().revision == 0 {
+            let detail = "this daemon has no sheet yet; send the request to another";
+            return Err(Refused::not_run(Refusal::NotReady, detail).after(NOT_READY_WAIT));
+        }
         let (rule, limit) = rule(shared, arrival)?;
         let print = print(&rule, arrival.body);
         if shared.is_refused(print) {
--- a/tests/emulator.rs
+++ b/tests/emulator.rs
@@ -74,3 +74,28 @@
     }
     insta::assert_debug_snapshot!("stop_ends", (report.verdict.answered, ended));
 }
+
+/// A daemon without a sheet does not say that a kind is unknown: another daemon may know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_a_sheet_sends_callers_elsewhere() {
+    let options = SiteOptions {
+        scale: SCALE,
+        ..SiteOptions::new(Profile::Kovacsreti)
+    };
+    let site = Site::start(SiteOptions {
+        daemons: 0,
+        ..options
+    })
+    .await;
+    let mut site = site.unwrap();
+    site.platform.set_outage(Outage::Error);
+    site.add_daemon().await.unwrap();
+    let url = format!("http://{}/v1/completions", site.addresses()[0]);
+    let request = reqwest::Client::new()
+        .post(url)
+        .bearer_auth(Site::branch_key("kovacsret"));
+    let body = r#"{"model":"price-summary","prompt":"a"}"#;
+    let answer = request.body(body).send().await.unwrap();
+    let seen = (answer.status().as_u16(), answer.text().await.unwrap());
+    insta::assert_debug_snapshot!("no_sheet", seen);
+}
