Try an endpoint that failed again when there is no other

On a busy machine an export was evicted, the retry avoided the endpoint that had failed, and the only other one was leaving: every owner denied, and the request asked again until its deadline. The state of the site 15 s into a hang (nothing running, nothing waiting, nothing held) showed that it stood in no line. Ruled out: lost wake-ups of the lines, phantom grants (granted 0 everywhere). Change: what an ask avoids is a preference of its first round. Figures: with scripted engines, one endpoint and one eviction: refused `no-endpoint` at the deadline before, answered after.

--- a/src/request/acquire.rs
+++ b/src/request/acquire.rs
@@ -43,6 +43,7 @@
     let mut last = Denial::NotOwner;
     let start = shared.now();
     let mut round = 0;
+    let mut avoid = ask.avoid.clone();
     loop {
         let left = shared.left(deadline);
         if left.is_zero() {
@@ -59,6 +60,7 @@
         let ask = GrantAsk {
             attempt,
             remaining: left,
+            avoid: avoid.clone(),
             ..ask.clone()
         };
         round += 1;
@@ -75,6 +77,8 @@
         if shared.now() - start >= MISSING_WAIT && is_missing(shared.board(), &ask) {
             return Err(Denial::NotOwner);
         }
+        // An endpoint that failed is better than none.
+        avoid.clear();
         shared.parts().clock().sleep(RETHINK.min(left)).await;
     }
 }
--- a/tests/model_path.rs
+++ b/tests/model_path.rs
@@ -223,10 +223,10 @@
     }
 }
 
-/// Runs one completion under `acts`: what the engines were asked, what the caller got, the end,
+/// Runs one completion under `acts` with that many decode and prefill endpoints: what the engines were asked, what the caller got, the end,
 /// and the pieces that are granted afterwards.
-async fn run(acts: &[Act]) -> (Vec<String>, Vec<Piece>, String, u32) {
-    let bench = LineBench::new(3, 40);
+async fn run(endpoints: usize, acts: &[Act]) -> (Vec<String>, Vec<Piece>, String, u32) {
+    let bench = LineBench::new(endpoints, 40);
     let clock = MonoClock::start();
     let (writer, _suspects) = section(lentillead::board::Suspects::default());
     let (controller, suspicions) = SuspectController::new(clock, writer, Duration::from_mins(1));
@@ -283,20 +283,29 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_broken_stream_goes_on_elsewhere_without_gap_or_repetition() {
-    insta::assert_debug_snapshot!("path_moved", run(&[Act::Break(2), Act::Finish(2)]).await);
+    insta::assert_debug_snapshot!("path_moved", run(3, &[Act::Break(2), Act::Finish(2)]).await);
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_lacks_only_its_end_is_not_run_again() {
-    insta::assert_debug_snapshot!("path_concluded", run(&[Act::Break(TOKENS)]).await);
+    insta::assert_debug_snapshot!("path_concluded", run(3, &[Act::Break(TOKENS)]).await);
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_evicted_cache_is_computed_again() {
-    insta::assert_debug_snapshot!("path_evicted", run(&[Act::CacheGone, Act::Finish(4)]).await);
+    insta::assert_debug_snapshot!(
+        "path_evicted",
+        run(3, &[Act::CacheGone, Act::Finish(4)]).await
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn attempts_are_bounded() {
-    insta::assert_debug_snapshot!("path_exhausted", run(&[Act::CacheGone; 6]).await);
+    insta::assert_debug_snapshot!("path_exhausted", run(3, &[Act::CacheGone; 6]).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_only_endpoint_is_tried_again_after_it_failed() {
+    let seen = run(1, &[Act::CacheGone, Act::Finish(4)]).await;
+    insta::assert_debug_snapshot!("path_only_endpoint", seen);
 }
