Let owners know that engines leave before a request is to queue

Change: the test waits until every owner knows; its expectations are the same. Conclusion: the verdict no longer depends on the interval of load reports.

--- a/tests/fault_caller_gone.rs
+++ b/tests/fault_caller_gone.rs
@@ -13,6 +13,9 @@
     tokio::{task::JoinSet, time::sleep},
 };
 
+/// Pause between looks at what owners know.
+const PAUSE: Duration = Duration::from_millis(10);
+
 /// Time for a request to reach its stage.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -25,9 +28,11 @@
 {
     let site = site(options).await;
     let queued = fault.is_none();
-    match fault {
-        Some(fault) => inject(&site, &fault),
-        None => lead_away(&site, true),
+    if let Some(fault) = fault {
+        inject(&site, &fault);
+    } else {
+        lead_away(&site, true);
+        led_away(&site).await;
     }
     let sent = send(&site, 0, &completion(0, 3_000));
     wait(&site, reached).await;
@@ -56,6 +61,29 @@
     runs.filter_map(request).collect::<BTreeSet<_>>().len()
 }
 
+/// Waits until the owner of every engine knows that the engine leaves.
+async fn led_away(site: &Site) {
+    let known = || {
+        let fleets = site
+            .daemons
+            .iter()
+            .flatten()
+            .map(|daemon| daemon.board().fleet.snapshot());
+        let mut engines = BTreeSet::new();
+        for fleet in fleets {
+            let leaving = fleet
+                .endpoints
+                .iter()
+                .filter(|(_, endpoint)| endpoint.slot.leaving());
+            engines.extend(leaving.map(|(_, endpoint)| endpoint.name.clone()));
+        }
+        engines.len()
+    };
+    while known() < site.engines.len() {
+        sleep(PAUSE).await;
+    }
+}
+
 /// Lets every engine announce that it leaves, or take it back.
 fn lead_away(site: &Site, leaving: bool) {
     for engine in &site.engines {
