Settle failed attempts of completions and services in one place

Cause: on a last reading ModelPath and ServicePath each held the same sequence after a failure (crash, verdict, log, avoid, counter, wait), their own mapping of retry reasons and their own "may it have run"; Shared looked suspects up in two ways that differed in one field. Change: Failed::settle does the sequence, Progress::ran tells whether any attempt may have run, and one lookup serves both questions about a suspect.

--- a/src/request/failed.rs
+++ b/src/request/failed.rs
@@ -1,13 +1,17 @@
 use {
-    super::{Call, Parts, Progress, Refused, Shared},
+    super::{Call, Parts, Progress, Ran, Refused, Shared},
     crate::{
-        board::Role,
+        board::{RetryReason, Role},
         decide::{AttemptState, Chance, Failure, Verdict, after_failure},
-        port::{Engine, EngineError, Grant, RequestLog},
+        port::{Clock, Engine, EngineError, Grant, RequestLog},
     },
     log::Level,
+    std::time::Duration,
 };
 
+/// Wait before the attempt that follows a failed one.
+const FAILED_WAIT: Duration = Duration::from_millis(25);
+
 /// A call to an endpoint that failed.
 #[derive(Clone, Debug)]
 pub struct Failed {
@@ -39,7 +43,7 @@
     }
 
     /// Tells the suspect controller if the endpoint crashed while it ran the request.
-    pub async fn suspect<P>(&self, shared: &Shared<P>, call: &Call)
+    async fn suspect<P>(&self, shared: &Shared<P>, call: &Call)
     where
         P: Parts,
     {
@@ -73,7 +77,7 @@
     /// Decides what follows; spends the branch's retry budget if another attempt is made.
     ///
     /// `tainted` tells whether an earlier attempt may have run.
-    pub fn verdict<P>(&self, shared: &Shared<P>, call: &Call, tainted: bool) -> Verdict
+    fn verdict<P>(&self, shared: &Shared<P>, call: &Call, tainted: bool) -> Verdict
     where
         P: Parts,
     {
@@ -105,18 +109,44 @@
         verdict
     }
 
-    /// Turns the verdict into a refusal, or nothing if another attempt may be made.
-    pub fn settle(&self, verdict: Verdict) -> Result<(), Refused> {
+    /// Returns when the next attempt may start, or the refusal if there is none.
+    pub async fn settle<P>(
+        &self,
+        shared: &Shared<P>,
+        call: &Call,
+        progress: &Progress,
+    ) -> Result<(), Refused>
+    where
+        P: Parts,
+    {
+        // A crash must be known before another attempt is decided on.
+        self.suspect(shared, call).await;
+        let verdict = self.verdict(shared, call, progress.ran() == Ran::Unknown);
+        self.log(call, progress);
         let detail = self.error.to_string();
         match verdict {
-            Verdict::Retry => Ok(()),
-            Verdict::NotRun(reason) => Err(Refused::not_run(reason, &detail)),
-            Verdict::Unknown(reason) => Err(Refused::unknown(reason, &detail)),
+            Verdict::Retry => {}
+            Verdict::NotRun(reason) => return Err(Refused::not_run(reason, &detail)),
+            Verdict::Unknown(reason) => return Err(Refused::unknown(reason, &detail)),
+        }
+        shared.counters().retry(self.retry_reason());
+        shared.parts().clock().sleep(FAILED_WAIT).await;
+        Ok(())
+    }
+
+    fn retry_reason(&self) -> RetryReason {
+        match (&self.error, self.role) {
+            (EngineError::Unsent(_), _) => RetryReason::Unsent,
+            (EngineError::Refused(_), _) => RetryReason::Refused,
+            (_, Role::Service) => RetryReason::CallBroken,
+            (EngineError::CacheGone, _) => RetryReason::CacheGone,
+            (_, Role::Prefill) => RetryReason::PrefillBroken,
+            (_, Role::Decode) => RetryReason::Moved,
         }
     }
 
     /// Logs the failure.
-    pub fn log(&self, call: &Call, progress: &Progress) {
+    fn log(&self, call: &Call, progress: &Progress) {
         let line = RequestLog {
             request: call.id,
             branch: &call.rule.branch,
--- a/src/request/model_path.rs
+++ b/src/request/model_path.rs
@@ -1,20 +1,17 @@
 use {
     super::{
-        CallerGone, Completion, CompletionPlaces, Failed, Held, Parts, Piece, Pools, Progress, Ran,
+        CallerGone, Completion, CompletionPlaces, Failed, Held, Parts, Piece, Pools, Progress,
         Refused, Relay, RelayEnd, Shared, Sink, Want, denied, exhausted, late,
     },
     crate::{
-        board::{Refusal, RetryReason, Role},
+        board::{Refusal, Role},
         decide::count_tokens,
-        port::{Clock, DecodeAsk, Denial, Engine, EngineError, GrantEnd, KvHandle, PrefillAsk},
+        port::{DecodeAsk, Denial, Engine, EngineError, GrantEnd, KvHandle, PrefillAsk},
     },
     std::time::Duration,
     tokio::time::timeout,
 };
 
-/// Wait before an attempt that follows a refusal by an endpoint.
-const REFUSED_WAIT: Duration = Duration::from_millis(25);
-
 /// One completion on its way: decode place, prefill, handover, decode, relay.
 #[derive(Debug)]
 pub struct ModelPath<'a, P>
@@ -75,7 +72,7 @@
         match timeout(left, self.attempts(sink)).await {
             Ok(Ok(())) => Ok(self.progress),
             Ok(Err(refused)) => Err(self.truncated(refused)),
-            Err(_) => Err(self.truncated(late(self.ran()))),
+            Err(_) => Err(self.truncated(late(self.progress.ran()))),
         }
     }
 
@@ -89,11 +86,11 @@
         for number in 0..self.shared.options().attempts {
             match self.attempt(number, sink).await {
                 Ok(()) | Err(Ended::Gone) => return Ok(()),
-                Err(Ended::Denied(denial)) => return Err(denied(denial, self.ran())),
+                Err(Ended::Denied(denial)) => return Err(denied(denial, self.progress.ran())),
                 Err(Ended::Failed(failed)) => self.after(&failed).await?,
             }
         }
-        Err(exhausted(self.ran()))
+        Err(exhausted(self.progress.ran()))
     }
 
     async fn attempt<K>(&mut self, number: u16, sink: &mut K) -> Result<(), Ended>
@@ -239,37 +236,12 @@
         Ended::Failed(failed)
     }
 
-    /// Decides what follows a failed attempt; returns when the next one may start.
+    /// Returns when the attempt after a failed one may start.
     async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
-        let call = &self.ask.call;
-        // A crash must be known before another attempt is decided on.
-        failed.suspect(self.shared, call).await;
-        let verdict = failed.verdict(self.shared, call, self.progress.sent > 0);
-        let reason = Self::retry_reason(failed);
-        failed.log(call, &self.progress);
         self.avoid = vec![failed.endpoint.clone()];
-        failed.settle(verdict)?;
-        self.shared.counters().retry(reason);
-        self.shared.parts().clock().sleep(REFUSED_WAIT).await;
-        Ok(())
-    }
-
-    fn retry_reason(failed: &Failed) -> RetryReason {
-        match (&failed.error, failed.role) {
-            (EngineError::Unsent(_), _) => RetryReason::Unsent,
-            (EngineError::Refused(_), _) => RetryReason::Refused,
-            (EngineError::CacheGone, _) => RetryReason::CacheGone,
-            (_, Role::Prefill) => RetryReason::PrefillBroken,
-            _ => RetryReason::Moved,
-        }
-    }
-
-    fn ran(&self) -> Ran {
-        if self.progress.sent == 0 {
-            Ran::No
-        } else {
-            Ran::Unknown
-        }
+        failed
+            .settle(self.shared, &self.ask.call, &self.progress)
+            .await
     }
 
     /// Turns a refusal after the first token into a truncation that the caller can see.
--- a/src/request/progress.rs
+++ b/src/request/progress.rs
@@ -1,4 +1,4 @@
-use super::Piece;
+use super::{Piece, Ran};
 
 /// What a caller has received of an answer so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -7,7 +7,7 @@
     pub tokens: u32,
     /// Text relayed.
     pub text: String,
-    /// Attempts sent to an endpoint that decodes.
+    /// Attempts sent to an endpoint that answers, and not known to have been refused.
     pub sent: u32,
     /// Whether the final piece was relayed.
     pub finished: bool,
@@ -21,6 +21,15 @@
         self.finished |= piece.finish.is_some();
     }
 
+    /// Whether any attempt may have run.
+    pub fn ran(&self) -> Ran {
+        if self.sent == 0 {
+            Ran::No
+        } else {
+            Ran::Unknown
+        }
+    }
+
     /// Prompt with which another endpoint continues the answer.
     pub fn continued(&self, prompt: &str) -> String {
         if self.text.is_empty() {
--- a/src/request/service_path.rs
+++ b/src/request/service_path.rs
@@ -1,19 +1,15 @@
 use {
     super::{
-        Call, Failed, Held, Parts, Progress, Ran, Refused, Shared, acquire, denied, exhausted, late,
+        Call, Failed, Held, Parts, Progress, Refused, Shared, acquire, denied, exhausted, late,
     },
     crate::{
-        board::{RetryReason, Role},
+        board::Role,
         key::AttemptId,
-        port::{Clock, EngineError, GrantAsk, GrantEnd, Service, ServiceCall, ServiceReply},
+        port::{GrantAsk, GrantEnd, Service, ServiceCall, ServiceReply},
     },
-    std::time::Duration,
     tokio::time::timeout,
 };
 
-/// Wait before an attempt that follows a failed one.
-const FAILED_WAIT: Duration = Duration::from_millis(25);
-
 /// One call to a plain service on its way.
 #[derive(Debug)]
 pub struct ServicePath<'a, P> {
@@ -22,7 +18,7 @@
     pool: &'a str,
     message: &'a ServiceCall,
     avoid: Vec<String>,
-    sent: u32,
+    progress: Progress,
 }
 
 impl<'a, P> ServicePath<'a, P>
@@ -42,7 +38,7 @@
             pool,
             message,
             avoid: Vec::new(),
-            sent: 0,
+            progress: Progress::default(),
         }
     }
 
@@ -51,7 +47,7 @@
         let left = self.shared.left(self.call.deadline);
         match timeout(left, self.attempts()).await {
             Ok(result) => result,
-            Err(_) => Err(late(self.ran())),
+            Err(_) => Err(late(self.progress.ran())),
         }
     }
 
@@ -61,19 +57,19 @@
         }
         for number in 0..self.shared.options().attempts {
             let place = acquire(self.shared, &self.grant_ask(number), self.call.deadline).await;
-            let held = place.map_err(|denial| denied(denial, self.ran()))?;
+            let held = place.map_err(|denial| denied(denial, self.progress.ran()))?;
             match self.attempt(held).await {
                 Ok(reply) => return Ok(reply),
                 Err(failed) => self.after(&failed).await?,
             }
         }
-        Err(exhausted(self.ran()))
+        Err(exhausted(self.progress.ran()))
     }
 
     async fn attempt(&mut self, held: Held<P>) -> Result<ServiceReply, Failed> {
         let start = self.shared.now();
         let address = held.grant().address.clone();
-        self.sent += 1;
+        self.progress.sent += 1;
         let result = self
             .shared
             .parts()
@@ -91,7 +87,7 @@
             Err(error) => {
                 let failed = Failed::new(held.grant(), Role::Service, error);
                 held.finish(GrantEnd::Unused);
-                self.sent -= u32::from(failed.error.is_not_run());
+                self.progress.sent -= u32::from(failed.error.is_not_run());
                 Err(failed)
             }
         }
@@ -124,27 +120,9 @@
         }
     }
 
+    /// Returns when the attempt after a failed one may start.
     async fn after(&mut self, failed: &Failed) -> Result<(), Refused> {
-        // A crash must be known before another attempt is decided on.
-        failed.suspect(self.shared, self.call).await;
-        let verdict = failed.verdict(self.shared, self.call, self.sent > 0);
-        failed.log(self.call, &Progress::default());
         self.avoid = vec![failed.endpoint.clone()];
-        failed.settle(verdict)?;
-        self.shared.counters().retry(match failed.error {
-            EngineError::Unsent(_) => RetryReason::Unsent,
-            EngineError::Refused(_) => RetryReason::Refused,
-            _ => RetryReason::CallBroken,
-        });
-        self.shared.parts().clock().sleep(FAILED_WAIT).await;
-        Ok(())
-    }
-
-    fn ran(&self) -> Ran {
-        if self.sent == 0 {
-            Ran::No
-        } else {
-            Ran::Unknown
-        }
+        failed.settle(self.shared, self.call, &self.progress).await
     }
 }
--- a/src/request/shared.rs
+++ b/src/request/shared.rs
@@ -1,7 +1,7 @@
 use {
     super::{Parts, PathOptions},
     crate::{
-        board::{Blackboard, Counters, Tick},
+        board::{Blackboard, Counters, Suspect, Tick},
         decide::RetryBudget,
         key::BranchKey,
         port::Clock,
@@ -99,16 +99,21 @@
 
     /// Whether the request with fingerprint `print` is suspected of having crashed an endpoint.
     pub fn is_suspect(&self, print: u64) -> bool {
-        let suspects = self.board().suspects.load();
-        let suspect = suspects.by_print.get(&print);
-        suspect.is_some_and(|suspect| suspect.expires > self.now())
+        self.suspected(print, |_| true)
     }
 
     /// Whether the request with fingerprint `print` is refused as a cause of crashes.
     pub fn is_refused(&self, print: u64) -> bool {
+        self.suspected(print, |suspect| suspect.refused)
+    }
+
+    fn suspected<F>(&self, print: u64, holds: F) -> bool
+    where
+        F: FnOnce(&Suspect) -> bool,
+    {
         let suspects = self.board().suspects.load();
         let suspect = suspects.by_print.get(&print);
-        suspect.is_some_and(|suspect| suspect.refused && suspect.expires > self.now())
+        suspect.is_some_and(|suspect| suspect.expires > self.now() && holds(suspect))
     }
 
     /// Retry budget of a branch.
