--- a/justfile
+++ b/justfile
@@ -20,11 +20,11 @@
 
 # Lint the sources.
 lint:
-    cargo clippy --all-targets -- -D warnings
+    cargo clippy --workspace --all-targets -- -D warnings
 
 # Run the tests.
 test:
-    cargo test --locked
+    cargo test --locked --workspace
 
 # Generate the wire types of src/border from docs/schema; needs cargo-typify.
 generate:
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Arena, Branch, Digests, Fleet, Health, HostList, Members, Orders, Owners, Section, Sheet,
-        Suspects, Writer, section,
+        Arena, Branch, Digests, Fleet, Health, HostList, Members, Orders, Owners, Routing, Section,
+        Sheet, Suspects, Writer, section,
     },
     crate::key::BranchKey,
 };
@@ -25,6 +25,8 @@
     pub orders: Section<Orders>,
     /// Owner of each endpoint.
     pub owners: Section<Owners>,
+    /// The routes in force for forwarded requests.
+    pub routing: Section<Routing>,
     /// The sheet in force.
     pub sheet: Section<Sheet>,
     /// Requests suspected of crashing endpoints.
@@ -50,6 +52,8 @@
     pub orders: Writer<Orders>,
     /// Written by the owner controller.
     pub owners: Writer<Owners>,
+    /// Written by the routing controller.
+    pub routing: Writer<Routing>,
     /// Written by the sheet controller.
     pub sheet: Writer<Sheet>,
     /// Written by the suspect controller.
@@ -67,6 +71,7 @@
         let members = section(Members::default());
         let orders = section(Orders::default());
         let owners = section(Owners::default());
+        let routing = section(Routing::default());
         let sheet = section(Sheet::default());
         let suspects = section(Suspects::default());
         let writers = Writers {
@@ -78,6 +83,7 @@
             members: members.0,
             orders: orders.0,
             owners: owners.0,
+            routing: routing.0,
             sheet: sheet.0,
             suspects: suspects.0,
         };
@@ -90,6 +96,7 @@
             members: members.1,
             orders: orders.1,
             owners: owners.1,
+            routing: routing.1,
             sheet: sheet.1,
             suspects: suspects.1,
         };
--- a/src/board/endpoint_slot.rs
+++ b/src/board/endpoint_slot.rs
@@ -1,4 +1,7 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use {
+    super::EndpointTraffic,
+    std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+};
 
 /// Counters of one endpoint, shared by all snapshots that list it.
 #[derive(Debug, Default)]
@@ -19,6 +22,8 @@
     ejected: AtomicBool,
     /// Whether the endpoint's own load report says that it leaves.
     leaving: AtomicBool,
+    /// Forwarded requests of this process at the endpoint.
+    pub traffic: EndpointTraffic,
 }
 
 impl EndpointSlot {
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -8,6 +8,7 @@
     digests::{Digest, Digests},
     endpoint::{Endpoint, Role},
     endpoint_slot::EndpointSlot,
+    endpoint_traffic::{EndpointTraffic, SeenLoad},
     fleet::Fleet,
     health::Health,
     host::{Host, HostState},
@@ -19,6 +20,7 @@
     pool::Pool,
     refusal::Refusal,
     retry_reason::RetryReason,
+    routing::{CallerLimits, PathRoute, PoolPlan, ReplyKind, Routing},
     rule::{Borrow, Repeat, Route, Rule, Target},
     section::{Section, Writer, section},
     sheet::Sheet,
@@ -34,6 +36,7 @@
 mod digests;
 mod endpoint;
 mod endpoint_slot;
+mod endpoint_traffic;
 mod fleet;
 mod health;
 mod host;
@@ -45,6 +48,7 @@
 mod pool;
 mod refusal;
 mod retry_reason;
+mod routing;
 mod rule;
 mod section;
 mod sheet;
--- a/src/board/retry_reason.rs
+++ b/src/board/retry_reason.rs
@@ -15,11 +15,13 @@
     Moved,
     /// The answer of an idempotent call broke off.
     CallBroken,
+    /// The endpoint answered an idempotent call with a failure.
+    AnsweredFailure,
 }
 
 impl RetryReason {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Unsent,
         Self::Refused,
         Self::CacheGone,
@@ -27,6 +29,7 @@
         Self::Resumed,
         Self::Moved,
         Self::CallBroken,
+        Self::AnsweredFailure,
     ];
 
     /// The stable word.
@@ -39,6 +42,7 @@
             Self::Resumed => "resumed",
             Self::Moved => "moved",
             Self::CallBroken => "call-broken",
+            Self::AnsweredFailure => "answered-failure",
         }
     }
 }
--- a/src/border/logs.rs
+++ b/src/border/logs.rs
@@ -1,10 +1,10 @@
 use {
-    super::{LogLevel, LogSettings},
+    super::{BoundedOutput, LogLevel, LogSettings},
     log::LevelFilter as Facade,
     logforth::{
         append::{Stderr, file::FileBuilder},
         bridge::log::LogBridge,
-        core::builder,
+        core::{LoggerBuilder, builder},
         layout::JsonLayout,
         record::{Level, LevelFilter},
     },
@@ -24,11 +24,28 @@
         let stderr = Stderr::default().with_layout(JsonLayout::default());
         builder().dispatch(|dispatch| dispatch.filter(filter).append(stderr))
     };
+    install(logger, facade);
+    Ok(())
+}
+
+/// Starts to write log lines as JSON to standard output, `rate` a second at most below the level
+/// of a warning, without ever waiting for the output.
+pub fn start_bounded_logs(level: LogLevel, rate: u32) -> io::Result<()> {
+    let (facade, level) = levels(level);
+    let filter = LevelFilter::MoreSevereEqual(level);
+    let output = BoundedOutput::start(io::stdout(), rate)?;
+    install(
+        builder().dispatch(|dispatch| dispatch.filter(filter).append(output)),
+        facade,
+    );
+    Ok(())
+}
+
+fn install(logger: LoggerBuilder, level: Facade) {
     let bridge = LogBridge::new(logger.build());
     if log::set_boxed_logger(Box::new(bridge)).is_ok() {
-        log::set_max_level(facade);
+        log::set_max_level(level);
     }
-    Ok(())
 }
 
 fn open(path: &Path) -> io::Result<logforth::append::File> {
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -1,6 +1,7 @@
 //! Wire protocols towards callers, operators, endpoints, the platform and other daemons.
 
 pub use self::{
+    bounded_output::BoundedOutput,
     budgeted_platform::BudgetedPlatform,
     call_counters::CallCounters,
     caller::Caller,
@@ -16,7 +17,7 @@
     head_timer::HeadTimer,
     http_client::http_client,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
-    logs::start_logs,
+    logs::{start_bounded_logs, start_logs},
     nodelay_acceptor::NodelayAcceptor,
     operator::Operator,
     operator_api::REVISION_HEADER,
@@ -39,6 +40,7 @@
     sheet_csv::{SHEET_BYTES_MAX, read_sheet, write_sheet},
 };
 
+mod bounded_output;
 mod caller;
 mod caller_answer;
 mod caller_api;
--- a/src/control/health_controller.rs
+++ b/src/control/health_controller.rs
@@ -25,6 +25,12 @@
 }
 
 impl HealthHandle {
+    /// Creates a handle and where its announcement arrives.
+    pub fn new() -> (Self, mpsc::Receiver<()>) {
+        let (stop, receiver) = mpsc::channel(1);
+        (Self { stop }, receiver)
+    }
+
     /// Announces that a planned stop has begun.
     pub fn stopping(&self) {
         if self.stop.try_send(()).is_err() {
@@ -45,7 +51,7 @@
         sheet: Section<Sheet>,
         silence: Duration,
     ) -> (Self, HealthHandle) {
-        let (sender, stop) = mpsc::channel(1);
+        let (handle, stop) = HealthHandle::new();
         let controller = Self {
             clock,
             writer,
@@ -54,7 +60,7 @@
             silence,
             stop,
         };
-        (controller, HealthHandle { stop: sender })
+        (controller, handle)
     }
 
     /// Runs until every handle or a section's writer is gone.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
     claim_router::ClaimRouter,
     claim_settings::ClaimSettings,
     digest_controller::DigestController,
+    feed_follower::{FeedFollower, News},
     fleet_controller::{FleetController, FleetNews},
     fleet_status::fleet_status,
     health_controller::{HealthController, HealthHandle},
@@ -22,6 +23,9 @@
     order_run::send_order,
     order_settings::OrderSettings,
     owner_controller::OwnerController,
+    readiness_controller::ReadinessController,
+    roster_controller::{RosterController, RosterEntry},
+    routing_controller::RoutingController,
     sheet_controller::{SheetController, SheetParts},
     sheet_handle::SheetHandle,
     sheet_object::ChangeRecord,
@@ -39,6 +43,7 @@
 mod claim_settings;
 mod digest_controller;
 mod endpoint_view;
+mod feed_follower;
 mod fleet_controller;
 mod fleet_status;
 mod grant_table;
@@ -64,6 +69,9 @@
 mod order_settings;
 mod orphan_cancel;
 mod owner_controller;
+mod readiness_controller;
+mod roster_controller;
+mod routing_controller;
 mod sheet_controller;
 mod sheet_handle;
 mod sheet_object;
--- /dev/null
+++ b/src/daemon/forward_daemon.rs
@@ -0,0 +1,141 @@
+use {
+    crate::{
+        board::{Blackboard, Counters, Routing},
+        control::{
+            FeedFollower, HealthHandle, ReadinessController, RosterController, RosterEntry,
+            RoutingController,
+        },
+        key::name_hash,
+        port::{Clock, Feed, MonoClock, Upstream},
+        request::{ForwardEntry, ForwardOptions, ForwardParts, ForwardShared},
+    },
+    prometheus_client::registry::Registry,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::watch, task::JoinSet},
+};
+
+/// What a daemon that forwards is told at its start.
+#[derive(Clone, Debug)]
+pub struct ForwardSettings {
+    /// Name of the host.
+    pub host: String,
+    /// Longest wait of one watch at the store, which bounds the age of what is believed.
+    pub watch: Duration,
+    /// Limits of the path of a request.
+    pub options: ForwardOptions,
+}
+
+/// The outside of a daemon that forwards.
+#[derive(Clone, Debug)]
+pub struct ForwardPorts<U, E, R> {
+    /// Endpoints.
+    pub upstream: U,
+    /// Where endpoints register.
+    pub endpoints: E,
+    /// Where the routes are kept.
+    pub routing: R,
+}
+
+/// The ports as the path of a request uses them.
+#[derive(Clone, Debug)]
+pub struct HostPorts<U> {
+    clock: MonoClock,
+    upstream: U,
+}
+
+impl<U> ForwardParts for HostPorts<U>
+where
+    U: Upstream,
+{
+    type Clock = MonoClock;
+    type Upstream = U;
+
+    fn clock(&self) -> &MonoClock {
+        &self.clock
+    }
+
+    fn upstream(&self) -> &U {
+        &self.upstream
+    }
+}
+
+/// A daemon that forwards requests by routes; dropping it ends it at once, as a crash would.
+///
+/// The front end is not part of it: it hands requests to `entry` and reads the answers.
+#[derive(Debug)]
+pub struct ForwardDaemon<U>
+where
+    U: Upstream,
+{
+    /// Where requests are handed in.
+    pub entry: ForwardEntry<HostPorts<U>>,
+    /// The blackboard.
+    pub board: Blackboard,
+    /// Every metric.
+    pub registry: Arc<Registry>,
+    health: HealthHandle,
+    tasks: JoinSet<()>,
+}
+
+impl<U> ForwardDaemon<U>
+where
+    U: Upstream,
+{
+    /// Starts the controllers; `registry` holds what the ports count.
+    pub fn start<E, R>(
+        settings: &ForwardSettings,
+        ports: ForwardPorts<U, E, R>,
+        mut registry: Registry,
+    ) -> Self
+    where
+        E: Feed<Item = RosterEntry>,
+        R: Feed<Item = Routing>,
+    {
+        let counters = Counters::new(&mut registry);
+        let (board, writers) = Blackboard::new();
+        let clock = MonoClock::start();
+        let seed = name_hash(&settings.host) ^ clock.unix_ms();
+        let rng = |purpose: &str| SmallRng::seed_from_u64(seed ^ name_hash(purpose));
+        let (reached, seen) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        let routing = rng("routing");
+        let follower = FeedFollower::new(ports.routing, clock, "routing", settings.watch, routing);
+        tasks.spawn(RoutingController::new(follower, writers.routing).run());
+        let roster = rng("endpoints");
+        let follower =
+            FeedFollower::new(ports.endpoints, clock, "endpoints", settings.watch, roster);
+        tasks.spawn(RosterController::new(follower, clock, writers.fleet, reached).run());
+        let (controller, health) = ReadinessController::new(
+            writers.health,
+            board.routing.clone(),
+            board.fleet.clone(),
+            seen,
+        );
+        tasks.spawn(controller.run());
+        let parts = HostPorts {
+            clock,
+            upstream: ports.upstream,
+        };
+        let options = settings.options.clone();
+        let shared = ForwardShared::new(parts, board.clone(), counters, options, seed);
+        Self {
+            entry: ForwardEntry::new(shared),
+            board,
+            registry: Arc::new(registry),
+            health,
+            tasks,
+        }
+    }
+
+    /// Announces that a planned stop has begun: the daemon is not ready any more.
+    pub fn stopping(&self) {
+        self.health.stopping();
+    }
+
+    /// Ends the controllers once nothing that was spawned for requests is left.
+    pub async fn stop(mut self) {
+        self.entry.shared().settle().await;
+        self.tasks.shutdown().await;
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
     daemon_error::DaemonError,
     daemon_parts::DaemonParts,
     dispatch::Dispatch,
+    forward_daemon::{ForwardDaemon, ForwardPorts, ForwardSettings, HostPorts},
     running::{Addresses, Daemon},
 };
 
@@ -14,4 +15,5 @@
 mod daemon_error;
 mod daemon_parts;
 mod dispatch;
+mod forward_daemon;
 mod running;
--- a/src/decide/attempt_state.rs
+++ b/src/decide/attempt_state.rs
@@ -1,4 +1,4 @@
-use crate::port::EngineError;
+use crate::port::{EngineError, UpstreamError};
 
 /// What can be proved about an attempt. It only moves forward.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,3 +30,13 @@
         matches!(self, Self::Unsent | Self::NotRun)
     }
 }
+
+impl From<&UpstreamError> for AttemptState {
+    fn from(error: &UpstreamError) -> Self {
+        match error {
+            UpstreamError::Unsent(_) => Self::Unsent,
+            UpstreamError::Refused { .. } | UpstreamError::Misdirected => Self::NotRun,
+            UpstreamError::Broken(_) | UpstreamError::Silent => Self::Unknown,
+        }
+    }
+}
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -22,16 +22,33 @@
     descriptions: &Descriptions,
     slots: u32,
 ) -> bool {
-    let mut changed = remove_gone(fleet, list);
-    for listed in &list.endpoints {
-        let service = service(slots);
+    let service = service(slots);
+    let described = list.endpoints.iter().filter_map(|listed| {
         let description = match listed.role {
             Role::Service => Some(&service),
             Role::Prefill | Role::Decode => descriptions.get(&listed.address),
         };
-        if let Some(description) = description {
-            changed |= merge_endpoint(fleet, listed, description);
-        }
+        Some((listed, description?))
+    });
+    let described: Vec<_> = described.collect();
+    let gone = remove_gone(fleet, list.endpoints.iter());
+    put_described(fleet, &described, gone)
+}
+
+/// Brings `fleet` up to date with endpoints that told of themselves where they are listed.
+pub fn merge_described(fleet: &mut Fleet, described: &[(&ListedEndpoint, &Description)]) -> bool {
+    let gone = remove_gone(fleet, described.iter().map(|(listed, _)| *listed));
+    put_described(fleet, described, gone)
+}
+
+fn put_described(
+    fleet: &mut Fleet,
+    described: &[(&ListedEndpoint, &Description)],
+    gone: bool,
+) -> bool {
+    let mut changed = gone;
+    for (listed, description) in described {
+        changed |= merge_endpoint(fleet, listed, description);
     }
     if changed {
         gather_pools(fleet);
@@ -40,10 +57,11 @@
 }
 
 /// Removes endpoints that are not listed, or listed at another address: another process.
-fn remove_gone(fleet: &mut Fleet, list: &HostList) -> bool {
-    let listed: BTreeSet<_> = list
-        .endpoints
-        .iter()
+fn remove_gone<'a, I>(fleet: &mut Fleet, listed: I) -> bool
+where
+    I: Iterator<Item = &'a ListedEndpoint>,
+{
+    let listed: BTreeSet<_> = listed
         .map(|listed| (listed.name.as_str(), listed.address.as_str()))
         .collect();
     let gone: Vec<_> = fleet
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,9 +6,10 @@
     call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ANSWER_BYTES_MAX, ClaimGroup, ClaimTable, ClaimTime, ask_key, record_bytes},
+    endpoint_choice::{EndpointOption, choose_endpoint},
     endpoint_load::EndpointLoad,
     fair_share::{FairShare, HALF_LIFE},
-    fleet_merge::{Descriptions, loaded, merge_fleet},
+    fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     host_roster::HostRoster,
     load_news::LoadNews,
     member_timing::MemberTiming,
@@ -40,6 +41,7 @@
 mod call_class;
 mod chunk_check;
 mod claim_table;
+mod endpoint_choice;
 mod endpoint_load;
 mod fair_share;
 mod fleet_merge;
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -9,6 +9,7 @@
     name_hash::name_hash,
     pool_key::PoolKey,
     request_id::RequestId,
+    route_key::RouteKey,
     rule_key::RuleKey,
     wait_key::WaitKey,
 };
@@ -21,5 +22,6 @@
 mod name_hash;
 mod pool_key;
 mod request_id;
+mod route_key;
 mod rule_key;
 mod wait_key;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -10,6 +10,7 @@
         CacheEvent, CacheEvents, Chunk, DecodeAsk, Description, Engine, EngineError, KvHandle,
         LoadReport, Order, PrefillAsk, TokenStream,
     },
+    feed::{Change, Changes, Feed, FeedError, Listing},
     line::Line,
     mono_clock::MonoClock,
     peer::{Peer, PeerError, PeerHandler},
@@ -21,12 +22,17 @@
     platform::{HostEntry, Object, ObjectName, Platform, PlatformError},
     request_log::RequestLog,
     service::{Service, ServiceCall, ServiceReply},
+    upstream::{
+        AnswerBody, AnswerEvent, CacheHandle, ForwardRequest, PromptSize, Upstream, UpstreamAnswer,
+        UpstreamAsk, UpstreamError,
+    },
 };
 
 mod claim_store;
 mod claimer;
 mod clock;
 mod engine;
+mod feed;
 mod line;
 mod mono_clock;
 mod peer;
@@ -34,3 +40,4 @@
 mod platform;
 mod request_log;
 mod service;
+mod upstream;
--- /dev/null
+++ b/src/request/endpoint_hold.rs
@@ -0,0 +1,171 @@
+use {
+    super::{ForwardParts, ForwardShared},
+    crate::{
+        board::{EndpointSlot, Role, SeenLoad, Tick},
+        decide::{EndpointOption, choose_endpoint},
+        key::EndpointKey,
+        port::UpstreamError,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Silences after which the time for which an endpoint is avoided no longer grows.
+const SILENCES: u32 = 4;
+
+/// Tokens that a request of others is taken to need, where only their number is known.
+const OTHER_TOKENS: f64 = 5_000.0;
+
+/// What a request needs of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointNeed<'a> {
+    /// Pool.
+    pub pool: &'a str,
+    /// What the endpoint must do.
+    pub role: Role,
+    /// Tokens of memory; 0 where requests are counted.
+    pub tokens: u64,
+    /// Endpoints that the request has been sent to.
+    pub tried: &'a [EndpointKey],
+}
+
+/// An endpoint that a request was assigned to. Dropping it gives the place back.
+#[derive(Debug)]
+pub struct EndpointHold {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Name.
+    pub name: String,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// What was known when it was chosen.
+    pub option: EndpointOption,
+    /// Number of endpoints that it was chosen among.
+    pub among: usize,
+    slot: Arc<EndpointSlot>,
+    tokens: u64,
+    since: Tick,
+}
+
+impl EndpointHold {
+    /// Chooses an endpoint for `need` and takes a place at it; nothing if the pool has none.
+    pub fn choose<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Option<Self>
+    where
+        P: ForwardParts,
+    {
+        let options = options(shared, need);
+        let chosen = choose_endpoint(&options, shared.draw())?;
+        let fleet = shared.board().fleet.load();
+        let endpoint = fleet.endpoints.get(chosen.key)?;
+        endpoint.slot.traffic.enter(need.tokens);
+        Some(Self {
+            key: chosen.key,
+            name: endpoint.name.clone(),
+            address: endpoint.address.clone(),
+            option: chosen,
+            among: options.len(),
+            slot: Arc::clone(&endpoint.slot),
+            tokens: need.tokens,
+            since: shared.now(),
+        })
+    }
+
+    /// Time since the endpoint was chosen.
+    pub fn age<P>(&self, shared: &ForwardShared<P>) -> Duration
+    where
+        P: ForwardParts,
+    {
+        shared.now() - self.since
+    }
+
+    /// Records the load that the endpoint told.
+    pub fn hear(&self, load: Option<SeenLoad>, now: Tick) {
+        if let Some(load) = load {
+            self.slot.traffic.hear(load, now);
+        }
+    }
+
+    /// Records an answer and the time that it took.
+    pub fn answered(&self, took: Duration) {
+        self.slot.traffic.answered(took);
+    }
+
+    /// Records that the attempt ended well, or with a failure that the endpoint answered.
+    pub fn ended(&self, failed: bool) {
+        self.slot.traffic.ended(failed);
+    }
+
+    /// Records that the attempt gave no answer.
+    pub fn failed<P>(&self, shared: &ForwardShared<P>, error: &UpstreamError)
+    where
+        P: ForwardParts,
+    {
+        let now = shared.now();
+        let traffic = &self.slot.traffic;
+        match error {
+            UpstreamError::Refused { load, .. } => {
+                self.hear(*load, now);
+                traffic.ended(true);
+            }
+            UpstreamError::Broken(_) => traffic.ended(true),
+            UpstreamError::Unsent(_) | UpstreamError::Silent | UpstreamError::Misdirected => {
+                traffic.ended(true);
+                let times = traffic.silent().min(SILENCES);
+                traffic.avoid(now + shared.options().avoid * 2_u32.pow(times - 1));
+            }
+        }
+    }
+}
+
+impl Drop for EndpointHold {
+    fn drop(&mut self) {
+        self.slot.traffic.leave(self.tokens);
+    }
+}
+
+/// What is known of every endpoint that may serve `need`.
+fn options<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Vec<EndpointOption>
+where
+    P: ForwardParts,
+{
+    let now = shared.now();
+    let fleet = shared.board().fleet.load();
+    let routing = shared.board().routing.load();
+    let memory = routing
+        .pools
+        .get(need.pool)
+        .map_or(0, |plan| plan.memory_tokens);
+    let pool = fleet.pools.find(need.pool);
+    let Some(pool) = pool.and_then(|key| fleet.pools.get(key)) else {
+        return Vec::new();
+    };
+    let members = pool.members.iter();
+    let found = members.filter_map(|key| Some((*key, fleet.endpoints.get(*key)?)));
+    let usable = found.filter(|(_, endpoint)| endpoint.role == need.role && !endpoint.leaving);
+    let options = usable.map(|(key, endpoint)| {
+        let traffic = &endpoint.slot.traffic;
+        let by_tokens = need.tokens > 0 && memory > 0;
+        let unit = if by_tokens { OTHER_TOKENS } else { 1.0 };
+        let others = traffic.others(now);
+        EndpointOption {
+            key,
+            near: endpoint.zone == shared.options().zone,
+            avoided: traffic.is_avoided(now),
+            tried: need.tried.contains(&key),
+            own: if by_tokens {
+                traffic.tokens() as f64
+            } else {
+                f64::from(traffic.running())
+            },
+            others: others.map(|(count, age)| (f64::from(count) * unit, age)),
+            adds: if by_tokens { need.tokens as f64 } else { 1.0 },
+            room: if by_tokens {
+                memory as f64
+            } else {
+                f64::from(endpoint.slots)
+            },
+            failing: traffic.failing(),
+            usual: if by_tokens { None } else { traffic.usual() },
+        }
+    });
+    options.collect()
+}
--- /dev/null
+++ b/src/request/event_relay.rs
@@ -0,0 +1,406 @@
+use {
+    super::{
+        CacheHold, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
+        ForwardShared, Refused, forward_answer::ForwardAnswer, forward_log::retry_reason,
+        forward_refusal,
+    },
+    crate::{
+        board::{Refusal, RetryReason, Role},
+        decide::Verdict,
+        port::{
+            AnswerBody, AnswerEvent, CacheHandle, Upstream, UpstreamAnswer, UpstreamAsk,
+            UpstreamError,
+        },
+    },
+    bytes::Bytes,
+    http::HeaderMap,
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// First status code that is no success.
+const NO_SUCCESS: u16 = 300;
+
+/// Share of the prefill endpoints' memory in work above which prompts are read where they decode.
+const PREFILL_FILL: f64 = 0.35;
+
+/// Prefill attempts before the prompt is read where it decodes.
+const PREFILL_TRIES: usize = 2;
+
+/// Body of the answers of a port.
+type BodyOf<P> = <<P as ForwardParts>::Upstream as Upstream>::Body;
+
+/// A stream of events on its way to the caller, which moves to another endpoint when it breaks.
+///
+/// Dropping it closes the connection to the endpoint, which ends the run there.
+#[derive(Debug)]
+pub struct EventRelay<P>
+where
+    P: ForwardParts,
+{
+    shared: ForwardShared<P>,
+    call: ForwardCall,
+    run: Option<Run<BodyOf<P>>>,
+    last: Option<u64>,
+    events: u64,
+    open: bool,
+}
+
+/// The attempt that runs now.
+#[derive(Debug)]
+struct Run<B> {
+    hold: EndpointHold,
+    body: B,
+    fresh: bool,
+}
+
+/// How a stream began.
+#[derive(Debug)]
+pub enum Opened<P>
+where
+    P: ForwardParts,
+{
+    /// Events follow.
+    Events(HeaderMap, EventRelay<P>),
+    /// The endpoint answered with a failure.
+    Failure(ForwardAnswer),
+    /// The request was refused.
+    Refused(Refused),
+}
+
+impl<P> EventRelay<P>
+where
+    P: ForwardParts,
+{
+    /// Starts the stream of `call`.
+    pub async fn open(shared: &ForwardShared<P>, call: ForwardCall) -> Opened<P> {
+        let last = call.request.resume;
+        let mut relay = Self {
+            shared: shared.clone(),
+            call,
+            run: None,
+            last,
+            events: 0,
+            open: true,
+        };
+        match relay.start().await {
+            Ok(answer) if answer.status < NO_SUCCESS => {
+                let (headers, run) = answer.into_run();
+                relay.run = Some(run);
+                Opened::Events(headers, relay)
+            }
+            Ok(answer) => relay.failure(answer).await,
+            Err(refused) => {
+                relay.conclude(&refused);
+                Opened::Refused(refused)
+            }
+        }
+    }
+
+    /// Next event, as the endpoint sent it; nothing after the regular end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Refused>> {
+        loop {
+            let limit = self.limit();
+            let run = self.run.as_mut()?;
+            let next = timeout(limit, run.body.next()).await;
+            let error = match next.unwrap_or(Err(UpstreamError::Silent)) {
+                Ok(Some(event)) => match self.accept(&event) {
+                    Ok(true) => return Some(Ok(event.bytes)),
+                    Ok(false) => continue,
+                    Err(error) => error,
+                },
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(error) => error,
+            };
+            if let Err(refused) = self.move_on(&error).await {
+                self.conclude(&refused);
+                return Some(Err(refused));
+            }
+        }
+    }
+
+    /// Longest time to wait for the next event.
+    fn limit(&self) -> Duration {
+        let left = self.shared.left(self.call.deadline);
+        let options = self.shared.options();
+        if !self.call.may_repeat_after(1) {
+            return left;
+        }
+        let fresh = self.run.as_ref().is_none_or(|run| run.fresh);
+        left.min(if fresh {
+            options.first_event
+        } else {
+            options.stall
+        })
+    }
+
+    /// Whether `event` is to be passed on; an error if events are missing before it.
+    fn accept(&mut self, event: &AnswerEvent) -> Result<bool, UpstreamError> {
+        let now = self.shared.now();
+        if let Some(run) = &mut self.run
+            && run.fresh
+        {
+            run.fresh = false;
+            run.hold.answered(now - self.call.arrived);
+        }
+        if let (Some(last), Some(id)) = (self.last, event.id) {
+            if id <= last {
+                return Ok(false);
+            }
+            if id > last + 1 {
+                let why = format!("event {id} follows {last}");
+                return Err(UpstreamError::Broken(why));
+            }
+        }
+        self.last = event.id.or(self.last);
+        self.events += 1;
+        self.shared.counters().tokens.inc();
+        Ok(true)
+    }
+
+    fn finish(&mut self) {
+        self.open = false;
+        if let Some(run) = self.run.take() {
+            run.hold.ended(false);
+            self.shared.counters().answered.inc();
+            ForwardLog::new(&self.call).answered(&self.shared, &run.hold.name, 200, self.events);
+        }
+    }
+
+    /// Ends the broken run and starts another one after the last event that was passed on.
+    async fn move_on(&mut self, error: &UpstreamError) -> Result<(), Refused> {
+        let Some(run) = self.run.take() else {
+            return Err(Refused::unknown(Refusal::Truncated, "no run is left"));
+        };
+        let hold = run.hold;
+        // Closing the connection stops the run before another one goes on.
+        drop(run.body);
+        self.after(&hold, error)?;
+        drop(hold);
+        let answer = self.start().await?;
+        if answer.status >= NO_SUCCESS {
+            answer.hold.ended(true);
+            let detail = format!("status {} where the stream was to go on", answer.status);
+            return Err(Refused::unknown(Refusal::Truncated, &detail));
+        }
+        self.run = Some(answer.into_run().1);
+        Ok(())
+    }
+
+    /// Decides what follows a failed attempt.
+    fn after(&mut self, hold: &EndpointHold, error: &UpstreamError) -> Result<(), Refused> {
+        hold.failed(&self.shared, error);
+        let ms = hold.age(&self.shared).as_millis() as u64;
+        let late = self.shared.left(self.call.deadline).is_zero();
+        let shared = &self.shared;
+        let budget = shared.budget(&self.call.pool);
+        let verdict = self.call.after(error, late, &budget);
+        let again = verdict == Verdict::Retry;
+        let next = if again { "retry" } else { "refuse" };
+        ForwardLog::new(&self.call).failed(hold, error, next, ms);
+        if !again {
+            return Err(forward_refusal::after(shared, verdict, error));
+        }
+        let reason = if self.events > 0 {
+            RetryReason::Moved
+        } else {
+            retry_reason(error)
+        };
+        shared.counters().retry(reason);
+        Ok(())
+    }
+
+    /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
+    async fn start(&mut self) -> Result<Started<BodyOf<P>>, Refused> {
+        let mut cache = None;
+        let mut read = false;
+        loop {
+            let left = self.shared.left(self.call.deadline);
+            if left.is_zero() {
+                return Err(forward_refusal::too_late(&self.call));
+            }
+            let hold = self.decode_place()?;
+            if !read && self.events == 0 {
+                cache = self.prefill().await;
+                read = true;
+            }
+            self.call.tried.push(hold.key);
+            let handle = cache.as_ref().and_then(CacheHold::handle);
+            match self.send(&hold, handle).await {
+                Ok(answer) => {
+                    if let Some(cache) = cache.take() {
+                        cache.taken();
+                    }
+                    hold.hear(answer.load, self.shared.now());
+                    return Ok(Started {
+                        status: answer.status,
+                        headers: answer.headers,
+                        body: answer.body,
+                        hold,
+                    });
+                }
+                Err(error) => {
+                    self.after(&hold, &error)?;
+                    if !error.is_not_run() {
+                        cache = None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn decode_place(&self) -> Result<EndpointHold, Refused> {
+        let size = self.call.request.size.unwrap_or_default();
+        let need = EndpointNeed {
+            pool: &self.call.pool,
+            role: Role::Decode,
+            tokens: (size.prompt + size.output).max(1),
+            tried: &self.call.tried,
+        };
+        let hold = EndpointHold::choose(&self.shared, &need);
+        let hold = hold.ok_or_else(|| forward_refusal::no_endpoint(&self.shared, &self.call))?;
+        if hold.option.tried {
+            return Err(forward_refusal::all_refused(&self.shared, &self.call));
+        }
+        ForwardLog::new(&self.call).chosen(&hold, "decode");
+        Ok(hold)
+    }
+
+    /// Has the prompt computed apart; nothing if it is better read where it decodes.
+    async fn prefill(&self) -> Option<CacheHold<P>> {
+        let mut tried = Vec::new();
+        for _ in 0..PREFILL_TRIES {
+            let need = EndpointNeed {
+                pool: &self.call.pool,
+                role: Role::Prefill,
+                tokens: self.call.request.size.unwrap_or_default().prompt.max(1),
+                tried: &tried,
+            };
+            let hold = EndpointHold::choose(&self.shared, &need)?;
+            if hold.option.tried || hold.option.avoided || hold.option.fill() > PREFILL_FILL {
+                return None;
+            }
+            ForwardLog::new(&self.call).chosen(&hold, "prefill");
+            tried.push(hold.key);
+            let ask = self.ask(&hold, None);
+            let prefill = self.shared.parts().upstream().prefill(ask);
+            let computed = timeout(self.shared.options().prefill, prefill).await;
+            match computed.unwrap_or(Err(UpstreamError::Silent)) {
+                Ok(handle) => {
+                    hold.answered(hold.age(&self.shared));
+                    hold.ended(false);
+                    return Some(CacheHold::new(&self.shared, handle));
+                }
+                Err(error) => {
+                    hold.failed(&self.shared, &error);
+                    let ms = hold.age(&self.shared).as_millis() as u64;
+                    let spent = !self.shared.budget(&self.call.pool).spend();
+                    let next = if spent { "read in place" } else { "retry" };
+                    ForwardLog::new(&self.call).failed(&hold, &error, next, ms);
+                    if spent {
+                        return None;
+                    }
+                    self.shared.counters().retry(RetryReason::PrefillBroken);
+                }
+            }
+        }
+        None
+    }
+
+    async fn send(
+        &self,
+        hold: &EndpointHold,
+        cache: Option<CacheHandle>,
+    ) -> Result<UpstreamAnswer<BodyOf<P>>, UpstreamError> {
+        let ask = self.ask(hold, cache);
+        let send = self.shared.parts().upstream().send(ask);
+        let answer = timeout(self.limit(), send).await;
+        answer.unwrap_or(Err(UpstreamError::Silent))
+    }
+
+    fn ask(&self, hold: &EndpointHold, cache: Option<CacheHandle>) -> UpstreamAsk {
+        let options = self.shared.options();
+        let fresh = self.call.is_once();
+        UpstreamAsk {
+            request: self.call.request.clone(),
+            address: hold.address.clone(),
+            endpoint: hold.name.clone(),
+            left: self.shared.left(self.call.deadline),
+            connect: options.connect,
+            idle: Some(if fresh { options.fresh } else { Duration::MAX }),
+            cache,
+            resume: self.last,
+        }
+    }
+
+    /// Passes on a failure that the endpoint answered.
+    async fn failure(mut self, answer: Started<BodyOf<P>>) -> Opened<P> {
+        answer.hold.ended(true);
+        let status = answer.status;
+        let left = self.shared.left(self.call.deadline);
+        let body = timeout(left, answer.body.whole()).await;
+        match body.unwrap_or(Err(UpstreamError::Silent)) {
+            Ok(body) => {
+                self.open = false;
+                ForwardLog::new(&self.call).answered(&self.shared, &answer.hold.name, status, 0);
+                Opened::Failure(ForwardAnswer {
+                    status,
+                    headers: answer.headers,
+                    body,
+                })
+            }
+            Err(error) => {
+                let refused = Refused::unknown(Refusal::OutcomeUnknown, &error.to_string());
+                self.conclude(&refused);
+                Opened::Refused(refused)
+            }
+        }
+    }
+
+    fn conclude(&mut self, refused: &Refused) {
+        self.open = false;
+        self.run = None;
+        let reason = if self.events > 0 {
+            Refusal::Truncated
+        } else {
+            refused.reason
+        };
+        self.shared.counters().refuse(reason);
+        ForwardLog::new(&self.call).refused(&self.shared, reason, self.events, &refused.detail);
+    }
+}
+
+impl<P> Drop for EventRelay<P>
+where
+    P: ForwardParts,
+{
+    fn drop(&mut self) {
+        if self.open {
+            self.shared.counters().abandoned.inc();
+            ForwardLog::new(&self.call).abandoned(&self.shared, self.events);
+        }
+    }
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+struct Started<B> {
+    status: u16,
+    headers: HeaderMap,
+    body: B,
+    hold: EndpointHold,
+}
+
+impl<B> Started<B> {
+    fn into_run(self) -> (HeaderMap, Run<B>) {
+        let run = Run {
+            hold: self.hold,
+            body: self.body,
+            fresh: true,
+        };
+        (self.headers, run)
+    }
+}
--- /dev/null
+++ b/src/request/forward_call.rs
@@ -0,0 +1,70 @@
+use {
+    crate::{
+        board::{PathRoute, Repeat, Tick},
+        decide::{Chance, Failure, RetryBudget, Verdict, after_failure},
+        key::EndpointKey,
+        port::{ForwardRequest, UpstreamError},
+    },
+    std::sync::Arc,
+};
+
+/// A forwarded request on its way: its route, its time and what was tried.
+#[derive(Debug)]
+pub struct ForwardCall {
+    /// The request.
+    pub request: Arc<ForwardRequest>,
+    /// Route that was in force when it arrived.
+    pub route: PathRoute,
+    /// Version of the routing that the route is of.
+    pub version: u64,
+    /// Pool that it goes to.
+    pub pool: String,
+    /// When it arrived.
+    pub arrived: Tick,
+    /// When its answer must be final.
+    pub deadline: Tick,
+    /// Endpoints that it was sent to.
+    pub tried: Vec<EndpointKey>,
+    /// Attempts that ran or may have run.
+    pub ran: u16,
+}
+
+impl ForwardCall {
+    /// Whether no more than one endpoint may begin to run the request.
+    pub fn is_once(&self) -> bool {
+        self.route.repeat == Repeat::AtMostOnce
+    }
+
+    /// Whether another endpoint may run the request after one that may have run it.
+    pub fn may_repeat(&self) -> bool {
+        !self.is_once() && self.ran < self.route.attempts
+    }
+
+    /// Whether another endpoint may run the request once `more` have run it.
+    pub fn may_repeat_after(&self, more: u16) -> bool {
+        !self.is_once() && self.ran + more < self.route.attempts
+    }
+
+    /// Decides what follows a failed attempt; takes a further one from `budget`.
+    pub fn after(&mut self, error: &UpstreamError, late: bool, budget: &RetryBudget) -> Verdict {
+        let state = error.into();
+        if !error.is_not_run() {
+            self.ran += 1;
+        }
+        let tainted = self.ran > 0;
+        let spent = tainted && self.ran >= self.route.attempts;
+        let chance = if late { Chance::Late } else { Chance::Open };
+        let mut failure = Failure {
+            state,
+            tainted,
+            repeat: self.route.repeat,
+            chance,
+        };
+        let verdict = after_failure(failure);
+        if verdict == Verdict::Retry && (spent || !budget.spend()) {
+            failure.chance = Chance::Spent;
+            return after_failure(failure);
+        }
+        verdict
+    }
+}
--- /dev/null
+++ b/src/request/forward_options.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+/// Limits of the path of a forwarded request.
+#[derive(Clone, Debug)]
+pub struct ForwardOptions {
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Hundredths of a retry that a request earns.
+    pub retry_percent: u64,
+    /// Retries that may be saved up for a pool.
+    pub retry_reserve: u64,
+    /// Time to connect to an endpoint.
+    pub connect: Duration,
+    /// Time for a prompt to be computed apart.
+    pub prefill: Duration,
+    /// Time without a next event after which a stream counts as broken.
+    pub stall: Duration,
+    /// Time for the first event of a stream that can move to another endpoint.
+    pub first_event: Duration,
+    /// Time for which a silent endpoint is avoided first; it doubles with each further silence.
+    pub avoid: Duration,
+    /// Time suggested to callers before they send a refused request again.
+    pub retry_after: Duration,
+    /// Longest idle time of a kept connection for requests that may run only once.
+    pub fresh: Duration,
+}
+
+impl Default for ForwardOptions {
+    fn default() -> Self {
+        Self {
+            zone: String::new(),
+            retry_percent: 18,
+            retry_reserve: 2,
+            connect: Duration::from_millis(250),
+            prefill: Duration::from_millis(800),
+            stall: Duration::from_millis(1_300),
+            first_event: Duration::from_millis(1_800),
+            avoid: Duration::from_millis(500),
+            retry_after: Duration::from_millis(200),
+            fresh: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/src/request/forward_refusal.rs
@@ -0,0 +1,67 @@
+//! Refusals of forwarded requests.
+
+use {
+    super::{ForwardCall, ForwardParts, ForwardShared, Ran, Refused, late},
+    crate::{board::Refusal, decide::Verdict, port::UpstreamError},
+};
+
+/// No endpoint of the pool is known.
+pub fn no_endpoint<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
+where
+    P: ForwardParts,
+{
+    refused(
+        shared,
+        call,
+        Refusal::NoEndpoint,
+        "the pool has no endpoint",
+    )
+}
+
+/// Every endpoint of the pool refused.
+pub fn all_refused<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
+where
+    P: ForwardParts,
+{
+    let detail = "every endpoint of the pool refused";
+    refused(shared, call, Refusal::EndpointRefused, detail)
+}
+
+/// What `verdict` says after the attempt that `error` ended.
+pub fn after<P>(shared: &ForwardShared<P>, verdict: Verdict, error: &UpstreamError) -> Refused
+where
+    P: ForwardParts,
+{
+    let detail = error.to_string();
+    match verdict {
+        Verdict::Retry => Refused::not_run(Refusal::EndpointRefused, &detail),
+        Verdict::NotRun(reason) => {
+            Refused::not_run(reason, &detail).after(shared.options().retry_after)
+        }
+        Verdict::Unknown(reason) => Refused::unknown(reason, &detail),
+    }
+}
+
+/// The deadline passed.
+pub fn too_late(call: &ForwardCall) -> Refused {
+    late(ran(call))
+}
+
+fn refused<P>(
+    shared: &ForwardShared<P>,
+    call: &ForwardCall,
+    reason: Refusal,
+    detail: &str,
+) -> Refused
+where
+    P: ForwardParts,
+{
+    match ran(call) {
+        Ran::No => Refused::not_run(reason, detail).after(shared.options().retry_after),
+        Ran::Unknown => Refused::unknown(reason, detail),
+    }
+}
+
+fn ran(call: &ForwardCall) -> Ran {
+    if call.ran == 0 { Ran::No } else { Ran::Unknown }
+}
--- /dev/null
+++ b/src/request/forward_whole.rs
@@ -0,0 +1,122 @@
+use {
+    super::{
+        EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
+        forward_answer::ForwardAnswer, forward_log::retry_reason, forward_refusal,
+    },
+    crate::{
+        board::{RetryReason, Role},
+        decide::Verdict,
+        port::{AnswerBody, Clock, Upstream, UpstreamAsk, UpstreamError},
+    },
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// First status code that says that the endpoint failed.
+const FAILED_STATUS: u16 = 500;
+
+/// Runs a request whose answer comes in one piece.
+pub async fn forward_whole<P>(
+    shared: &ForwardShared<P>,
+    call: &mut ForwardCall,
+) -> Result<ForwardAnswer, Refused>
+where
+    P: ForwardParts,
+{
+    let mut failure = None;
+    loop {
+        let need = EndpointNeed {
+            pool: &call.pool,
+            role: Role::Service,
+            tokens: 0,
+            tried: &call.tried,
+        };
+        let Some(hold) = EndpointHold::choose(shared, &need) else {
+            return failure.ok_or_else(|| forward_refusal::no_endpoint(shared, call));
+        };
+        if hold.option.tried {
+            return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
+        }
+        ForwardLog::new(call).chosen(&hold, "run");
+        call.tried.push(hold.key);
+        match run(shared, call, &hold).await {
+            Ok(reply) if reply.status < FAILED_STATUS => {
+                hold.ended(false);
+                return Ok(reply);
+            }
+            Ok(reply) => {
+                call.ran += 1;
+                hold.ended(!call.is_once());
+                let again = call.may_repeat() && !shared.left(call.deadline).is_zero();
+                if !again || !shared.budget(&call.pool).spend() {
+                    return Ok(reply);
+                }
+                shared.counters().retry(RetryReason::AnsweredFailure);
+                failure = Some(reply);
+            }
+            Err(error) => {
+                hold.failed(shared, &error);
+                let ms = hold.age(shared).as_millis() as u64;
+                let late = shared.left(call.deadline).is_zero();
+                let verdict = call.after(&error, late, &shared.budget(&call.pool));
+                let next = if verdict == Verdict::Retry {
+                    "retry"
+                } else {
+                    "refuse"
+                };
+                ForwardLog::new(call).failed(&hold, &error, next, ms);
+                if verdict != Verdict::Retry {
+                    return failure.ok_or_else(|| forward_refusal::after(shared, verdict, &error));
+                }
+                shared.counters().retry(retry_reason(&error));
+            }
+        }
+    }
+}
+
+async fn run<P>(
+    shared: &ForwardShared<P>,
+    call: &ForwardCall,
+    hold: &EndpointHold,
+) -> Result<ForwardAnswer, UpstreamError>
+where
+    P: ForwardParts,
+{
+    let start = shared.parts().clock().now();
+    let left = shared.left(call.deadline);
+    // What may be repeated leaves time for another endpoint.
+    let limit = if !call.is_once() && call.ran + 1 < call.route.attempts {
+        left.min(call.route.target.max(left / 2))
+    } else {
+        left
+    };
+    let idle = if call.is_once() {
+        shared.options().fresh
+    } else {
+        Duration::MAX
+    };
+    let ask = UpstreamAsk {
+        request: call.request.clone(),
+        address: hold.address.clone(),
+        endpoint: hold.name.clone(),
+        left,
+        connect: shared.options().connect,
+        idle: Some(idle),
+        cache: None,
+        resume: None,
+    };
+    let answering = async {
+        let answer = shared.parts().upstream().send(ask).await?;
+        hold.hear(answer.load, shared.now());
+        let body = answer.body.whole().await?;
+        Ok(ForwardAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body,
+        })
+    };
+    let reply = timeout(limit, answering).await;
+    let reply = reply.unwrap_or(Err(UpstreamError::Silent))?;
+    hold.answered(shared.now() - start);
+    Ok(reply)
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,13 +6,24 @@
 pub use self::{
     acquire::acquire,
     asking::Asking,
+    cache_hold::CacheHold,
     call::Call,
     claimed::claimed,
     completion::Completion,
     completion_places::{CompletionPlaces, Want},
     completion_run::{CompletionEvent, finish_completion, start_completion},
+    endpoint_hold::{EndpointHold, EndpointNeed},
     entry::{Admission, Arrival, Entry},
+    event_relay::EventRelay,
     failed::Failed,
+    forward_answer::ForwardAnswer,
+    forward_call::ForwardCall,
+    forward_entry::{ForwardEntry, ForwardReply},
+    forward_log::ForwardLog,
+    forward_options::ForwardOptions,
+    forward_parts::ForwardParts,
+    forward_shared::ForwardShared,
+    forward_whole::forward_whole,
     held::Held,
     model_path::ModelPath,
     owner::Owner,
@@ -31,13 +42,25 @@
 
 mod acquire;
 mod asking;
+mod cache_hold;
 mod call;
 mod claimed;
 mod completion;
 mod completion_places;
 mod completion_run;
+mod endpoint_hold;
 mod entry;
+mod event_relay;
 mod failed;
+mod forward_answer;
+mod forward_call;
+mod forward_entry;
+mod forward_log;
+mod forward_options;
+mod forward_parts;
+mod forward_refusal;
+mod forward_shared;
+mod forward_whole;
 mod held;
 mod model_path;
 mod owner;
