Reserve the decode place first, and order engines to the roles that the load needs

Four of nine engines read prompts where two suffice. Change: a place is reserved at the endpoint before its prompt is read; the stage controller orders engines by a lease of the store (OrderClaims serves both).

--- a/examples/claims.rs
+++ b/examples/claims.rs
@@ -13,7 +13,7 @@
         fake::{FakePlatform, PlatformControl, PlatformSettings},
         key::{AttemptId, RequestId},
         port::{
-            ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, ClaimRecord, Claimer, MonoClock, Platform,
+            ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, ClaimRecord, Claimer, MonoClock, ObjectStore,
         },
     },
     std::{
--- a/src/border/budgeted_platform.rs
+++ b/src/border/budgeted_platform.rs
@@ -2,7 +2,7 @@
     super::CallCounters,
     crate::{
         decide::{CallClass, TokenBucket},
-        port::{Clock, HostEntry, Object, ObjectName, Platform, PlatformError},
+        port::{Clock, HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     },
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
@@ -76,7 +76,7 @@
     }
 }
 
-impl<P, C> Platform for BudgetedPlatform<P, C>
+impl<P, C> ObjectStore for BudgetedPlatform<P, C>
 where
     P: Platform,
     C: Clock,
@@ -95,7 +95,13 @@
         self.spend()?;
         self.platform.update(name, expected, body).await
     }
+}
 
+impl<P, C> Platform for BudgetedPlatform<P, C>
+where
+    P: Platform,
+    C: Clock,
+{
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectName>, PlatformError> {
         self.spend()?;
         self.platform.list(prefix).await
--- a/src/border/platform_client.rs
+++ b/src/border/platform_client.rs
@@ -1,6 +1,6 @@
 use {
     super::http_client,
-    crate::port::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    crate::port::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     bytes::Bytes,
     reqwest::{
         Client, RequestBuilder, Response, StatusCode, Url,
@@ -112,7 +112,7 @@
     }
 }
 
-impl Platform for PlatformClient {
+impl ObjectStore for PlatformClient {
     async fn read(&self, name: &str) -> Result<Option<Object>, PlatformError> {
         let call = self.client.get(self.url("objects", name));
         let response = self.send(call, self.timeout).await?;
@@ -133,7 +133,9 @@
         self.put(name, body, HeaderMap::from_iter([(IF_MATCH, tag)]))
             .await
     }
+}
 
+impl Platform for PlatformClient {
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectName>, PlatformError> {
         let mut url = self.url("objects", "");
         url.query_pairs_mut().append_pair("prefix", prefix);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,6 +32,7 @@
     sheet_store::{SheetCursor, SheetStore},
     sheet_store_error::SheetStoreError,
     sheet_submit::{Acceptance, Submission},
+    stage_controller::{StageController, StageParts},
     suspect_controller::{SuspectController, Suspicions},
 };
 
@@ -79,5 +80,6 @@
 mod sheet_store;
 mod sheet_store_error;
 mod sheet_submit;
+mod stage_controller;
 mod suspect_controller;
 mod waiter;
--- a/src/control/order_claims.rs
+++ b/src/control/order_claims.rs
@@ -2,7 +2,7 @@
     super::OrderError,
     crate::{
         board::Tick,
-        port::{Clock, Platform, PlatformError},
+        port::{Clock, ObjectStore, PlatformError},
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize},
@@ -54,7 +54,7 @@
 
 impl<P, C> OrderClaims<P, C>
 where
-    P: Platform,
+    P: ObjectStore,
     C: Clock,
 {
     /// Creates the leases of `holder`, a text that no other process shares.
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -3,10 +3,10 @@
         board::{Blackboard, Counters, Routing},
         control::{
             FeedFollower, HealthHandle, ReadinessController, RosterController, RosterEntry,
-            RoutingController,
+            RoutingController, StageController, StageParts,
         },
         key::name_hash,
-        port::{Clock, Feed, MonoClock, Upstream},
+        port::{Clock, Feed, MonoClock, ObjectStore, RoleOrders, Upstream},
         request::{ForwardEntry, ForwardOptions, ForwardParts, ForwardShared},
     },
     prometheus_client::registry::Registry,
@@ -22,13 +22,17 @@
     pub host: String,
     /// Longest wait of one watch at the store, which bounds the age of what is believed.
     pub watch: Duration,
+    /// Hundredths of the engines that are to read prompts.
+    pub prefill_percent: usize,
     /// Limits of the path of a request.
     pub options: ForwardOptions,
 }
 
 /// The outside of a daemon that forwards.
 #[derive(Clone, Debug)]
-pub struct ForwardPorts<U, E, R> {
+pub struct ForwardPorts<U, E, R, S> {
+    /// Where leases are kept.
+    pub store: S,
     /// Endpoints.
     pub upstream: U,
     /// Where endpoints register.
@@ -80,24 +84,25 @@
 
 impl<U> ForwardDaemon<U>
 where
-    U: Upstream,
+    U: Upstream + RoleOrders,
 {
     /// Starts the controllers; `registry` holds what the ports count.
-    pub fn start<E, R>(
+    pub fn start<E, R, S>(
         settings: &ForwardSettings,
-        ports: ForwardPorts<U, E, R>,
+        ports: ForwardPorts<U, E, R, S>,
         mut registry: Registry,
     ) -> Self
     where
         E: Feed<Item = RosterEntry>,
         R: Feed<Item = Routing>,
+        S: ObjectStore,
     {
         let counters = Counters::new(&mut registry);
         let (board, writers) = Blackboard::new();
         let clock = MonoClock::start();
         let seed = name_hash(&settings.host) ^ clock.unix_ms();
         let rng = |purpose: &str| SmallRng::seed_from_u64(seed ^ name_hash(purpose));
-        let (reached, seen) = watch::channel(false);
+        let (reached, answers) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let routing = rng("routing");
         let follower = FeedFollower::new(ports.routing, clock, "routing", settings.watch, routing);
@@ -110,15 +115,25 @@
             writers.health,
             board.routing.clone(),
             board.fleet.clone(),
-            seen,
+            answers,
         );
         tasks.spawn(controller.run());
-        let parts = HostPorts {
+        let stages = StageParts {
+            store: ports.store,
+            orders: ports.upstream.clone(),
+            clock,
+            holder: format!("{}-{}", settings.host, clock.unix_ms()),
+            percent: settings.prefill_percent,
+            fleet: board.fleet.clone(),
+            rng: rng("stages"),
+        };
+        tasks.spawn(StageController::new(stages).run());
+        let host = HostPorts {
             clock,
             upstream: ports.upstream,
         };
         let options = settings.options.clone();
-        let shared = ForwardShared::new(parts, board.clone(), counters, options, seed);
+        let shared = ForwardShared::new(host, board.clone(), counters, options, seed);
         Self {
             entry: ForwardEntry::new(shared),
             board,
--- a/src/decide/endpoint_choice.rs
+++ b/src/decide/endpoint_choice.rs
@@ -13,7 +13,7 @@
 const TRIED: f64 = 1e12;
 
 /// Time for which an endpoint's word on the load of others is worth something.
-const LOAD_AGE: Duration = Duration::from_millis(2_000);
+const LOAD_AGE: Duration = Duration::from_secs(2);
 
 /// Usual time of an endpoint that has not answered yet.
 const UNKNOWN_TIME: Duration = Duration::from_millis(20);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
+    stage_plan::{StageChange, prefill_goal, stage_changes},
     status_of::status_of,
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, strike},
     token_bucket::TokenBucket,
@@ -69,6 +70,7 @@
 mod sheet_diff;
 mod sheet_log;
 mod sheet_row;
+mod stage_plan;
 mod status_of;
 mod suspicion;
 mod token_bucket;
--- a/src/fake/memory_platform.rs
+++ b/src/fake/memory_platform.rs
@@ -3,7 +3,7 @@
         PlatformSettings,
         platform_state::{Condition, PlatformState, Written},
     },
-    crate::port::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    crate::port::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     bytes::Bytes,
     std::{
         fmt::{self, Debug, Formatter},
@@ -75,7 +75,7 @@
     }
 }
 
-impl Platform for MemoryPlatform {
+impl ObjectStore for MemoryPlatform {
     async fn read(&self, name: &str) -> Result<Option<Object>, PlatformError> {
         self.admit()?;
         Ok(self.lock().read(name))
@@ -88,7 +88,9 @@
     async fn update(&self, name: &str, expected: u64, body: Bytes) -> Result<u64, PlatformError> {
         self.write(name, Condition::Version(expected), body)
     }
+}
 
+impl Platform for MemoryPlatform {
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectName>, PlatformError> {
         self.admit()?;
         Ok(self.lock().list(prefix))
--- a/src/port/clock.rs
+++ b/src/port/clock.rs
@@ -5,6 +5,9 @@
     /// Monotonic time.
     fn now(&self) -> Tick;
 
+    /// Time since the machine started, which goes on while the machine is suspended.
+    fn since_boot(&self) -> Duration;
+
     /// Wall-clock time in milliseconds since the Unix epoch.
     fn unix_ms(&self) -> u64;
 
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -19,12 +19,13 @@
         GrantAsk, GrantEnd, GrantRelease, Heartbeat, MemberNews, PeerCall, PeerReply, SheetChange,
         SuspectNews,
     },
-    platform::{HostEntry, Object, ObjectName, Platform, PlatformError},
+    platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
+    role_orders::{EngineState, RoleOrder, RoleOrders},
     service::{Service, ServiceCall, ServiceReply},
     upstream::{
-        AnswerBody, AnswerEvent, CacheHandle, ForwardRequest, PromptSize, Upstream, UpstreamAnswer,
-        UpstreamAsk, UpstreamError,
+        AnswerBody, AnswerEvent, CacheHandle, ForwardRequest, PlaceHandle, PromptSize, Upstream,
+        UpstreamAnswer, UpstreamAsk, UpstreamError,
     },
 };
 
@@ -39,5 +40,6 @@
 mod peer_call;
 mod platform;
 mod request_log;
+mod role_orders;
 mod service;
 mod upstream;
--- a/src/port/mono_clock.rs
+++ b/src/port/mono_clock.rs
@@ -1,6 +1,7 @@
 use {
     super::Clock,
     crate::board::Tick,
+    rustix::time::{ClockId, clock_gettime},
     std::time::{Duration, SystemTime, UNIX_EPOCH},
     tokio::time::{Instant, sleep},
 };
@@ -25,6 +26,11 @@
         Tick::default() + self.start.elapsed()
     }
 
+    fn since_boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::try_from(time).unwrap_or_default()
+    }
+
     fn unix_ms(&self) -> u64 {
         let elapsed = SystemTime::now()
             .duration_since(UNIX_EPOCH)
--- a/src/port/platform.rs
+++ b/src/port/platform.rs
@@ -5,8 +5,8 @@
     thiserror::Error,
 };
 
-/// The platform's object API and host list.
-pub trait Platform: Clone + Send + Sync + 'static {
+/// Objects with versions and conditional writes.
+pub trait ObjectStore: Clone + Send + Sync + 'static {
     /// Reads an object; `None` if it does not exist.
     fn read(
         &self,
@@ -27,7 +27,10 @@
         expected: u64,
         body: Bytes,
     ) -> impl Future<Output = Result<u64, PlatformError>> + Send;
+}
 
+/// The platform's object API and host list.
+pub trait Platform: ObjectStore {
     /// Lists names and versions below `prefix`.
     fn list(
         &self,
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -25,6 +25,18 @@
         ask: UpstreamAsk,
     ) -> impl Future<Output = Result<CacheHandle, UpstreamError>> + Send;
 
+    /// Reserves a place and `tokens` of memory for a request that follows within `lasting`.
+    fn reserve(
+        &self,
+        ask: UpstreamAsk,
+        tokens: u64,
+        lasting: Duration,
+    ) -> impl Future<Output = Result<PlaceHandle, UpstreamError>> + Send;
+
+    /// Gives back a place that no request took.
+    fn release(&self, place: PlaceHandle)
+    -> impl Future<Output = Result<(), UpstreamError>> + Send;
+
     /// Frees a KV cache that nobody will take.
     fn free(&self, handle: CacheHandle) -> impl Future<Output = Result<(), UpstreamError>> + Send;
 }
@@ -73,8 +85,17 @@
 pub struct PromptSize {
     /// Tokens of the prompt.
     pub prompt: u64,
-    /// Most tokens, or events, of the answer.
+    /// Most tokens of the answer.
     pub output: u64,
+    /// Tokens of the answer that the caller expects, if it says so.
+    pub hint: Option<u64>,
+}
+
+impl PromptSize {
+    /// Tokens of memory that the request is expected to need when it ends.
+    pub fn expected(&self) -> u64 {
+        self.prompt + self.hint.unwrap_or(self.output / 2).min(self.output)
+    }
 }
 
 impl ForwardRequest {
@@ -101,6 +122,8 @@
     pub idle: Option<Duration>,
     /// KV cache to start from.
     pub cache: Option<CacheHandle>,
+    /// Place that was reserved for it.
+    pub place: Option<PlaceHandle>,
     /// Number of the last event that need not be sent again.
     pub resume: Option<u64>,
 }
@@ -114,6 +137,15 @@
     pub handle: String,
 }
 
+/// A reserved place at an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlaceHandle {
+    /// Address of the endpoint.
+    pub address: String,
+    /// Name of the place there.
+    pub handle: String,
+}
+
 /// Head of an answer.
 #[derive(Debug)]
 pub struct UpstreamAnswer<B> {
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -1,20 +1,20 @@
 use {
     super::{
         CacheHold, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, Refused, forward_answer::ForwardAnswer, forward_log::retry_reason,
-        forward_refusal,
+        ForwardShared, PlaceHold, Refused, forward_answer::ForwardAnswer,
+        forward_log::retry_reason, forward_refusal,
     },
     crate::{
         board::{Refusal, RetryReason, Role},
         decide::Verdict,
         port::{
-            AnswerBody, AnswerEvent, CacheHandle, Upstream, UpstreamAnswer, UpstreamAsk,
-            UpstreamError,
+            AnswerBody, AnswerEvent, CacheHandle, Clock, PlaceHandle, Upstream, UpstreamAnswer,
+            UpstreamAsk, UpstreamError,
         },
     },
     bytes::Bytes,
     http::HeaderMap,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -27,6 +27,9 @@
 /// Prefill attempts before the prompt is read where it decodes.
 const PREFILL_TRIES: usize = 2;
 
+/// Part of a stream's target time for which it may wait for a place.
+const PLACE_SHARE: u32 = 2;
+
 /// Body of the answers of a port.
 type BodyOf<P> = <<P as ForwardParts>::Upstream as Upstream>::Body;
 
@@ -61,7 +64,7 @@
     P: ForwardParts,
 {
     /// Events follow.
-    Events(HeaderMap, EventRelay<P>),
+    Events(HeaderMap, Box<EventRelay<P>>),
     /// The endpoint answered with a failure.
     Failure(ForwardAnswer),
     /// The request was refused.
@@ -87,7 +90,7 @@
             Ok(answer) if answer.status < NO_SUCCESS => {
                 let (headers, run) = answer.into_run();
                 relay.run = Some(run);
-                Opened::Events(headers, relay)
+                Opened::Events(headers, Box::new(relay))
             }
             Ok(answer) => relay.failure(answer).await,
             Err(refused) => {
@@ -222,15 +225,19 @@
             if left.is_zero() {
                 return Err(forward_refusal::too_late(&self.call));
             }
-            let hold = self.decode_place()?;
+            let (hold, place) = self.decode_place().await?;
             if !read && self.events == 0 {
                 cache = self.prefill().await;
                 read = true;
             }
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
-            match self.send(&hold, handle).await {
+            let reserved = place.as_ref().and_then(PlaceHold::handle);
+            match self.send(&hold, handle, reserved).await {
                 Ok(answer) => {
+                    if let Some(place) = place {
+                        place.taken();
+                    }
                     if let Some(cache) = cache.take() {
                         cache.taken();
                     }
@@ -252,21 +259,63 @@
         }
     }
 
-    fn decode_place(&self) -> Result<EndpointHold, Refused> {
-        let size = self.call.request.size.unwrap_or_default();
-        let need = EndpointNeed {
-            pool: &self.call.pool,
-            role: Role::Decode,
-            tokens: (size.prompt + size.output).max(1),
-            tried: &self.call.tried,
-        };
-        let hold = EndpointHold::choose(&self.shared, &need);
-        let hold = hold.ok_or_else(|| forward_refusal::no_endpoint(&self.shared, &self.call))?;
-        if hold.option.tried {
-            return Err(forward_refusal::all_refused(&self.shared, &self.call));
+    /// Reserves a place to decode; waits for one while the answer can still be in time.
+    async fn decode_place(&self) -> Result<(EndpointHold, Option<PlaceHold<P>>), Refused> {
+        let options = self.shared.options();
+        let until = self.call.arrived + self.call.route.target / PLACE_SHARE;
+        loop {
+            if let Some(found) = self.free_place().await? {
+                return Ok(found);
+            }
+            if self.shared.now() >= until {
+                let refused = forward_refusal::full(&self.shared, &self.call);
+                return Err(refused);
+            }
+            self.shared.parts().clock().sleep(options.place_wait).await;
+        }
+    }
+
+    /// Asks the endpoints that decode for a place, best first; nothing if every one is full.
+    async fn free_place(&self) -> Result<Option<(EndpointHold, Option<PlaceHold<P>>)>, Refused> {
+        let tokens = self.call.request.size.unwrap_or_default().expected().max(1);
+        let mut tried = self.call.tried.clone();
+        loop {
+            let need = EndpointNeed {
+                pool: &self.call.pool,
+                role: Role::Decode,
+                tokens,
+                tried: &tried,
+            };
+            let hold = EndpointHold::choose(&self.shared, &need);
+            let hold =
+                hold.ok_or_else(|| forward_refusal::no_endpoint(&self.shared, &self.call))?;
+            if hold.option.tried {
+                return Ok(None);
+            }
+            ForwardLog::new(&self.call).chosen(&hold, "decode");
+            tried.push(hold.key);
+            let options = self.shared.options();
+            let ask = self.ask(&hold, None, None);
+            let reserve = self.shared.parts().upstream();
+            let size = self.call.request.size.unwrap_or_default();
+            let wanted =
+                size.prompt + (size.expected() - size.prompt) * options.tuned(0, 100) / 100;
+            let lasting = Duration::from_millis(options.tuned(1, 2000));
+            let reserve = reserve.reserve(ask, wanted, lasting);
+            match timeout(options.reserve, reserve)
+                .await
+                .unwrap_or(Err(UpstreamError::Silent))
+            {
+                Ok(place) => return Ok(Some((hold, Some(PlaceHold::new(&self.shared, place))))),
+                Err(error) => {
+                    let ms = hold.age(&self.shared).as_millis() as u64;
+                    ForwardLog::new(&self.call).failed(&hold, &error, "ask another", ms);
+                    if !matches!(error, UpstreamError::Refused { .. }) {
+                        hold.failed(&self.shared, &error);
+                    }
+                }
+            }
         }
-        ForwardLog::new(&self.call).chosen(&hold, "decode");
-        Ok(hold)
     }
 
     /// Has the prompt computed apart; nothing if it is better read where it decodes.
@@ -285,7 +334,7 @@
             }
             ForwardLog::new(&self.call).chosen(&hold, "prefill");
             tried.push(hold.key);
-            let ask = self.ask(&hold, None);
+            let ask = self.ask(&hold, None, None);
             let prefill = self.shared.parts().upstream().prefill(ask);
             let computed = timeout(self.shared.options().prefill, prefill).await;
             match computed.unwrap_or(Err(UpstreamError::Silent)) {
@@ -314,24 +363,31 @@
         &self,
         hold: &EndpointHold,
         cache: Option<CacheHandle>,
+        place: Option<PlaceHandle>,
     ) -> Result<UpstreamAnswer<BodyOf<P>>, UpstreamError> {
-        let ask = self.ask(hold, cache);
+        let ask = self.ask(hold, cache, place);
         let send = self.shared.parts().upstream().send(ask);
         let answer = timeout(self.limit(), send).await;
         answer.unwrap_or(Err(UpstreamError::Silent))
     }
 
-    fn ask(&self, hold: &EndpointHold, cache: Option<CacheHandle>) -> UpstreamAsk {
+    fn ask(
+        &self,
+        hold: &EndpointHold,
+        cache: Option<CacheHandle>,
+        place: Option<PlaceHandle>,
+    ) -> UpstreamAsk {
         let options = self.shared.options();
         let fresh = self.call.is_once();
         UpstreamAsk {
-            request: self.call.request.clone(),
+            request: Arc::clone(&self.call.request),
             address: hold.address.clone(),
             endpoint: hold.name.clone(),
             left: self.shared.left(self.call.deadline),
             connect: options.connect,
             idle: Some(if fresh { options.fresh } else { Duration::MAX }),
             cache,
+            place,
             resume: self.last,
         }
     }
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -26,7 +26,7 @@
     /// The whole answer of an endpoint.
     Whole(ForwardAnswer),
     /// Events that follow one another.
-    Events(HeaderMap, EventRelay<P>),
+    Events(HeaderMap, Box<EventRelay<P>>),
     /// Nothing was answered.
     Refused(Refused),
 }
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -22,6 +22,7 @@
     pub fn chosen(&self, hold: &EndpointHold, purpose: &str) {
         let option = &hold.option;
         let (others, age) = option.others.unwrap_or_default();
+        let size = self.call.request.size.unwrap_or_default();
         log::info!(
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
@@ -29,6 +30,8 @@
             attempt = self.call.tried.len(),
             endpoint = hold.name.as_str(),
             among = hold.among,
+            prompt = size.prompt,
+            output = size.output,
             own = option.own,
             others,
             age_ms = age.as_millis() as u64,
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -5,12 +5,20 @@
 pub struct ForwardOptions {
     /// Availability zone of this host.
     pub zone: String,
+    /// Trial figures.
+    pub tune: Vec<u64>,
     /// Hundredths of a retry that a request earns.
     pub retry_percent: u64,
     /// Retries that may be saved up for a pool.
     pub retry_reserve: u64,
     /// Time to connect to an endpoint.
     pub connect: Duration,
+    /// Time for an endpoint to reserve a place.
+    pub reserve: Duration,
+    /// Time for which a reserved place is kept for its request.
+    pub place_time: Duration,
+    /// Wait before full endpoints are asked again.
+    pub place_wait: Duration,
     /// Time for a prompt to be computed apart.
     pub prefill: Duration,
     /// Time without a next event after which a stream counts as broken.
@@ -25,13 +33,24 @@
     pub fresh: Duration,
 }
 
+impl ForwardOptions {
+    /// Trial figure `i`, or `usual`.
+    pub fn tuned(&self, i: usize, usual: u64) -> u64 {
+        self.tune.get(i).copied().unwrap_or(usual)
+    }
+}
+
 impl Default for ForwardOptions {
     fn default() -> Self {
         Self {
             zone: String::new(),
+            tune: Vec::new(),
             retry_percent: 18,
             retry_reserve: 2,
             connect: Duration::from_millis(250),
+            reserve: Duration::from_millis(150),
+            place_time: Duration::from_secs(2),
+            place_wait: Duration::from_millis(60),
             prefill: Duration::from_millis(800),
             stall: Duration::from_millis(1_300),
             first_event: Duration::from_millis(1_800),
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -27,6 +27,15 @@
     refused(shared, call, Refusal::EndpointRefused, detail)
 }
 
+/// No endpoint has room.
+pub fn full<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
+where
+    P: ForwardParts,
+{
+    let detail = "no endpoint of the pool has room";
+    refused(shared, call, Refusal::QueueFull, detail)
+}
+
 /// What `verdict` says after the attempt that `error` ended.
 pub fn after<P>(shared: &ForwardShared<P>, verdict: Verdict, error: &UpstreamError) -> Refused
 where
--- a/src/request/forward_whole.rs
+++ b/src/request/forward_whole.rs
@@ -8,7 +8,7 @@
         decide::Verdict,
         port::{AnswerBody, Clock, Upstream, UpstreamAsk, UpstreamError},
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -96,13 +96,14 @@
         Duration::MAX
     };
     let ask = UpstreamAsk {
-        request: call.request.clone(),
+        request: Arc::clone(&call.request),
         address: hold.address.clone(),
         endpoint: hold.name.clone(),
         left,
         connect: shared.options().connect,
         idle: Some(idle),
         cache: None,
+        place: None,
         resume: None,
     };
     let answering = async {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -29,6 +29,7 @@
     owner::Owner,
     parts::Parts,
     path_options::PathOptions,
+    place_hold::PlaceHold,
     pools::Pools,
     progress::Progress,
     refused::{Ran, Refused, denied, exhausted, late},
@@ -66,6 +67,7 @@
 mod owner;
 mod parts;
 mod path_options;
+mod place_hold;
 mod pools;
 mod progress;
 mod refused;
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -7,7 +7,7 @@
         border::{BudgetedPlatform, CallCounters, PlatformClient},
         decide::{Backoff, CallClass, TokenBucket},
         fake::{FakePlatform, PlatformSettings},
-        port::{Clock, Platform, PlatformError},
+        port::{Clock, ObjectStore, PlatformError},
     },
     prometheus_client::{encoding::text::encode, registry::Registry},
     rand::{SeedableRng, rngs::SmallRng},
@@ -26,6 +26,10 @@
         Tick(1_000_000)
     }
 
+    fn since_boot(&self) -> Duration {
+        Duration::from_secs(1)
+    }
+
     fn unix_ms(&self) -> u64 {
         0
     }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -45,6 +45,10 @@
         Tick(self.0.load(Ordering::Acquire))
     }
 
+    fn since_boot(&self) -> Duration {
+        Duration::from_micros(self.0.load(Ordering::Acquire))
+    }
+
     fn unix_ms(&self) -> u64 {
         0
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,7 +6,7 @@
     lentillead::{
         border::PlatformClient,
         fake::{FakePlatform, Outage, PlatformControl, PlatformSettings},
-        port::{HostEntry, Platform, PlatformError},
+        port::{HostEntry, ObjectStore, Platform, PlatformError},
     },
     std::time::Duration,
 };
--- a/tests/sheet_follow.rs
+++ b/tests/sheet_follow.rs
@@ -8,7 +8,7 @@
         control::{SheetStore, SheetStoreError, Submission},
         decide::{RulesByBranch, by_branch, sheet_check},
         fake::{FakePlatform, Outage, PlatformControl, PlatformSettings},
-        port::{HostEntry, Object, ObjectName, Platform, PlatformError, SheetChange},
+        port::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError, SheetChange},
     },
     proptest::{collection::vec, prelude::ProptestConfig, proptest},
     std::{sync::Arc, time::Duration},
@@ -141,7 +141,7 @@
     fake: Arc<FakePlatform>,
 }
 
-impl Platform for Cut {
+impl ObjectStore for Cut {
     async fn read(&self, name: &str) -> Result<Option<Object>, PlatformError> {
         self.client.read(name).await
     }
@@ -155,7 +155,9 @@
         self.fake.set_outage(Outage::Error);
         Err(PlatformError::Unknown("cut".to_owned()))
     }
+}
 
+impl Platform for Cut {
     async fn list(&self, prefix: &str) -> Result<Vec<ObjectName>, PlatformError> {
         self.client.list(prefix).await
     }
--- a/tests/sheet_store.rs
+++ b/tests/sheet_store.rs
@@ -9,7 +9,7 @@
         control::{Acceptance, SheetCursor, SheetStore, SheetStoreError, Submission},
         decide::{by_branch, sheet_check},
         fake::{FakePlatform, Outage, PlatformControl, PlatformSettings},
-        port::{Platform, SheetChange},
+        port::{ObjectStore, Platform, SheetChange},
     },
     std::{fmt::Write, time::Duration},
 };
