Trust no empty watch, and take no stream that a planned stop would cut

Change: an answer without changes does not move the revision on; after the notice time of a planned stop streams are refused as not run. Ruled out: a shorter wait of the watch, since the revision itself had moved past.

--- a/examples/claims.rs
+++ b/examples/claims.rs
@@ -13,7 +13,8 @@
         fake::{FakePlatform, PlatformControl, PlatformSettings},
         key::{AttemptId, RequestId},
         port::{
-            ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, ClaimRecord, Claimer, MonoClock, ObjectStore,
+            ClaimAsk, ClaimEnd, ClaimKey, ClaimOutcome, ClaimRecord, Claimer, MonoClock,
+            ObjectStore,
         },
     },
     std::{
--- a/src/board/health.rs
+++ b/src/board/health.rs
@@ -7,4 +7,6 @@
     pub ready: bool,
     /// Whether a planned stop has begun.
     pub stopping: bool,
+    /// Whether a planned stop is so far that long requests would be cut.
+    pub closing: bool,
 }
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -124,12 +124,12 @@
             );
             return Err(FeedError::Refused(why));
         }
+        if changes.changes.is_empty() {
+            // The store may have kept changes back: an answer without any proves nothing.
+            return Ok(News::Same);
+        }
         self.revision = changes.revision;
-        Ok(if changes.changes.is_empty() {
-            News::Same
-        } else {
-            News::Some(changes.changes)
-        })
+        Ok(News::Some(changes.changes))
     }
 
     fn regained(&mut self) {
--- a/src/control/health_controller.rs
+++ b/src/control/health_controller.rs
@@ -91,6 +91,7 @@
             store: listed,
             ready,
             stopping,
+            closing: false,
         };
         if **self.writer.load() != health {
             self.writer.publish(health);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,7 +23,7 @@
     order_run::send_order,
     order_settings::OrderSettings,
     owner_controller::OwnerController,
-    readiness_controller::ReadinessController,
+    readiness_controller::{NOTICE_TIME, ReadinessController},
     roster_controller::{RosterController, RosterEntry},
     routing_controller::RoutingController,
     sheet_controller::{SheetController, SheetParts},
--- a/src/control/readiness_controller.rs
+++ b/src/control/readiness_controller.rs
@@ -1,9 +1,17 @@
 use {
     super::HealthHandle,
     crate::board::{Fleet, Health, Routing, Section, Writer},
-    tokio::sync::{mpsc, watch},
+    std::time::Duration,
+    tokio::{
+        sync::{mpsc, watch},
+        time::{Instant, sleep},
+    },
 };
 
+/// Time after the announcement of a planned stop in which long requests are still taken: the
+/// balancer notices the stop within it.
+pub const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Writes the `health` section of a daemon that forwards: ready once routes and endpoints are known.
 #[derive(Debug)]
 pub struct ReadinessController {
@@ -35,14 +43,16 @@
 
     /// Runs until every handle or a section's writer is gone.
     pub async fn run(mut self) {
-        let mut stopping = false;
+        let mut stopping = None;
         loop {
-            self.publish(stopping);
+            let left = stopping.map(|since: Instant| NOTICE_TIME.saturating_sub(since.elapsed()));
+            self.publish(stopping.is_some(), left.is_some_and(|left| left.is_zero()));
             let lasting = tokio::select! {
                 stop = self.stop.recv() => {
-                    stopping = true;
+                    stopping = stopping.or(Some(Instant::now()));
                     stop.is_some()
                 }
+                () = sleep(left.unwrap_or_default()), if left.is_some_and(|left| !left.is_zero()) => true,
                 more = self.routing.changed() => more,
                 more = self.fleet.changed() => more,
                 more = self.reached.changed() => more.is_ok(),
@@ -53,16 +63,17 @@
         }
     }
 
-    fn publish(&mut self, stopping: bool) {
+    fn publish(&mut self, stopping: bool, closing: bool) {
         let known = self.routing.load().version > 0 && !self.fleet.load().endpoints.is_empty();
         let before = **self.writer.load();
         let health = Health {
             store: *self.reached.borrow_and_update(),
             ready: !stopping && (known || before.ready),
             stopping,
+            closing,
         };
         if before != health {
-            log::info!(ready = health.ready, store = health.store, stopping; "health changed");
+            log::info!(ready = health.ready, store = health.store, stopping, closing; "health changed");
             self.writer.publish(health);
         }
     }
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -77,6 +77,11 @@
         shared.now() - self.since
     }
 
+    /// Requests of this process at the endpoint, this one among them.
+    pub fn running(&self) -> u32 {
+        self.slot.traffic.running()
+    }
+
     /// Records the load that the endpoint told.
     pub fn hear(&self, load: Option<SeenLoad>, now: Tick) {
         if let Some(load) = load {
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -21,12 +21,6 @@
 /// First status code that is no success.
 const NO_SUCCESS: u16 = 300;
 
-/// Share of the prefill endpoints' memory in work above which prompts are read where they decode.
-const PREFILL_FILL: f64 = 0.35;
-
-/// Prefill attempts before the prompt is read where it decodes.
-const PREFILL_TRIES: usize = 2;
-
 /// Part of a stream's target time for which it may wait for a place.
 const PLACE_SHARE: u32 = 2;
 
@@ -218,27 +212,26 @@
 
     /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
     async fn start(&mut self) -> Result<Started<BodyOf<P>>, Refused> {
-        let mut cache = None;
-        let mut read = false;
+        let mut read = self.events > 0;
         loop {
-            let left = self.shared.left(self.call.deadline);
-            if left.is_zero() {
+            if self.shared.left(self.call.deadline).is_zero() {
                 return Err(forward_refusal::too_late(&self.call));
             }
-            let (hold, place) = self.decode_place().await?;
-            if !read && self.events == 0 {
-                cache = self.prefill().await;
-                read = true;
-            }
+            let places = self.places(read).await?;
+            let cache = match places.prefill {
+                Some(prefill) => {
+                    read = true;
+                    self.prefill(prefill).await
+                }
+                None => None,
+            };
+            let hold = places.decode;
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
-            let reserved = place.as_ref().and_then(PlaceHold::handle);
-            match self.send(&hold, handle, reserved).await {
+            match self.send(&hold, handle, places.place.handle()).await {
                 Ok(answer) => {
-                    if let Some(place) = place {
-                        place.taken();
-                    }
-                    if let Some(cache) = cache.take() {
+                    places.place.taken();
+                    if let Some(cache) = cache {
                         cache.taken();
                     }
                     hold.hear(answer.load, self.shared.now());
@@ -249,34 +242,59 @@
                         hold,
                     });
                 }
-                Err(error) => {
-                    self.after(&hold, &error)?;
-                    if !error.is_not_run() {
-                        cache = None;
-                    }
-                }
+                Err(error) => self.after(&hold, &error)?,
             }
         }
     }
 
-    /// Reserves a place to decode; waits for one while the answer can still be in time.
-    async fn decode_place(&self) -> Result<(EndpointHold, Option<PlaceHold<P>>), Refused> {
+    /// Takes a place to read the prompt and reserves one to decode; waits for both while the
+    /// answer can still be in time. A prompt that is `read`, or finds no place, is read where it
+    /// decodes.
+    async fn places(&self, read: bool) -> Result<Places<P>, Refused> {
         let options = self.shared.options();
-        let until = self.call.arrived + self.call.route.target / PLACE_SHARE;
+        let start = self.shared.now();
+        let until = start + self.call.route.target / PLACE_SHARE;
+        let alone = start + Duration::from_millis(options.tuned(3, 200));
         loop {
-            if let Some(found) = self.free_place().await? {
-                return Ok(found);
+            let prefill = if read { None } else { self.prefill_place() };
+            let now = self.shared.now();
+            if (read || prefill.is_some() || now >= alone)
+                && let Some((decode, place)) = self.free_place().await?
+            {
+                return Ok(Places {
+                    decode,
+                    place,
+                    prefill,
+                });
             }
-            if self.shared.now() >= until {
-                let refused = forward_refusal::full(&self.shared, &self.call);
-                return Err(refused);
+            if now >= until {
+                return Err(forward_refusal::full(&self.shared, &self.call));
             }
-            self.shared.parts().clock().sleep(options.place_wait).await;
+            let wait = if prefill.is_some() {
+                options.place_wait
+            } else {
+                options.line_wait
+            };
+            drop(prefill);
+            self.shared.parts().clock().sleep(wait).await;
         }
     }
 
+    /// A place at an endpoint that computes prompts and has a short line.
+    fn prefill_place(&self) -> Option<EndpointHold> {
+        let need = EndpointNeed {
+            pool: &self.call.pool,
+            role: Role::Prefill,
+            tokens: self.call.request.size.unwrap_or_default().prompt.max(1),
+            tried: &[],
+        };
+        let hold = EndpointHold::choose(&self.shared, &need)?;
+        let line = self.shared.options().tuned(2, 1) as u32;
+        (!hold.option.avoided && hold.running() <= line).then_some(hold)
+    }
+
     /// Asks the endpoints that decode for a place, best first; nothing if every one is full.
-    async fn free_place(&self) -> Result<Option<(EndpointHold, Option<PlaceHold<P>>)>, Refused> {
+    async fn free_place(&self) -> Result<Option<(EndpointHold, PlaceHold<P>)>, Refused> {
         let tokens = self.call.request.size.unwrap_or_default().expected().max(1);
         let mut tried = self.call.tried.clone();
         loop {
@@ -306,7 +324,7 @@
                 .await
                 .unwrap_or(Err(UpstreamError::Silent))
             {
-                Ok(place) => return Ok(Some((hold, Some(PlaceHold::new(&self.shared, place))))),
+                Ok(place) => return Ok(Some((hold, PlaceHold::new(&self.shared, place)))),
                 Err(error) => {
                     let ms = hold.age(&self.shared).as_millis() as u64;
                     ForwardLog::new(&self.call).failed(&hold, &error, "ask another", ms);
@@ -318,45 +336,27 @@
         }
     }
 
-    /// Has the prompt computed apart; nothing if it is better read where it decodes.
-    async fn prefill(&self) -> Option<CacheHold<P>> {
-        let mut tried = Vec::new();
-        for _ in 0..PREFILL_TRIES {
-            let need = EndpointNeed {
-                pool: &self.call.pool,
-                role: Role::Prefill,
-                tokens: self.call.request.size.unwrap_or_default().prompt.max(1),
-                tried: &tried,
-            };
-            let hold = EndpointHold::choose(&self.shared, &need)?;
-            if hold.option.tried || hold.option.avoided || hold.option.fill() > PREFILL_FILL {
-                return None;
+    /// Has the prompt computed at `hold`; nothing if that failed.
+    async fn prefill(&self, hold: EndpointHold) -> Option<CacheHold<P>> {
+        ForwardLog::new(&self.call).chosen(&hold, "prefill");
+        let start = self.shared.now();
+        let ask = self.ask(&hold, None, None);
+        let prefill = self.shared.parts().upstream().prefill(ask);
+        let computed = timeout(self.shared.options().prefill, prefill).await;
+        match computed.unwrap_or(Err(UpstreamError::Silent)) {
+            Ok(handle) => {
+                hold.answered(self.shared.now() - start);
+                hold.ended(false);
+                Some(CacheHold::new(&self.shared, handle))
             }
-            ForwardLog::new(&self.call).chosen(&hold, "prefill");
-            tried.push(hold.key);
-            let ask = self.ask(&hold, None, None);
-            let prefill = self.shared.parts().upstream().prefill(ask);
-            let computed = timeout(self.shared.options().prefill, prefill).await;
-            match computed.unwrap_or(Err(UpstreamError::Silent)) {
-                Ok(handle) => {
-                    hold.answered(hold.age(&self.shared));
-                    hold.ended(false);
-                    return Some(CacheHold::new(&self.shared, handle));
-                }
-                Err(error) => {
-                    hold.failed(&self.shared, &error);
-                    let ms = hold.age(&self.shared).as_millis() as u64;
-                    let spent = !self.shared.budget(&self.call.pool).spend();
-                    let next = if spent { "read in place" } else { "retry" };
-                    ForwardLog::new(&self.call).failed(&hold, &error, next, ms);
-                    if spent {
-                        return None;
-                    }
-                    self.shared.counters().retry(RetryReason::PrefillBroken);
-                }
+            Err(error) => {
+                hold.failed(&self.shared, &error);
+                let ms = (self.shared.now() - start).as_millis() as u64;
+                ForwardLog::new(&self.call).failed(&hold, &error, "read in place", ms);
+                self.shared.counters().retry(RetryReason::PrefillBroken);
+                None
             }
         }
-        None
     }
 
     async fn send(
@@ -441,6 +441,17 @@
     }
 }
 
+/// Where a stream is to run.
+#[derive(Debug)]
+struct Places<P>
+where
+    P: ForwardParts,
+{
+    decode: EndpointHold,
+    place: PlaceHold<P>,
+    prefill: Option<EndpointHold>,
+}
+
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 struct Started<B> {
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -11,6 +11,9 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Wait suggested to callers of a daemon that stops; others take their requests at once.
+const STOPPING_WAIT: Duration = Duration::from_millis(20);
+
 /// Where a front end hands in requests that are to be forwarded.
 #[derive(Clone, Debug)]
 pub struct ForwardEntry<P> {
@@ -109,6 +112,11 @@
         let Some((_, route)) = routing.find(&request.host, request.path()) else {
             return Err(self.no_route(&routing, &request));
         };
+        let closing = self.shared.board().health.load().closing;
+        if closing && route.reply == ReplyKind::Events {
+            let detail = "the daemon stops before a stream could end";
+            return Err(Refused::not_run(Refusal::Stopping, detail).after(STOPPING_WAIT));
+        }
         let route = route.clone();
         let patience = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         Ok(ForwardCall {
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -19,6 +19,8 @@
     pub place_time: Duration,
     /// Wait before full endpoints are asked again.
     pub place_wait: Duration,
+    /// Wait before endpoints that compute prompts are looked at again.
+    pub line_wait: Duration,
     /// Time for a prompt to be computed apart.
     pub prefill: Duration,
     /// Time without a next event after which a stream counts as broken.
@@ -51,6 +53,7 @@
             reserve: Duration::from_millis(150),
             place_time: Duration::from_secs(2),
             place_wait: Duration::from_millis(60),
+            line_wait: Duration::from_millis(20),
             prefill: Duration::from_millis(800),
             stall: Duration::from_millis(1_300),
             first_event: Duration::from_millis(1_800),
