Place the streams of a pool by one daemon's ledger

Change: rendezvous hashing names one daemon for each pool; its ledger plans memory to the end of each answer, slots and the lines of engines that read prompts. Daemons register at the store. Without that daemon each one chooses by what it knows. Ruled out: reservations of 0 to 100% of the expected tokens, 150 ms to 2 s.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: each reads some sections of the blackboard and writes exactly one.
 
 pub use self::{
+    allocation_controller::{Allocation, AllocationController},
     claim_controller::Claims,
     claim_resolver::ClaimResolver,
     claim_router::ClaimRouter,
@@ -17,12 +18,14 @@
     load_controller::{LoadController, POLL_INTERVAL},
     member_controller::{MemberController, MemberParts},
     member_handle::MemberHandle,
+    member_roster::{MemberEntry, MemberRoster, register},
     order_claims::{OrderClaim, OrderClaims},
     order_controller::{OrderController, OrderParts},
     order_error::OrderError,
     order_run::send_order,
     order_settings::OrderSettings,
     owner_controller::OwnerController,
+    place_router::PlaceRouter,
     readiness_controller::{NOTICE_TIME, ReadinessController},
     roster_controller::{RosterController, RosterEntry},
     routing_controller::RoutingController,
@@ -36,6 +39,7 @@
     suspect_controller::{SuspectController, Suspicions},
 };
 
+mod allocation_controller;
 mod claim_committer;
 mod claim_controller;
 mod claim_partition;
@@ -63,6 +67,7 @@
 mod member_controller;
 mod member_handle;
 mod member_message;
+mod member_roster;
 mod order_claims;
 mod order_controller;
 mod order_error;
@@ -70,6 +75,7 @@
 mod order_settings;
 mod orphan_cancel;
 mod owner_controller;
+mod place_router;
 mod readiness_controller;
 mod roster_controller;
 mod routing_controller;
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -61,6 +61,9 @@
             PeerCall::Sheet { since } => PeerReply::Sheet(self.sheet.changes(since).await),
             PeerCall::Claim(ask) => PeerReply::Claim(self.claims.ask(ask).await),
             PeerCall::Status => self.status(),
+            PeerCall::Place(_) | PeerCall::PlaceEnd(_) => {
+                PeerReply::Failed("this daemon does not forward by routes".to_owned())
+            }
         }
     }
 }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -1,12 +1,17 @@
 use {
     crate::{
         board::{Blackboard, Counters, Routing},
+        border::PeerClient,
         control::{
-            FeedFollower, HealthHandle, ReadinessController, RosterController, RosterEntry,
-            RoutingController, StageController, StageParts,
+            Allocation, AllocationController, FeedFollower, HealthHandle, MemberEntry,
+            MemberRoster, PlaceRouter, ReadinessController, RosterController, RosterEntry,
+            RoutingController, StageController, StageParts, register,
         },
         key::name_hash,
-        port::{Clock, Feed, MonoClock, ObjectStore, RoleOrders, Upstream},
+        port::{
+            Clock, Feed, MonoClock, ObjectStore, PeerCall, PeerHandler, PeerReply, RoleOrders,
+            Upstream,
+        },
         request::{ForwardEntry, ForwardOptions, ForwardParts, ForwardShared},
     },
     prometheus_client::registry::Registry,
@@ -20,6 +25,8 @@
 pub struct ForwardSettings {
     /// Name of the host.
     pub host: String,
+    /// Address at which other daemons call this one, `ip:port`.
+    pub address: String,
     /// Longest wait of one watch at the store, which bounds the age of what is believed.
     pub watch: Duration,
     /// Hundredths of the engines that are to read prompts.
@@ -30,7 +37,13 @@
 
 /// The outside of a daemon that forwards.
 #[derive(Clone, Debug)]
-pub struct ForwardPorts<U, E, R, S> {
+pub struct ForwardPorts<U, E, R, M, S, J> {
+    /// Where daemons are listed.
+    pub members: M,
+    /// Where this daemon registers.
+    pub register: J,
+    /// Other daemons.
+    pub peer: PeerClient,
     /// Where leases are kept.
     pub store: S,
     /// Endpoints.
@@ -46,6 +59,7 @@
 pub struct HostPorts<U> {
     clock: MonoClock,
     upstream: U,
+    placer: PlaceRouter<PeerClient, MonoClock>,
 }
 
 impl<U> ForwardParts for HostPorts<U>
@@ -54,6 +68,7 @@
 {
     type Clock = MonoClock;
     type Upstream = U;
+    type Placer = PlaceRouter<PeerClient, MonoClock>;
 
     fn clock(&self) -> &MonoClock {
         &self.clock
@@ -62,6 +77,10 @@
     fn upstream(&self) -> &U {
         &self.upstream
     }
+
+    fn placer(&self) -> &Self::Placer {
+        &self.placer
+    }
 }
 
 /// A daemon that forwards requests by routes; dropping it ends it at once, as a crash would.
@@ -79,23 +98,45 @@
     /// Every metric.
     pub registry: Arc<Registry>,
     health: HealthHandle,
+    allocation: Allocation,
     tasks: JoinSet<()>,
 }
 
+/// Answers the calls of other daemons.
+#[derive(Clone, Debug)]
+pub struct ForwardDispatch {
+    allocation: Allocation,
+}
+
+impl PeerHandler for ForwardDispatch {
+    async fn handle(&self, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Place(ask) => PeerReply::Place(self.allocation.place(ask).await),
+            PeerCall::PlaceEnd(end) => {
+                self.allocation.end(end);
+                PeerReply::Done
+            }
+            _ => PeerReply::Failed("this daemon serves no sheet".to_owned()),
+        }
+    }
+}
+
 impl<U> ForwardDaemon<U>
 where
     U: Upstream + RoleOrders,
 {
     /// Starts the controllers; `registry` holds what the ports count.
-    pub fn start<E, R, S>(
+    pub fn start<E, R, M, S, J>(
         settings: &ForwardSettings,
-        ports: ForwardPorts<U, E, R, S>,
+        ports: ForwardPorts<U, E, R, M, S, J>,
         mut registry: Registry,
     ) -> Self
     where
         E: Feed<Item = RosterEntry>,
         R: Feed<Item = Routing>,
+        M: Feed<Item = MemberEntry>,
         S: ObjectStore,
+        J: ObjectStore,
     {
         let counters = Counters::new(&mut registry);
         let (board, writers) = Blackboard::new();
@@ -128,9 +169,23 @@
             rng: rng("stages"),
         };
         tasks.spawn(StageController::new(stages).run());
+        let own = MemberEntry {
+            name: settings.host.clone(),
+            zone: settings.options.zone.clone(),
+            address: settings.address.clone(),
+            incarnation: clock.unix_ms(),
+        };
+        tasks.spawn(register(ports.register, clock, own.clone()));
+        let members = rng("members");
+        let follower = FeedFollower::new(ports.members, clock, "members", settings.watch, members);
+        tasks.spawn(MemberRoster::new(follower, own, writers.members).run());
+        let (controller, allocation) = AllocationController::new(board.clone(), clock);
+        tasks.spawn(controller.run());
+        let members = board.members.clone();
         let host = HostPorts {
             clock,
             upstream: ports.upstream,
+            placer: PlaceRouter::new(ports.peer, clock, members, allocation.clone()),
         };
         let options = settings.options.clone();
         let shared = ForwardShared::new(host, board.clone(), counters, options, seed);
@@ -139,10 +194,18 @@
             board,
             registry: Arc::new(registry),
             health,
+            allocation,
             tasks,
         }
     }
 
+    /// What answers the calls of other daemons.
+    pub fn dispatch(&self) -> ForwardDispatch {
+        ForwardDispatch {
+            allocation: self.allocation.clone(),
+        }
+    }
+
     /// Announces that a planned stop has begun: the daemon is not ready any more.
     pub fn stopping(&self) {
         self.health.stopping();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,7 +6,7 @@
     daemon_error::DaemonError,
     daemon_parts::DaemonParts,
     dispatch::Dispatch,
-    forward_daemon::{ForwardDaemon, ForwardPorts, ForwardSettings, HostPorts},
+    forward_daemon::{ForwardDaemon, ForwardDispatch, ForwardPorts, ForwardSettings, HostPorts},
     running::{Addresses, Daemon},
 };
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     host_roster::HostRoster,
+    ledger::{Ledger, Placement},
     load_news::LoadNews,
     member_timing::MemberTiming,
     news_queue::NewsQueue,
@@ -47,6 +48,7 @@
 mod fair_share;
 mod fleet_merge;
 mod host_roster;
+mod ledger;
 mod load_news;
 mod member_timing;
 pub mod membership;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -19,6 +19,7 @@
         GrantAsk, GrantEnd, GrantRelease, Heartbeat, MemberNews, PeerCall, PeerReply, SheetChange,
         SuspectNews,
     },
+    placer::{PlaceAsk, PlaceEnd, PlaceOutcome, Placer},
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
     role_orders::{EngineState, RoleOrder, RoleOrders},
@@ -38,6 +39,7 @@
 mod mono_clock;
 mod peer;
 mod peer_call;
+mod placer;
 mod platform;
 mod request_log;
 mod role_orders;
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,4 +1,5 @@
 use {
+    super::{PlaceAsk, PlaceEnd, PlaceOutcome},
     crate::{
         board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
@@ -32,6 +33,10 @@
     Claim(ClaimAsk),
     /// Asks for the receiver's own status.
     Status,
+    /// Asks for places of a forwarded stream; waits in line for a moment.
+    Place(PlaceAsk),
+    /// Gives such places back.
+    PlaceEnd(PlaceEnd),
 }
 
 /// Reply to a `PeerCall`.
@@ -53,6 +58,8 @@
     Status(String),
     /// The call could not be answered.
     Failed(String),
+    /// Places of a forwarded stream.
+    Place(PlaceOutcome),
 }
 
 /// What daemons tell each other at every interval; its size is bounded.
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -54,6 +54,30 @@
     {
         let options = options(shared, need);
         let chosen = choose_endpoint(&options, shared.draw())?;
+        Self::take(shared, need, chosen, options.len())
+    }
+
+    /// Takes a place at the endpoint `name`; nothing if the pool has none of that name and role.
+    pub fn at<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>, name: &str) -> Option<Self>
+    where
+        P: ForwardParts,
+    {
+        let options = options(shared, need);
+        let fleet = shared.board().fleet.load();
+        let key = fleet.endpoints.find(name)?;
+        let chosen = *options.iter().find(|option| option.key == key)?;
+        Self::take(shared, need, chosen, options.len())
+    }
+
+    fn take<P>(
+        shared: &ForwardShared<P>,
+        need: &EndpointNeed<'_>,
+        chosen: EndpointOption,
+        among: usize,
+    ) -> Option<Self>
+    where
+        P: ForwardParts,
+    {
         let fleet = shared.board().fleet.load();
         let endpoint = fleet.endpoints.get(chosen.key)?;
         endpoint.slot.traffic.enter(need.tokens);
@@ -62,7 +86,7 @@
             name: endpoint.name.clone(),
             address: endpoint.address.clone(),
             option: chosen,
-            among: options.len(),
+            among,
             slot: Arc::clone(&endpoint.slot),
             tokens: need.tokens,
             since: shared.now(),
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -1,15 +1,15 @@
 use {
     super::{
         CacheHold, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, PlaceHold, Refused, forward_answer::ForwardAnswer,
+        ForwardShared, PlaceHold, PlacementHold, Refused, forward_answer::ForwardAnswer,
         forward_log::retry_reason, forward_refusal,
     },
     crate::{
-        board::{Refusal, RetryReason, Role},
+        board::{Refusal, RetryReason, Role, Tick},
         decide::Verdict,
         port::{
-            AnswerBody, AnswerEvent, CacheHandle, Clock, PlaceHandle, Upstream, UpstreamAnswer,
-            UpstreamAsk, UpstreamError,
+            AnswerBody, AnswerEvent, CacheHandle, Clock, PlaceAsk, PlaceHandle, PlaceOutcome,
+            Placer, Upstream, UpstreamAnswer, UpstreamAsk, UpstreamError,
         },
     },
     bytes::Bytes,
@@ -21,6 +21,9 @@
 /// First status code that is no success.
 const NO_SUCCESS: u16 = 300;
 
+/// Requests of this daemon at one endpoint that reads prompts, while no daemon places requests.
+const OWN_LINE: u32 = 1;
+
 /// Part of a stream's target time for which it may wait for a place.
 const PLACE_SHARE: u32 = 2;
 
@@ -37,17 +40,22 @@
 {
     shared: ForwardShared<P>,
     call: ForwardCall,
-    run: Option<Run<BodyOf<P>>>,
+    run: Option<Run<P>>,
     last: Option<u64>,
     events: u64,
+    event_tokens: u64,
     open: bool,
 }
 
 /// The attempt that runs now.
 #[derive(Debug)]
-struct Run<B> {
+struct Run<P>
+where
+    P: ForwardParts,
+{
     hold: EndpointHold,
-    body: B,
+    body: BodyOf<P>,
+    placement: Option<PlacementHold<P>>,
     fresh: bool,
 }
 
@@ -72,12 +80,16 @@
     /// Starts the stream of `call`.
     pub async fn open(shared: &ForwardShared<P>, call: ForwardCall) -> Opened<P> {
         let last = call.request.resume;
+        let routing = shared.board().routing.load();
+        let plan = routing.pools.get(&call.pool);
+        let event_tokens = plan.map_or(1, |plan| u64::from(plan.event_tokens));
         let mut relay = Self {
             shared: shared.clone(),
             call,
             run: None,
             last,
             events: 0,
+            event_tokens,
             open: true,
         };
         match relay.start().await {
@@ -152,6 +164,9 @@
                 return Err(UpstreamError::Broken(why));
             }
         }
+        if let Some(placement) = self.run.as_mut().and_then(|run| run.placement.as_mut()) {
+            placement.generated(self.event_tokens);
+        }
         self.last = event.id.or(self.last);
         self.events += 1;
         self.shared.counters().tokens.inc();
@@ -175,6 +190,7 @@
         let hold = run.hold;
         // Closing the connection stops the run before another one goes on.
         drop(run.body);
+        drop(run.placement);
         self.after(&hold, error)?;
         drop(hold);
         let answer = self.start().await?;
@@ -211,26 +227,37 @@
     }
 
     /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
-    async fn start(&mut self) -> Result<Started<BodyOf<P>>, Refused> {
+    async fn start(&mut self) -> Result<Started<P>, Refused> {
         let mut read = self.events > 0;
         loop {
             if self.shared.left(self.call.deadline).is_zero() {
                 return Err(forward_refusal::too_late(&self.call));
             }
-            let places = self.places(read).await?;
-            let cache = match places.prefill {
+            let Places {
+                decode: hold,
+                place,
+                mut placement,
+                prefill,
+            } = self.places(read).await?;
+            let start = self.shared.now();
+            let cache = match prefill {
                 Some(prefill) => {
                     read = true;
                     self.prefill(prefill).await
                 }
                 None => None,
             };
-            let hold = places.decode;
+            if let (Some(placement), Some(_)) = (&mut placement, &cache) {
+                placement.read(self.shared.now() - start);
+            }
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
-            match self.send(&hold, handle, places.place.handle()).await {
+            let reserved = place.as_ref().and_then(PlaceHold::handle);
+            match self.send(&hold, handle, reserved).await {
                 Ok(answer) => {
-                    places.place.taken();
+                    if let Some(place) = place {
+                        place.taken();
+                    }
                     if let Some(cache) = cache {
                         cache.taken();
                     }
@@ -240,6 +267,7 @@
                         headers: answer.headers,
                         body: answer.body,
                         hold,
+                        placement,
                     });
                 }
                 Err(error) => self.after(&hold, &error)?,
@@ -247,14 +275,85 @@
         }
     }
 
-    /// Takes a place to read the prompt and reserves one to decode; waits for both while the
-    /// answer can still be in time. A prompt that is `read`, or finds no place, is read where it
-    /// decodes.
+    /// Finds a place to read the prompt and one to decode; waits for both while the answer can
+    /// still be in time. A prompt that is `read`, or finds no place, is read where it decodes.
     async fn places(&self, read: bool) -> Result<Places<P>, Refused> {
+        let until = self.shared.now() + self.call.route.target / PLACE_SHARE;
+        let id = self.shared.unique();
+        loop {
+            match self
+                .shared
+                .parts()
+                .placer()
+                .place(self.place_ask(id, read))
+                .await
+            {
+                PlaceOutcome::Placed { decode, prefill } => {
+                    if let Some(places) = self.placed(id, &decode, prefill.as_deref()) {
+                        return Ok(places);
+                    }
+                    self.shared
+                        .parts()
+                        .clock()
+                        .sleep(self.shared.options().line_wait)
+                        .await;
+                }
+                PlaceOutcome::Wait => {}
+                PlaceOutcome::Absent => return self.own_places(read, until).await,
+            }
+            if self.shared.now() >= until {
+                return Err(forward_refusal::full(&self.shared, &self.call));
+            }
+        }
+    }
+
+    fn place_ask(&self, id: u64, read: bool) -> PlaceAsk {
+        let size = self.call.request.size.unwrap_or_default();
+        let now = self.shared.now();
+        let fleet = self.shared.board().fleet.load();
+        let endpoints = fleet.endpoints.iter().filter(|(key, endpoint)| {
+            self.call.tried.contains(key) || endpoint.slot.traffic.is_avoided(now)
+        });
+        PlaceAsk {
+            id,
+            pool: self.call.pool.clone(),
+            prompt: size.prompt,
+            output: size.expected().saturating_sub(size.prompt),
+            late: self.call.late,
+            waited: now - self.call.arrived,
+            apart: !read,
+            avoid: endpoints
+                .map(|(_, endpoint)| endpoint.name.clone())
+                .collect(),
+        }
+    }
+
+    /// The places by name; nothing if they are not known here.
+    fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Option<Places<P>> {
+        let size = self.call.request.size.unwrap_or_default();
+        let placement = PlacementHold::new(&self.shared, id, &self.call.pool);
+        let need = |role, tokens: u64| EndpointNeed {
+            pool: &self.call.pool,
+            role,
+            tokens: tokens.max(1),
+            tried: &self.call.tried,
+        };
+        let decode = EndpointHold::at(&self.shared, &need(Role::Decode, size.expected()), decode)?;
+        ForwardLog::new(&self.call).chosen(&decode, "decode");
+        let reads = need(Role::Prefill, size.prompt);
+        let prefill = prefill.and_then(|name| EndpointHold::at(&self.shared, &reads, name));
+        Some(Places {
+            decode,
+            place: None,
+            placement: Some(placement),
+            prefill,
+        })
+    }
+
+    /// Finds places by what is known here alone, while no daemon places requests.
+    async fn own_places(&self, read: bool, until: Tick) -> Result<Places<P>, Refused> {
         let options = self.shared.options();
-        let start = self.shared.now();
-        let until = start + self.call.route.target / PLACE_SHARE;
-        let alone = start + Duration::from_millis(options.tuned(3, 200));
+        let alone = self.shared.now() + options.alone_wait;
         loop {
             let prefill = if read { None } else { self.prefill_place() };
             let now = self.shared.now();
@@ -263,7 +362,8 @@
             {
                 return Ok(Places {
                     decode,
-                    place,
+                    place: Some(place),
+                    placement: None,
                     prefill,
                 });
             }
@@ -289,13 +389,13 @@
             tried: &[],
         };
         let hold = EndpointHold::choose(&self.shared, &need)?;
-        let line = self.shared.options().tuned(2, 1) as u32;
-        (!hold.option.avoided && hold.running() <= line).then_some(hold)
+        (!hold.option.avoided && hold.running() <= OWN_LINE).then_some(hold)
     }
 
     /// Asks the endpoints that decode for a place, best first; nothing if every one is full.
     async fn free_place(&self) -> Result<Option<(EndpointHold, PlaceHold<P>)>, Refused> {
-        let tokens = self.call.request.size.unwrap_or_default().expected().max(1);
+        let size = self.call.request.size.unwrap_or_default();
+        let tokens = size.expected().max(1);
         let mut tried = self.call.tried.clone();
         loop {
             let need = EndpointNeed {
@@ -316,10 +416,7 @@
             let ask = self.ask(&hold, None, None);
             let reserve = self.shared.parts().upstream();
             let size = self.call.request.size.unwrap_or_default();
-            let wanted =
-                size.prompt + (size.expected() - size.prompt) * options.tuned(0, 100) / 100;
-            let lasting = Duration::from_millis(options.tuned(1, 2000));
-            let reserve = reserve.reserve(ask, wanted, lasting);
+            let reserve = reserve.reserve(ask, tokens, options.place_time);
             match timeout(options.reserve, reserve)
                 .await
                 .unwrap_or(Err(UpstreamError::Silent))
@@ -393,7 +490,7 @@
     }
 
     /// Passes on a failure that the endpoint answered.
-    async fn failure(mut self, answer: Started<BodyOf<P>>) -> Opened<P> {
+    async fn failure(mut self, answer: Started<P>) -> Opened<P> {
         answer.hold.ended(true);
         let status = answer.status;
         let left = self.shared.left(self.call.deadline);
@@ -448,24 +545,33 @@
     P: ForwardParts,
 {
     decode: EndpointHold,
-    place: PlaceHold<P>,
+    place: Option<PlaceHold<P>>,
+    placement: Option<PlacementHold<P>>,
     prefill: Option<EndpointHold>,
 }
 
 /// An attempt whose answer has begun.
 #[derive(Debug)]
-struct Started<B> {
+struct Started<P>
+where
+    P: ForwardParts,
+{
     status: u16,
     headers: HeaderMap,
-    body: B,
+    body: BodyOf<P>,
     hold: EndpointHold,
+    placement: Option<PlacementHold<P>>,
 }
 
-impl<B> Started<B> {
-    fn into_run(self) -> (HeaderMap, Run<B>) {
+impl<P> Started<P>
+where
+    P: ForwardParts,
+{
+    fn into_run(self) -> (HeaderMap, Run<P>) {
         let run = Run {
             hold: self.hold,
             body: self.body,
+            placement: self.placement,
             fresh: true,
         };
         (self.headers, run)
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -23,6 +23,8 @@
     pub arrived: Tick,
     /// When its answer must be final.
     pub deadline: Tick,
+    /// Whether so much of the caller's time has passed that the answer cannot be in time.
+    pub late: bool,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointKey>,
     /// Attempts that ran or may have run.
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -118,6 +118,8 @@
             return Err(Refused::not_run(Refusal::Stopping, detail).after(STOPPING_WAIT));
         }
         let route = route.clone();
+        // Callers that come again say how much of their time is left.
+        let late = patience.is_some_and(|patience| patience + route.target <= route.timeout);
         let patience = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         Ok(ForwardCall {
             pool: self.pool(&route),
@@ -125,6 +127,7 @@
             version: routing.version,
             arrived,
             deadline: arrived + patience,
+            late,
             tried: Vec::new(),
             ran: 0,
             request: Arc::new(request),
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -19,6 +19,8 @@
     pub place_time: Duration,
     /// Wait before full endpoints are asked again.
     pub place_wait: Duration,
+    /// Time after which a prompt is read where it decodes, if no endpoint reads it apart.
+    pub alone_wait: Duration,
     /// Wait before endpoints that compute prompts are looked at again.
     pub line_wait: Duration,
     /// Time for a prompt to be computed apart.
@@ -51,8 +53,9 @@
             retry_reserve: 2,
             connect: Duration::from_millis(250),
             reserve: Duration::from_millis(150),
-            place_time: Duration::from_secs(2),
+            place_time: Duration::from_millis(700),
             place_wait: Duration::from_millis(60),
+            alone_wait: Duration::from_millis(200),
             line_wait: Duration::from_millis(20),
             prefill: Duration::from_millis(800),
             stall: Duration::from_millis(1_300),
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -103,8 +103,12 @@
 
     /// A number that differs from draw to draw.
     pub fn draw(&self) -> usize {
-        let draw = self.inner.draws.fetch_add(SPREAD, Ordering::Relaxed);
-        (draw >> 33) as usize
+        (self.unique() >> 33) as usize
+    }
+
+    /// A number that no other request of the site has, but for the rarest chance.
+    pub fn unique(&self) -> u64 {
+        self.inner.draws.fetch_add(SPREAD, Ordering::Relaxed)
     }
 
     /// Retry budget of a pool.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -30,6 +30,7 @@
     parts::Parts,
     path_options::PathOptions,
     place_hold::PlaceHold,
+    placement_hold::PlacementHold,
     pools::Pools,
     progress::Progress,
     refused::{Ran, Refused, denied, exhausted, late},
@@ -68,6 +69,7 @@
 mod parts;
 mod path_options;
 mod place_hold;
+mod placement_hold;
 mod pools;
 mod progress;
 mod refused;
