Keep free retries free, offer a computed prompt again, avoid what is overdue

A cut watch waited 4 s at a store that kept changes back. Change: unsent attempts cost no retry; a computed prompt is offered to another endpoint for 350 ms; an endpoint whose answer is overdue is avoided until it answers; the retry slack is shared by the daemons that are listed; a failed watch lists anew.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -145,6 +145,8 @@
             self.lost = true;
             log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "lost: {error}");
         }
+        // A watch that was cut may have been kept without changes before.
+        self.listed = false;
         self.failed = Some(self.clock.now());
         let wait = self.backoff.fail(&mut self.rng);
         self.clock.sleep(wait).await;
--- a/src/request/cache_hold.rs
+++ b/src/request/cache_hold.rs
@@ -1,6 +1,10 @@
 use {
     super::{ForwardParts, ForwardShared},
-    crate::port::{CacheHandle, Upstream},
+    crate::{
+        board::Tick,
+        port::{CacheHandle, Upstream},
+    },
+    std::time::Duration,
 };
 
 /// A computed prompt that waits to be taken. Dropping it frees it at its endpoint.
@@ -11,6 +15,7 @@
 {
     shared: ForwardShared<P>,
     handle: Option<CacheHandle>,
+    since: Tick,
 }
 
 impl<P> CacheHold<P>
@@ -22,6 +27,7 @@
         Self {
             shared: shared.clone(),
             handle: Some(handle),
+            since: shared.now(),
         }
     }
 
@@ -30,6 +36,11 @@
         self.handle.clone()
     }
 
+    /// Time since the prompt was computed.
+    pub fn age(&self) -> Duration {
+        self.shared.now() - self.since
+    }
+
     /// Notes that the prompt was taken.
     pub fn taken(mut self) {
         self.handle = None;
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -123,6 +123,16 @@
         self.slot.traffic.ended(failed);
     }
 
+    /// Avoids the endpoint for a while because its answer is overdue; an answer ends that.
+    pub fn suspect<P>(&self, shared: &ForwardShared<P>)
+    where
+        P: ForwardParts,
+    {
+        let until = shared.now() + shared.options().avoid;
+        self.slot.traffic.avoid(until);
+        log::info!(endpoint = self.name.as_str(); "avoided: its answer is overdue");
+    }
+
     /// Records that the attempt gave no answer.
     pub fn failed<P>(&self, shared: &ForwardShared<P>, error: &UpstreamError)
     where
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -21,6 +21,9 @@
 /// First status code that is no success.
 const NO_SUCCESS: u16 = 300;
 
+/// Times that a prompt is read apart before it is read where it decodes.
+const READ_TRIES: u32 = 1;
+
 /// Requests of this daemon at one endpoint that reads prompts, while no daemon places requests.
 const OWN_LINE: u32 = 1;
 
@@ -228,27 +231,27 @@
 
     /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
     async fn start(&mut self) -> Result<Started<P>, Refused> {
-        let mut read = self.events > 0;
+        let mut cache: Option<CacheHold<P>> = None;
+        let mut tries = 0;
         loop {
             if self.shared.left(self.call.deadline).is_zero() {
                 return Err(forward_refusal::too_late(&self.call));
             }
+            cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
+            let read = cache.is_some() || tries >= READ_TRIES;
             let Places {
                 decode: hold,
                 place,
                 mut placement,
                 prefill,
             } = self.places(read).await?;
-            let start = self.shared.now();
-            let cache = match prefill {
-                Some(prefill) => {
-                    read = true;
-                    self.prefill(prefill).await
+            if let Some(prefill) = prefill {
+                tries += 1;
+                let start = self.shared.now();
+                cache = self.prefill(prefill).await;
+                if let (Some(placement), Some(_)) = (&mut placement, &cache) {
+                    placement.read(self.shared.now() - start);
                 }
-                None => None,
-            };
-            if let (Some(placement), Some(_)) = (&mut placement, &cache) {
-                placement.read(self.shared.now() - start);
             }
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
@@ -270,7 +273,11 @@
                         placement,
                     });
                 }
-                Err(error) => self.after(&hold, &error)?,
+                Err(error) => {
+                    self.after(&hold, &error)?;
+                    // Only a cache that was certainly not taken is offered again.
+                    cache = cache.filter(|_| error.is_not_run());
+                }
             }
         }
     }
@@ -415,7 +422,6 @@
             let options = self.shared.options();
             let ask = self.ask(&hold, None, None);
             let reserve = self.shared.parts().upstream();
-            let size = self.call.request.size.unwrap_or_default();
             let reserve = reserve.reserve(ask, tokens, options.place_time);
             match timeout(options.reserve, reserve)
                 .await
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         board::{PathRoute, Repeat, Tick},
-        decide::{Chance, Failure, RetryBudget, Verdict, after_failure},
+        decide::{AttemptState, Chance, Failure, RetryBudget, Verdict, after_failure},
         key::EndpointKey,
         port::{ForwardRequest, UpstreamError},
     },
@@ -49,7 +49,7 @@
 
     /// Decides what follows a failed attempt; takes a further one from `budget`.
     pub fn after(&mut self, error: &UpstreamError, late: bool, budget: &RetryBudget) -> Verdict {
-        let state = error.into();
+        let state = AttemptState::from(error);
         if !error.is_not_run() {
             self.ran += 1;
         }
@@ -63,7 +63,9 @@
             chance,
         };
         let verdict = after_failure(failure);
-        if verdict == Verdict::Retry && (spent || !budget.spend()) {
+        // What never left this host is no load on the endpoints.
+        let free = state == AttemptState::Unsent;
+        if verdict == Verdict::Retry && (spent || !(free || budget.spend())) {
             failure.chance = Chance::Spent;
             return after_failure(failure);
         }
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -5,12 +5,12 @@
 pub struct ForwardOptions {
     /// Availability zone of this host.
     pub zone: String,
-    /// Trial figures.
-    pub tune: Vec<u64>,
     /// Hundredths of a retry that a request earns.
     pub retry_percent: u64,
-    /// Retries that may be saved up for a pool.
-    pub retry_reserve: u64,
+    /// Retries that all daemons together may save up for a pool.
+    pub retry_slack: u64,
+    /// Usual times of an answer after which an endpoint that has not answered is avoided.
+    pub suspect: u32,
     /// Time to connect to an endpoint.
     pub connect: Duration,
     /// Time for an endpoint to reserve a place.
@@ -25,6 +25,8 @@
     pub line_wait: Duration,
     /// Time for a prompt to be computed apart.
     pub prefill: Duration,
+    /// Time for which a computed prompt may be offered to another endpoint.
+    pub cache_time: Duration,
     /// Time without a next event after which a stream counts as broken.
     pub stall: Duration,
     /// Time for the first event of a stream that can move to another endpoint.
@@ -37,20 +39,13 @@
     pub fresh: Duration,
 }
 
-impl ForwardOptions {
-    /// Trial figure `i`, or `usual`.
-    pub fn tuned(&self, i: usize, usual: u64) -> u64 {
-        self.tune.get(i).copied().unwrap_or(usual)
-    }
-}
-
 impl Default for ForwardOptions {
     fn default() -> Self {
         Self {
             zone: String::new(),
-            tune: Vec::new(),
             retry_percent: 18,
-            retry_reserve: 2,
+            retry_slack: 40,
+            suspect: 4,
             connect: Duration::from_millis(250),
             reserve: Duration::from_millis(150),
             place_time: Duration::from_millis(700),
@@ -58,6 +53,7 @@
             alone_wait: Duration::from_millis(200),
             line_wait: Duration::from_millis(20),
             prefill: Duration::from_millis(800),
+            cache_time: Duration::from_millis(350),
             stall: Duration::from_millis(1_300),
             first_event: Duration::from_millis(1_800),
             avoid: Duration::from_millis(500),
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -20,6 +20,9 @@
 /// Multiplier of the sequence that spreads choices among equal endpoints.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Retries that a daemon may save up for a pool while it knows no other daemon.
+const LONE_RESERVE: u64 = 2;
+
 /// What all forwarded requests of a daemon share; cloning it is one reference count.
 #[derive(Debug)]
 pub struct ForwardShared<P> {
@@ -117,7 +120,13 @@
             return Arc::clone(budget);
         }
         let options = self.options();
-        let budget = RetryBudget::new(options.retry_percent, options.retry_reserve);
+        let daemons = self.board().members.load().hosts.len();
+        let share = if daemons > 1 {
+            options.retry_slack / daemons as u64
+        } else {
+            LONE_RESERVE
+        };
+        let budget = RetryBudget::new(options.retry_percent, share.max(1));
         let budget = Arc::new(budget);
         self.inner.budgets.rcu(|old| {
             let mut next = HashMap::clone(old);
--- a/src/request/forward_whole.rs
+++ b/src/request/forward_whole.rs
@@ -8,13 +8,19 @@
         decide::Verdict,
         port::{AnswerBody, Clock, Upstream, UpstreamAsk, UpstreamError},
     },
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
 /// First status code that says that the endpoint failed.
 const FAILED_STATUS: u16 = 500;
 
+/// Usual time of an answer of an endpoint that has not answered yet.
+const NEW_TIME: Duration = Duration::from_millis(100);
+
+/// Shortest time without an answer after which an endpoint is suspected.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
 /// Runs a request whose answer comes in one piece.
 pub async fn forward_whole<P>(
     shared: &ForwardShared<P>,
@@ -116,8 +122,27 @@
             body,
         })
     };
-    let reply = timeout(limit, answering).await;
+    let reply = timeout(limit, suspecting(shared, hold, answering)).await;
     let reply = reply.unwrap_or(Err(UpstreamError::Silent))?;
     hold.answered(shared.now() - start);
     Ok(reply)
 }
+
+/// Waits for `answering`; an endpoint that takes far longer than usual is avoided meanwhile.
+async fn suspecting<P, F>(
+    shared: &ForwardShared<P>,
+    hold: &EndpointHold,
+    answering: F,
+) -> Result<ForwardAnswer, UpstreamError>
+where
+    P: ForwardParts,
+    F: Future<Output = Result<ForwardAnswer, UpstreamError>>,
+{
+    let mut answering = pin!(answering);
+    let patience = hold.option.usual.unwrap_or(NEW_TIME) * shared.options().suspect;
+    if let Ok(answer) = timeout(patience.max(LEAST_PATIENCE), &mut answering).await {
+        return answer;
+    }
+    hold.suspect(shared);
+    answering.await
+}
