--- a/src/border/peer_wire.rs
+++ b/src/border/peer_wire.rs
@@ -13,7 +13,7 @@
 /// Version of the message encoding, the first byte of every body.
 ///
 /// It changes whenever a message of `src/port` changes its fields.
-pub const WIRE_VERSION: u8 = 2;
+pub const WIRE_VERSION: u8 = 1;
 
 /// Greatest length of one message in bytes: a whole sheet of one megabyte with room to spare.
 pub const MESSAGE_BYTES: usize = 2 << 20;
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -2,7 +2,7 @@
     crate::{
         board::{Blackboard, Tick},
         decide::{Ledger, Placement},
-        port::{Clock, PlaceAsk, PlaceEnd, PlaceOutcome},
+        port::{Clock, PeerCall, PeerReply, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun},
     },
     std::{collections::HashMap, time::Duration},
     tokio::sync::{mpsc, oneshot},
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 enum Mail {
     Place(PlaceAsk, oneshot::Sender<PlaceOutcome>),
+    Adopt(Vec<PlaceRun>),
     End(PlaceEnd),
 }
 
@@ -50,6 +51,22 @@
 }
 
 impl Allocation {
+    /// Answers a call of another daemon, or of this one.
+    pub async fn answer(&self, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Place(ask) => PeerReply::Place(self.place(ask).await),
+            PeerCall::PlaceRuns(runs) => {
+                self.adopt(runs);
+                PeerReply::Done
+            }
+            PeerCall::PlaceEnd(end) => {
+                self.end(end);
+                PeerReply::Done
+            }
+            _ => PeerReply::Failed("this daemon serves no sheet".to_owned()),
+        }
+    }
+
     /// Asks for places.
     pub async fn place(&self, ask: PlaceAsk) -> PlaceOutcome {
         let (reply, outcome) = oneshot::channel();
@@ -60,6 +77,13 @@
         outcome.await.unwrap_or(PlaceOutcome::Absent)
     }
 
+    /// Takes over requests that were placed elsewhere.
+    pub fn adopt(&self, runs: Vec<PlaceRun>) {
+        if self.mail.try_send(Mail::Adopt(runs)).is_err() {
+            log::warn!("the allocation controller is behind; placed requests are not known");
+        }
+    }
+
     /// Gives places back.
     pub fn end(&self, end: PlaceEnd) {
         if self.mail.try_send(Mail::End(end)).is_err() {
@@ -98,6 +122,7 @@
             };
             match mail {
                 Some(Mail::Place(ask, reply)) => self.enter(ask, reply),
+                Some(Mail::Adopt(runs)) => self.adopt(&runs),
                 Some(Mail::End(end)) => {
                     if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
                         ledger.end(&end);
@@ -109,6 +134,14 @@
         }
     }
 
+    fn adopt(&mut self, runs: &[PlaceRun]) {
+        let now = self.clock.now();
+        for run in runs {
+            self.ledger(&run.ask.pool, now).adopt(run, now);
+        }
+        log::info!(runs = runs.len(); "placed requests taken over");
+    }
+
     fn enter(&mut self, ask: PlaceAsk, reply: oneshot::Sender<PlaceOutcome>) {
         let now = self.clock.now();
         let arrived = Tick(now.0.saturating_sub(ask.waited.as_micros() as u64));
@@ -123,6 +156,15 @@
     /// Places what fits, the oldest first; what can be in time goes before what cannot.
     fn serve(&mut self) {
         let now = self.clock.now();
+        if self.board.health.load().stopping {
+            // Nobody keeps the plan once this daemon has gone.
+            for waiting in self.waiting.drain(..) {
+                if waiting.reply.send(PlaceOutcome::Absent).is_err() {
+                    log::debug!(id = waiting.ask.id; "the asker has gone");
+                }
+            }
+            return;
+        }
         self.waiting.retain(|waiting| !waiting.reply.is_closed());
         self.waiting
             .sort_by_key(|waiting| (waiting.ask.late, waiting.arrived));
@@ -158,18 +200,23 @@
     }
 
     fn place(&mut self, ask: &PlaceAsk, now: Tick) -> Option<Placement> {
+        self.ledger(&ask.pool, now).place(ask, now)
+    }
+
+    /// The ledger of a pool with the engines that it has now.
+    fn ledger(&mut self, pool: &str, now: Tick) -> &mut Ledger {
         let fleet = self.board.fleet.load();
         let routing = self.board.routing.load();
-        let pool = fleet.pools.find(&ask.pool);
-        let pool = pool.and_then(|key| fleet.pools.get(key))?;
-        let members = pool.members.iter();
+        let members = fleet.pools.find(pool).and_then(|key| fleet.pools.get(key));
         let engines = members
+            .into_iter()
+            .flat_map(|pool| &pool.members)
             .filter_map(|key| fleet.endpoints.get(*key))
             .filter(|engine| !engine.leaving && !engine.slot.traffic.is_avoided(now));
-        let plan = routing.pools.get(&ask.pool);
+        let plan = routing.pools.get(pool);
         let memory = plan.map_or(0, |plan| plan.memory_tokens);
-        let ledger = self.ledgers.entry(ask.pool.clone()).or_default();
+        let ledger = self.ledgers.entry(pool.to_owned()).or_default();
         ledger.sync(engines, memory);
-        ledger.place(ask, now)
+        ledger
     }
 }
--- a/src/control/place_router.rs
+++ b/src/control/place_router.rs
@@ -4,7 +4,9 @@
         board::{HostState, Members, Section, Tick},
         decide::rendezvous::{Candidate, rank},
         key::HostKey,
-        port::{Clock, Peer, PeerCall, PeerReply, PlaceAsk, PlaceEnd, PlaceOutcome, Placer},
+        port::{
+            Clock, Peer, PeerCall, PeerReply, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun, Placer,
+        },
     },
     arc_swap::ArcSwap,
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -27,7 +29,23 @@
     clock: C,
     members: Section<Members>,
     own: Allocation,
-    avoided: Arc<ArcSwap<HashMap<HostKey, Tick>>>,
+    state: Arc<RouterState>,
+}
+
+/// What the router remembers, replaced as a whole by each change.
+#[derive(Debug, Default)]
+struct RouterState {
+    avoided: ArcSwap<HashMap<HostKey, Tick>>,
+    runs: ArcSwap<HashMap<u64, PlacedRun>>,
+    told: ArcSwap<HashMap<String, (HostKey, u64)>>,
+}
+
+/// A request of this daemon that has its places.
+#[derive(Clone, Debug)]
+struct PlacedRun {
+    ask: PlaceAsk,
+    decode: String,
+    placed: Tick,
 }
 
 impl<P, C> PlaceRouter<P, C>
@@ -42,14 +60,14 @@
             clock,
             members,
             own,
-            avoided: Arc::default(),
+            state: Arc::default(),
         }
     }
 
     /// Daemons that may place requests of `pool`, the first choice first.
     fn ranked(&self, pool: &str) -> Vec<HostKey> {
         let members = self.members.load();
-        let avoided = self.avoided.load();
+        let avoided = self.state.avoided.load();
         let now = self.clock.now();
         let able: Vec<_> = members
             .hosts
@@ -64,33 +82,73 @@
 
     fn avoid(&self, host: HostKey) {
         let until = self.clock.now() + AVOID_TIME;
-        self.avoided.rcu(|old| {
+        self.state.avoided.rcu(|old| {
             let mut next = HashMap::clone(old);
             next.insert(host, until);
             next
         });
     }
 
-    async fn ask(&self, host: HostKey, ask: &PlaceAsk) -> PlaceOutcome {
+    /// Calls `host`, this daemon or another one; nothing if it does not answer.
+    async fn call(&self, host: HostKey, call: PeerCall) -> Option<PeerReply> {
         let members = self.members.snapshot();
         if host == members.own {
-            return self.own.place(ask.clone()).await;
+            return Some(self.own.answer(call).await);
         }
-        let Some(member) = members.hosts.get(host) else {
-            return PlaceOutcome::Absent;
-        };
-        let call = self
-            .peer
-            .call(&member.address, PeerCall::Place(ask.clone()));
+        let member = members.hosts.get(host)?;
+        let call = self.peer.call(&member.address, call);
         let why = match timeout(CALL_TIME, call).await {
-            Ok(Ok(PeerReply::Place(outcome))) => return outcome,
-            Ok(Ok(_)) => "another reply than was asked for".to_owned(),
+            Ok(Ok(reply)) => return Some(reply),
             Ok(Err(e)) => e.to_string(),
             Err(_) => "no reply in time".to_owned(),
         };
-        log::warn!(dependency = member.name.as_str(), id = ask.id; "daemon avoided: {why}");
+        log::warn!(dependency = member.name.as_str(); "daemon avoided: {why}");
         self.avoid(host);
-        PlaceOutcome::Absent
+        None
+    }
+
+    /// Tells a daemon that has just become the one for `pool` what is placed already.
+    async fn introduce(&self, host: HostKey, pool: &str) {
+        let members = self.members.load();
+        let incarnation = members.hosts.get(host).map_or(0, |host| host.incarnation);
+        drop(members);
+        let current = (host, incarnation);
+        if self.state.told.load().get(pool) == Some(&current) {
+            return;
+        }
+        self.state.told.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            next.insert(pool.to_owned(), current);
+            next
+        });
+        let now = self.clock.now();
+        let runs = self.state.runs.load();
+        let runs: Vec<_> = runs
+            .values()
+            .filter(|run| run.ask.pool == pool)
+            .map(|run| PlaceRun {
+                ask: run.ask.clone(),
+                decode: run.decode.clone(),
+                since: now - run.placed,
+            })
+            .collect();
+        if !runs.is_empty() {
+            // Without a reply the daemon is avoided, and the next one is told.
+            self.call(host, PeerCall::PlaceRuns(runs)).await;
+        }
+    }
+
+    fn placed(&self, ask: &PlaceAsk, decode: &str) {
+        let run = PlacedRun {
+            ask: ask.clone(),
+            decode: decode.to_owned(),
+            placed: self.clock.now(),
+        };
+        self.state.runs.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            next.insert(ask.id, run.clone());
+            next
+        });
     }
 }
 
@@ -101,32 +159,33 @@
 {
     async fn place(&self, ask: PlaceAsk) -> PlaceOutcome {
         for host in self.ranked(&ask.pool).into_iter().take(TRIES) {
-            match self.ask(host, &ask).await {
-                PlaceOutcome::Absent => {}
-                outcome => return outcome,
+            self.introduce(host, &ask.pool).await;
+            match self.call(host, PeerCall::Place(ask.clone())).await {
+                Some(PeerReply::Place(PlaceOutcome::Absent)) => self.avoid(host),
+                Some(PeerReply::Place(outcome)) => {
+                    if let PlaceOutcome::Placed { decode, .. } = &outcome {
+                        self.placed(&ask, decode);
+                    }
+                    return outcome;
+                }
+                Some(_) | None => {}
             }
         }
         PlaceOutcome::Absent
     }
 
     fn end(&self, end: PlaceEnd) {
+        self.state.runs.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            next.remove(&end.id);
+            next
+        });
         let Some(host) = self.ranked(&end.pool).first().copied() else {
             return;
         };
-        let members = self.members.snapshot();
-        if host == members.own {
-            self.own.end(end);
-            return;
-        }
-        let Some(address) = members.hosts.get(host).map(|member| member.address.clone()) else {
-            return;
-        };
-        let peer = self.peer.clone();
+        let router = self.clone();
         tokio::spawn(async move {
-            let call = peer.call(&address, PeerCall::PlaceEnd(end));
-            if let Ok(Err(e)) = timeout(CALL_TIME, call).await {
-                log::debug!(address = address.as_str(); "a place lapses by itself: {e}");
-            }
+            router.call(host, PeerCall::PlaceEnd(end)).await;
         });
     }
 }
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -61,7 +61,7 @@
             PeerCall::Sheet { since } => PeerReply::Sheet(self.sheet.changes(since).await),
             PeerCall::Claim(ask) => PeerReply::Claim(self.claims.ask(ask).await),
             PeerCall::Status => self.status(),
-            PeerCall::Place(_) | PeerCall::PlaceEnd(_) => {
+            PeerCall::Place(_) | PeerCall::PlaceRuns(_) | PeerCall::PlaceEnd(_) => {
                 PeerReply::Failed("this daemon does not forward by routes".to_owned())
             }
         }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -110,14 +110,7 @@
 
 impl PeerHandler for ForwardDispatch {
     async fn handle(&self, call: PeerCall) -> PeerReply {
-        match call {
-            PeerCall::Place(ask) => PeerReply::Place(self.allocation.place(ask).await),
-            PeerCall::PlaceEnd(end) => {
-                self.allocation.end(end);
-                PeerReply::Done
-            }
-            _ => PeerReply::Failed("this daemon serves no sheet".to_owned()),
-        }
+        self.allocation.answer(call).await
     }
 }
 
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         board::{Endpoint, Role, Tick},
-        port::{PlaceAsk, PlaceEnd},
+        port::{PlaceAsk, PlaceEnd, PlaceRun},
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -138,6 +138,24 @@
         Some(Placement { decode, prefill })
     }
 
+    /// Takes over a request that was placed elsewhere.
+    pub fn adopt(&mut self, run: &PlaceRun, now: Tick) {
+        if self.runs.contains_key(&run.ask.id) {
+            return;
+        }
+        let Some(plan) = self.engines.get_mut(&run.decode) else {
+            return;
+        };
+        let start = Tick(now.0.saturating_sub(run.since.as_micros() as u64));
+        plan.runs.push(RunPlan {
+            id: run.ask.id,
+            prompt: run.ask.prompt as f64,
+            output: run.ask.output.max(1) as f64,
+            start,
+        });
+        self.runs.insert(run.ask.id, (run.decode.clone(), None));
+    }
+
     /// Gives places back and learns from what was used.
     pub fn end(&mut self, end: &PlaceEnd) {
         let prompt = self.prompt(end.id);
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -19,7 +19,7 @@
         GrantAsk, GrantEnd, GrantRelease, Heartbeat, MemberNews, PeerCall, PeerReply, SheetChange,
         SuspectNews,
     },
-    placer::{PlaceAsk, PlaceEnd, PlaceOutcome, Placer},
+    placer::{PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun, Placer},
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
     role_orders::{EngineState, RoleOrder, RoleOrders},
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PlaceAsk, PlaceEnd, PlaceOutcome},
+    super::{PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun},
     crate::{
         board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
@@ -35,6 +35,8 @@
     Status,
     /// Asks for places of a forwarded stream; waits in line for a moment.
     Place(PlaceAsk),
+    /// Tells of streams that have their places from elsewhere.
+    PlaceRuns(Vec<PlaceRun>),
     /// Gives such places back.
     PlaceEnd(PlaceEnd),
 }
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -49,6 +49,17 @@
     Absent,
 }
 
+/// A request that has its places, told to the daemon that places requests from now on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlaceRun {
+    /// What was asked.
+    pub ask: PlaceAsk,
+    /// Name of the engine that decodes.
+    pub decode: String,
+    /// Time since it was placed.
+    pub since: Duration,
+}
+
 /// What a request used.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlaceEnd {
--- a/src/request/claimed.rs
+++ b/src/request/claimed.rs
@@ -97,14 +97,15 @@
 
     /// Answers the caller and records the end.
     ///
-    /// "Not run" is recorded first, so that a caller who tries again at once may run.
+    /// An end without an answer is recorded first, so that a caller who tries again at once may run
+    /// after "not run", and is told the same again after "unknown".
     async fn conclude(
         self,
         result: Result<Reply, Refused>,
         sender: oneshot::Sender<Result<Reply, Refused>>,
     ) {
         let end = self.end(&result);
-        if end == ClaimEnd::NotRun {
+        if matches!(end, ClaimEnd::NotRun | ClaimEnd::Unknown) {
             let first = self.record(end.clone()).await;
             drop(sender.send(result));
             if !first {
