--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -217,7 +217,9 @@
                 && !ask.avoid.contains(name)
                 && plan.runs.len() < plan.slots as usize
         });
-        let peaks = decoders.map(|(name, plan)| (name, plan.peak_with(run, rate, now)));
+        // What is larger than an engine must not wait for ever: the engine itself refuses it.
+        let peak = |plan: &EnginePlan| plan.peak_with(&run.within(plan.memory), rate, now);
+        let peaks = decoders.map(|(name, plan)| (name, peak(plan)));
         let fitting = peaks.filter(|(_, peak)| *peak <= 1.0);
         let best = fitting.min_by(|a, b| a.1.total_cmp(&b.1))?;
         Some(best.0.clone())
@@ -268,6 +270,16 @@
 }
 
 impl RunPlan {
+    /// The run cut to what an engine of `memory` tokens can hold.
+    fn within(&self, memory: f64) -> Self {
+        let prompt = self.prompt.min(memory);
+        Self {
+            prompt,
+            output: self.output.min(memory - prompt),
+            ..*self
+        }
+    }
+
     /// Time that the answer takes.
     fn time(&self, rate: f64) -> Duration {
         Duration::from_secs_f64(self.output / rate / 1_000.0)
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -232,13 +232,15 @@
     /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
     async fn start(&mut self) -> Result<Started<P>, Refused> {
         let mut cache: Option<CacheHold<P>> = None;
-        let mut tries = 0;
+        // Only the first reading apart is no load beyond the request itself.
+        let mut tries = u32::from(self.call.ran > 0);
         loop {
             if self.shared.left(self.call.deadline).is_zero() {
                 return Err(forward_refusal::too_late(&self.call));
             }
             cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
-            let read = cache.is_some() || tries >= READ_TRIES;
+            let apart = tries < READ_TRIES || (tries == READ_TRIES && self.spend());
+            let read = cache.is_some() || !apart;
             let Places {
                 decode: hold,
                 place,
@@ -282,6 +284,11 @@
         }
     }
 
+    /// Takes a retry from the pool's budget.
+    fn spend(&self) -> bool {
+        self.shared.budget(&self.call.pool).spend()
+    }
+
     /// Finds a place to read the prompt and one to decode; waits for both while the answer can
     /// still be in time. A prompt that is `read`, or finds no place, is read where it decodes.
     async fn places(&self, read: bool) -> Result<Places<P>, Refused> {
@@ -457,6 +464,9 @@
                 let ms = (self.shared.now() - start).as_millis() as u64;
                 ForwardLog::new(&self.call).failed(&hold, &error, "read in place", ms);
                 self.shared.counters().retry(RetryReason::PrefillBroken);
+                if !self.spend() {
+                    log::info!(endpoint = hold.name.as_str(); "the retry budget is spent");
+                }
                 None
             }
         }
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -20,6 +20,9 @@
 /// Multiplier of the sequence that spreads choices among equal endpoints.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Part of its share of the slack that a daemon saves up, as daemons that restart begin anew.
+const RESERVE_PART: u64 = 2;
+
 /// Retries that a daemon may save up for a pool while it knows no other daemon.
 const LONE_RESERVE: u64 = 2;
 
@@ -122,7 +125,7 @@
         let options = self.options();
         let daemons = self.board().members.load().hosts.len();
         let share = if daemons > 1 {
-            options.retry_slack / daemons as u64
+            options.retry_slack / (daemons as u64 * RESERVE_PART)
         } else {
             LONE_RESERVE
         };
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,166 @@
+//! Places of streams: memory planned to the end of each answer, slots, and lines of prompts.
+
+use {
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Endpoint, EndpointSlot, Loaded, Role, Tick},
+        decide::{Ledger, Placement},
+        port::{PlaceAsk, PlaceEnd, PlaceRun},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Tokens that one engine holds.
+const MEMORY: u64 = 20_000;
+
+fn engine(name: &str, role: Role) -> Endpoint {
+    Endpoint {
+        name: name.to_owned(),
+        address: format!("10.0.0.1:{}", name.len()),
+        zone: "zone-a".to_owned(),
+        pool: Default::default(),
+        role,
+        loaded: Loaded::default(),
+        pieces: 0,
+        piece_tokens: 0,
+        slots: 3,
+        fenced: false,
+        leaving: false,
+        slot: Arc::<EndpointSlot>::default(),
+    }
+}
+
+fn ask(id: u64, prompt: u64, output: u64) -> PlaceAsk {
+    PlaceAsk {
+        id,
+        pool: "models".to_owned(),
+        prompt,
+        output,
+        late: false,
+        waited: Duration::ZERO,
+        apart: true,
+        avoid: Vec::new(),
+    }
+}
+
+fn ledger(engines: &[(&str, Role)]) -> Ledger {
+    let engines: Vec<_> = engines
+        .iter()
+        .map(|(name, role)| engine(name, *role))
+        .collect();
+    let mut ledger = Ledger::default();
+    ledger.sync(engines.iter(), MEMORY);
+    ledger
+}
+
+fn told(placed: Option<Placement>) -> String {
+    placed.map_or("waits".to_owned(), |placed| {
+        let prefill = placed.prefill.unwrap_or("in place".to_owned());
+        format!("{} after {prefill}", placed.decode)
+    })
+}
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000 + ms * 1_000)
+}
+
+#[test]
+fn memory_is_planned_to_the_end_of_each_answer() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    let seen = vec![
+        ("first", told(ledger.place(&ask(1, 5_000, 5_000), at(0)))),
+        (
+            "second at once",
+            told(ledger.place(&ask(2, 5_000, 5_000), at(100))),
+        ),
+        (
+            "second as the first ends",
+            told(ledger.place(&ask(2, 5_000, 5_000), at(3_400))),
+        ),
+        (
+            "short answer beside both",
+            told(ledger.place(&ask(3, 2_000, 100), at(3_401))),
+        ),
+        (
+            "larger than an engine",
+            told(ledger.place(&ask(4, 19_000, 5_000), at(60_000))),
+        ),
+    ];
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn slots_and_avoided_engines_are_left_out() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("d2", Role::Decode)]);
+    let mut seen = Vec::new();
+    for id in 0..7 {
+        seen.push((
+            format!("small {id}"),
+            told(ledger.place(&ask(id, 100, 100), at(id))),
+        ));
+    }
+    let mut avoiding = ask(9, 100, 100);
+    avoiding.avoid = vec!["d1".to_owned(), "d2".to_owned()];
+    seen.push((
+        "both avoided".to_owned(),
+        told(ledger.place(&avoiding, at(5_000))),
+    ));
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn a_long_line_of_prompts_is_waited_out_unless_engines_have_spare_memory() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    let mut seen = vec![
+        (
+            "line of 200 ms",
+            told(ledger.place(&ask(1, 10_000, 10), at(0))),
+        ),
+        (
+            "line of 400 ms",
+            told(ledger.place(&ask(2, 2_000, 10), at(0))),
+        ),
+        (
+            "too long, memory in use",
+            told(ledger.place(&ask(3, 8_000, 10), at(1))),
+        ),
+    ];
+    let end = PlaceEnd {
+        id: 1,
+        pool: "models".to_owned(),
+        generated: 0,
+        decoding: Duration::ZERO,
+        reading: Duration::from_millis(100),
+    };
+    ledger.end(&end);
+    let mut spare = self::ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    spare.place(&ask(1, 1_000, 10), at(0));
+    spare.place(&ask(2, 19_000, 10), at(0));
+    seen.push((
+        "too long, memory free",
+        told(spare.place(&ask(3, 100, 10), at(5_000))),
+    ));
+    seen.push((
+        "after the first was read in 100 ms",
+        told(ledger.place(&ask(4, 100, 10), at(2))),
+    ));
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn placed_requests_are_taken_over_once_and_lapse() {
+    let mut ledger = ledger(&[("d1", Role::Decode)]);
+    let run = |id, decode: &str| PlaceRun {
+        ask: ask(id, 6_000, 6_000),
+        decode: decode.to_owned(),
+        since: Duration::from_millis(500),
+    };
+    let mut sizes = Vec::new();
+    for (id, decode) in [(1, "d1"), (1, "d1"), (2, "gone")] {
+        ledger.adopt(&run(id, decode), at(1_000));
+        sizes.push(ledger.len());
+    }
+    let beside = told(ledger.place(&ask(3, 6_000, 6_000), at(1_000)));
+    let later = told(ledger.place(&ask(3, 6_000, 6_000), at(20_000)));
+    assert_yaml_snapshot!((sizes, beside, later, ledger.len()));
+}
--- /dev/null
+++ b/tests/stage_plan.rs
@@ -0,0 +1,93 @@
+//! Which engines change between reading prompts and decoding.
+
+use {
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Fleet, ListedEndpoint, Role},
+        decide::{merge_described, prefill_goal, stage_changes},
+        port::Description,
+    },
+    std::collections::BTreeMap,
+};
+
+fn fleet(engines: &[(&str, &str, Role, bool)]) -> Fleet {
+    let entries: Vec<_> = engines
+        .iter()
+        .map(|(name, zone, role, leaving)| {
+            let listed = ListedEndpoint {
+                name: (*name).to_owned(),
+                role: *role,
+                address: format!("10.0.0.1:{name}"),
+                zone: (*zone).to_owned(),
+                pool: "models".to_owned(),
+                leaving: *leaving,
+            };
+            let description = Description {
+                role: *role,
+                models: BTreeMap::new(),
+                adapters: Vec::new(),
+                pieces: 0,
+                piece_tokens: 0,
+                slots: 64,
+                fenced: false,
+                fence: 0,
+                incarnation: 0,
+            };
+            (listed, description)
+        })
+        .collect();
+    let described: Vec<_> = entries.iter().map(|(l, d)| (l, d)).collect();
+    let mut fleet = Fleet::default();
+    merge_described(&mut fleet, &described);
+    fleet
+}
+
+fn changes(engines: &[(&str, &str, Role, bool)]) -> Vec<String> {
+    let fleet = fleet(engines);
+    let pool = fleet.pools.find("models").unwrap();
+    let changes = stage_changes(&fleet, pool, 22);
+    let told = changes.iter().map(|change| {
+        let name = &fleet.endpoints.get(change.key).unwrap().name;
+        format!("{name} to {:?}", change.role)
+    });
+    told.collect()
+}
+
+#[test]
+fn goal_by_the_size_of_the_pool() {
+    let goals: Vec<_> = [0, 1, 2, 3, 5, 6, 9, 12, 38, 300]
+        .into_iter()
+        .map(|count| (count, prefill_goal(count, 22)))
+        .collect();
+    assert_yaml_snapshot!(goals);
+}
+
+#[test]
+fn engines_come_from_the_most_crowded_zone() {
+    use Role::{Decode, Prefill};
+    let four = [
+        ("1", "a", Prefill, false),
+        ("2", "a", Prefill, false),
+        ("3", "b", Prefill, false),
+        ("4", "c", Prefill, false),
+        ("5", "a", Decode, false),
+        ("6", "b", Decode, false),
+        ("7", "b", Decode, false),
+        ("8", "c", Decode, false),
+        ("9", "c", Decode, false),
+    ];
+    let even = [&four[..1], &four[2..3], &four[4..]].concat();
+    let leaving = [&[("1", "a", Prefill, true)][..], &four[4..]].concat();
+    let alone = [("1", "a", Decode, false)];
+    let service = [
+        ("1", "a", Role::Service, false),
+        ("2", "a", Role::Service, false),
+    ];
+    assert_yaml_snapshot!(vec![
+        ("too many read prompts", changes(&four)),
+        ("as they should be", changes(&even)),
+        ("the only one leaves", changes(&leaving)),
+        ("one engine", changes(&alone)),
+        ("plain services", changes(&service)),
+    ]);
+}
