Refuse what the retry budget does not allow, and serve histograms of times

Latency histograms were missing on the metrics address. Change: without budget such a request is refused as not run; histograms of answers, first events and waits for places; the phases of a stop are one enum.

--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -1,7 +1,12 @@
 use {
     super::{Refusal, RetryReason},
     prometheus_client::{
-        metrics::{counter::Counter, family::Family, gauge::Gauge},
+        metrics::{
+            counter::Counter,
+            family::Family,
+            gauge::Gauge,
+            histogram::{Histogram, exponential_buckets},
+        },
         registry::Registry,
     },
     std::array::from_fn,
@@ -10,6 +15,15 @@
 /// Label of a counter that is kept for each reason.
 type Reason = [(&'static str, &'static str); 1];
 
+/// Upper bound of the first bucket of times, in seconds.
+const TIME_LEAST: f64 = 0.01;
+
+/// Ratio of the bounds of neighbouring buckets.
+const TIME_RATIO: f64 = 2.0;
+
+/// Buckets of times; the last one ends at 10 s.
+const TIME_BUCKETS: u16 = 11;
+
 /// Counters of the path of a request, resolved once so that counting is one atomic addition.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -29,6 +43,12 @@
     pub local: Counter,
     /// Cancels sent to endpoints.
     pub cancels: Counter,
+    /// Time from the arrival of a forwarded call to its whole answer, in seconds.
+    pub answer_time: Histogram,
+    /// Time from the arrival of a forwarded stream to its first event, in seconds.
+    pub first_time: Histogram,
+    /// Time that a forwarded stream waited for its places, in seconds.
+    pub place_time: Histogram,
     refusals: [Counter; Refusal::ALL.len()],
     retries: [Counter; RetryReason::ALL.len()],
 }
@@ -47,6 +67,9 @@
             stray: Counter::default(),
             local: Counter::default(),
             cancels: Counter::default(),
+            answer_time: times(),
+            first_time: times(),
+            place_time: times(),
             refusals: from_fn(|i| refusals.get_or_create_owned(&reason(Refusal::ALL[i].word()))),
             retries: from_fn(|i| retries.get_or_create_owned(&reason(RetryReason::ALL[i].word()))),
         };
@@ -96,9 +119,29 @@
             registry.register(name, help, counter.clone());
         }
         registry.register("running", "Requests in progress", self.running.clone());
+        let times = [
+            ("answer_seconds", "Time to whole answers", &self.answer_time),
+            (
+                "first_event_seconds",
+                "Time to first events",
+                &self.first_time,
+            ),
+            (
+                "place_seconds",
+                "Time until places were found",
+                &self.place_time,
+            ),
+        ];
+        for (name, help, histogram) in times {
+            registry.register(name, help, histogram.clone());
+        }
     }
 }
 
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(TIME_LEAST, TIME_RATIO, TIME_BUCKETS))
+}
+
 fn reason(word: &'static str) -> Reason {
     [("reason", word)]
 }
--- a/src/board/health.rs
+++ b/src/board/health.rs
@@ -5,8 +5,25 @@
     pub store: bool,
     /// Whether the daemon takes new requests.
     pub ready: bool,
+    /// How far a planned stop is.
+    pub stop: StopPhase,
+}
+
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum StopPhase {
+    /// No stop was announced.
+    #[default]
+    Running,
+    /// A stop was announced; requests are still taken.
+    Stopping,
+    /// Long requests would be cut.
+    Closing,
+}
+
+impl Health {
     /// Whether a planned stop has begun.
-    pub stopping: bool,
-    /// Whether a planned stop is so far that long requests would be cut.
-    pub closing: bool,
+    pub fn stopping(&self) -> bool {
+        self.stop > StopPhase::Running
+    }
 }
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -10,7 +10,7 @@
     endpoint_slot::EndpointSlot,
     endpoint_traffic::{EndpointTraffic, SeenLoad},
     fleet::Fleet,
-    health::Health,
+    health::{Health, StopPhase},
     host::{Host, HostState},
     host_list::{HostList, ListedEndpoint, ListedHost},
     loaded::Loaded,
--- a/src/border/operator_api.rs
+++ b/src/border/operator_api.rs
@@ -185,7 +185,7 @@
 
 fn ready<S, P, C>(operator: &Operator<S, P, C>) -> Response {
     let health = operator.board.health.load();
-    if health.ready && !health.stopping {
+    if health.ready && !health.stopping() {
         return text(StatusCode::OK, "ready\n");
     }
     text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -156,7 +156,7 @@
     /// Places what fits, the oldest first; what can be in time goes before what cannot.
     fn serve(&mut self) {
         let now = self.clock.now();
-        if self.board.health.load().stopping {
+        if self.board.health.load().stopping() {
             // Nobody keeps the plan once this daemon has gone.
             for waiting in self.waiting.drain(..) {
                 if waiting.reply.send(PlaceOutcome::Absent).is_err() {
--- a/src/control/health_controller.rs
+++ b/src/control/health_controller.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        board::{Health, HostList, Section, Sheet, Writer},
+        board::{Health, HostList, Section, Sheet, StopPhase, Writer},
         port::Clock,
     },
     std::time::Duration,
@@ -90,8 +90,11 @@
         let health = Health {
             store: listed,
             ready,
-            stopping,
-            closing: false,
+            stop: if stopping {
+                StopPhase::Stopping
+            } else {
+                StopPhase::Running
+            },
         };
         if **self.writer.load() != health {
             self.writer.publish(health);
--- a/src/control/readiness_controller.rs
+++ b/src/control/readiness_controller.rs
@@ -1,6 +1,6 @@
 use {
     super::HealthHandle,
-    crate::board::{Fleet, Health, Routing, Section, Writer},
+    crate::board::{Fleet, Health, Routing, Section, StopPhase, Writer},
     std::time::Duration,
     tokio::{
         sync::{mpsc, watch},
@@ -46,7 +46,11 @@
         let mut stopping = None;
         loop {
             let left = stopping.map(|since: Instant| NOTICE_TIME.saturating_sub(since.elapsed()));
-            self.publish(stopping.is_some(), left.is_some_and(|left| left.is_zero()));
+            self.publish(match left {
+                None => StopPhase::Running,
+                Some(left) if left.is_zero() => StopPhase::Closing,
+                Some(_) => StopPhase::Stopping,
+            });
             let lasting = tokio::select! {
                 stop = self.stop.recv() => {
                     stopping = stopping.or(Some(Instant::now()));
@@ -63,17 +67,16 @@
         }
     }
 
-    fn publish(&mut self, stopping: bool, closing: bool) {
+    fn publish(&mut self, stop: StopPhase) {
         let known = self.routing.load().version > 0 && !self.fleet.load().endpoints.is_empty();
         let before = **self.writer.load();
         let health = Health {
             store: *self.reached.borrow_and_update(),
-            ready: !stopping && (known || before.ready),
-            stopping,
-            closing,
+            ready: stop == StopPhase::Running && (known || before.ready),
+            stop,
         };
         if before != health {
-            log::info!(ready = health.ready, store = health.store, stopping, closing; "health changed");
+            log::info!(ready = health.ready, store = health.store, stop:? = stop; "health changed");
             self.writer.publish(health);
         }
     }
--- a/src/decide/status_of.rs
+++ b/src/decide/status_of.rs
@@ -23,7 +23,7 @@
         zone: own.map_or_else(String::new, |host| host.zone.clone()),
         revision: board.sheet.load().revision,
         ready: health.ready,
-        stopping: health.stopping,
+        stopping: health.stopping(),
         store: health.store,
         owned: owned as u32,
         members: member_statuses(&members),
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -83,7 +83,7 @@
         P: Parts,
     {
         let health = shared.board().health.load();
-        if health.stopping {
+        if health.stopping() {
             let detail = "this daemon is stopping; send the request to another";
             return Err(Refused::not_run(Refusal::Stopping, detail));
         }
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -156,7 +156,10 @@
             && run.fresh
         {
             run.fresh = false;
-            run.hold.answered(now - self.call.arrived);
+            if self.events == 0 {
+                let took = (now - self.call.arrived).as_secs_f64();
+                self.shared.counters().first_time.observe(took);
+            }
         }
         if let (Some(last), Some(id)) = (self.last, event.id) {
             if id <= last {
@@ -241,16 +244,19 @@
             cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
             let apart = tries < READ_TRIES || (tries == READ_TRIES && self.spend());
             let read = cache.is_some() || !apart;
+            let asked = self.shared.now();
             let Places {
                 decode: hold,
                 place,
                 mut placement,
                 prefill,
             } = self.places(read).await?;
+            let waited = (self.shared.now() - asked).as_secs_f64();
+            self.shared.counters().place_time.observe(waited);
             if let Some(prefill) = prefill {
                 tries += 1;
                 let start = self.shared.now();
-                cache = self.prefill(prefill).await;
+                cache = self.prefill(prefill).await?;
                 if let (Some(placement), Some(_)) = (&mut placement, &cache) {
                     placement.read(self.shared.now() - start);
                 }
@@ -446,30 +452,32 @@
         }
     }
 
-    /// Has the prompt computed at `hold`; nothing if that failed.
-    async fn prefill(&self, hold: EndpointHold) -> Option<CacheHold<P>> {
+    /// Has the prompt computed at `hold`; nothing if that failed and it may be read elsewhere.
+    async fn prefill(&self, hold: EndpointHold) -> Result<Option<CacheHold<P>>, Refused> {
         ForwardLog::new(&self.call).chosen(&hold, "prefill");
         let start = self.shared.now();
         let ask = self.ask(&hold, None, None);
         let prefill = self.shared.parts().upstream().prefill(ask);
         let computed = timeout(self.shared.options().prefill, prefill).await;
-        match computed.unwrap_or(Err(UpstreamError::Silent)) {
+        let error = match computed.unwrap_or(Err(UpstreamError::Silent)) {
             Ok(handle) => {
                 hold.answered(self.shared.now() - start);
                 hold.ended(false);
-                Some(CacheHold::new(&self.shared, handle))
-            }
-            Err(error) => {
-                hold.failed(&self.shared, &error);
-                let ms = (self.shared.now() - start).as_millis() as u64;
-                ForwardLog::new(&self.call).failed(&hold, &error, "read in place", ms);
-                self.shared.counters().retry(RetryReason::PrefillBroken);
-                if !self.spend() {
-                    log::info!(endpoint = hold.name.as_str(); "the retry budget is spent");
-                }
-                None
+                return Ok(Some(CacheHold::new(&self.shared, handle)));
             }
+            Err(error) => error,
+        };
+        hold.failed(&self.shared, &error);
+        let ms = (self.shared.now() - start).as_millis() as u64;
+        // What follows is a further arrival at the pool, unless this one never left.
+        let free = matches!(error, UpstreamError::Unsent(_));
+        if !free && !self.spend() {
+            ForwardLog::new(&self.call).failed(&hold, &error, "refuse", ms);
+            return Err(forward_refusal::spent(&self.shared, &self.call));
         }
+        ForwardLog::new(&self.call).failed(&hold, &error, "read in place", ms);
+        self.shared.counters().retry(RetryReason::PrefillBroken);
+        Ok(None)
     }
 
     async fn send(
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -4,7 +4,7 @@
         event_relay::Opened, forward_answer::ForwardAnswer, forward_whole,
     },
     crate::{
-        board::{PathRoute, Refusal, ReplyKind, Routing},
+        board::{PathRoute, Refusal, ReplyKind, Routing, StopPhase},
         port::ForwardRequest,
     },
     http::HeaderMap,
@@ -84,7 +84,12 @@
         let log = ForwardLog::new(&journey.call);
         match result {
             Ok(answer) => {
+                let took = self.shared.now() - journey.call.arrived;
                 self.shared.counters().answered.inc();
+                self.shared
+                    .counters()
+                    .answer_time
+                    .observe(took.as_secs_f64());
                 log.answered(&self.shared, "", answer.status, 0);
                 ForwardReply::Whole(answer)
             }
@@ -112,7 +117,7 @@
         let Some((_, route)) = routing.find(&request.host, request.path()) else {
             return Err(self.no_route(&routing, &request));
         };
-        let closing = self.shared.board().health.load().closing;
+        let closing = self.shared.board().health.load().stop == StopPhase::Closing;
         if closing && route.reply == ReplyKind::Events {
             let detail = "the daemon stops before a stream could end";
             return Err(Refused::not_run(Refusal::Stopping, detail).after(STOPPING_WAIT));
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -36,6 +36,15 @@
     refused(shared, call, Refusal::QueueFull, detail)
 }
 
+/// The prompt was not read, and the retry budget is spent.
+pub fn spent<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
+where
+    P: ForwardParts,
+{
+    let detail = "the prompt was not read, and the retry budget is spent";
+    refused(shared, call, Refusal::RetryBudget, detail)
+}
+
 /// What `verdict` says after the attempt that `error` ended.
 pub fn after<P>(shared: &ForwardShared<P>, verdict: Verdict, error: &UpstreamError) -> Refused
 where
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -8,7 +8,7 @@
     lentillead::{
         board::{
             Blackboard, CallerLimits, Counters, Health, ListedEndpoint, PathRoute, Repeat,
-            ReplyKind, Role, Routing, SeenLoad, Writers,
+            ReplyKind, Role, Routing, SeenLoad, StopPhase, Writers,
         },
         decide::merge_described,
         port::{
@@ -22,7 +22,7 @@
     },
     prometheus_client::registry::Registry,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, HashMap, VecDeque},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -266,7 +266,7 @@
     writers
         .fleet
         .update(|fleet| merge_described(fleet, &described));
-    let routing = Routing::new(4, routes(), Default::default(), CallerLimits::default());
+    let routing = Routing::new(4, routes(), HashMap::new(), CallerLimits::default());
     writers.routing.publish(routing);
     writers.health.publish(Health {
         store: true,
@@ -480,11 +480,14 @@
 #[tokio::test(start_paused = true)]
 async fn what_is_said_without_knowledge_or_at_the_end() {
     let mut site = site(placed(), vec![]);
-    let health = |store, closing| Health {
+    let health = |store, closing: bool| Health {
         store,
-        closing,
         ready: !closing,
-        stopping: closing,
+        stop: if closing {
+            StopPhase::Closing
+        } else {
+            StopPhase::Running
+        },
     };
     let mut seen = Vec::new();
     site.writers.health.publish(health(false, false));
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -5,6 +5,7 @@
     lentillead::{
         board::{Endpoint, EndpointSlot, Loaded, Role, Tick},
         decide::{Ledger, Placement},
+        key::PoolKey,
         port::{PlaceAsk, PlaceEnd, PlaceRun},
     },
     std::{sync::Arc, time::Duration},
@@ -18,7 +19,7 @@
         name: name.to_owned(),
         address: format!("10.0.0.1:{}", name.len()),
         zone: "zone-a".to_owned(),
-        pool: Default::default(),
+        pool: PoolKey::default(),
         role,
         loaded: Loaded::default(),
         pieces: 0,
