Gather changes, share doubts about engines, and half believe hints

Change: changes of daemons and endpoints are gathered; an ask names the engines that its daemon cannot reach, and the placing daemon leaves them out for 0.7 s; the expected length is the geometric mean of the hint and half of the limit. Ruled out: whole hints.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -14,6 +14,9 @@
 /// Time after which waiting requests are looked at again though nothing ended.
 const LOOK_TIME: Duration = Duration::from_millis(30);
 
+/// Time for which an engine gets nothing after a daemon could not reach it.
+const DOUBT_TIME: Duration = Duration::from_millis(700);
+
 /// Asks and ends that may wait for the controller.
 const MAIL_WAITING: usize = 1_024;
 
@@ -25,6 +28,7 @@
     mail: mpsc::Receiver<Mail>,
     ledgers: HashMap<String, Ledger>,
     waiting: Vec<Waiting>,
+    doubts: HashMap<String, Tick>,
 }
 
 /// Handle of the controller.
@@ -105,6 +109,7 @@
             mail,
             ledgers: HashMap::new(),
             waiting: Vec::new(),
+            doubts: HashMap::new(),
         };
         (controller, Allocation { mail: sender })
     }
@@ -144,6 +149,9 @@
 
     fn enter(&mut self, ask: PlaceAsk, reply: oneshot::Sender<PlaceOutcome>) {
         let now = self.clock.now();
+        for name in &ask.silent {
+            self.doubts.insert(name.clone(), now + DOUBT_TIME);
+        }
         let arrived = Tick(now.0.saturating_sub(ask.waited.as_micros() as u64));
         self.waiting.push(Waiting {
             ask,
@@ -205,6 +213,7 @@
 
     /// The ledger of a pool with the engines that it has now.
     fn ledger(&mut self, pool: &str, now: Tick) -> &mut Ledger {
+        let doubts = &self.doubts;
         let fleet = self.board.fleet.load();
         let routing = self.board.routing.load();
         let members = fleet.pools.find(pool).and_then(|key| fleet.pools.get(key));
@@ -212,7 +221,8 @@
             .into_iter()
             .flat_map(|pool| &pool.members)
             .filter_map(|key| fleet.endpoints.get(*key))
-            .filter(|engine| !engine.leaving && !engine.slot.traffic.is_avoided(now));
+            .filter(|engine| !engine.leaving && !engine.slot.traffic.is_avoided(now))
+            .filter(|engine| doubts.get(&engine.name).is_none_or(|until| *until <= now));
         let plan = routing.pools.get(pool);
         let memory = plan.map_or(0, |plan| plan.memory_tokens);
         let ledger = self.ledgers.entry(pool.to_owned()).or_default();
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -16,7 +16,7 @@
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 
 /// Longest wait between failed calls.
-const RETRY_MOST: Duration = Duration::from_millis(600);
+const RETRY_MOST: Duration = Duration::from_millis(1_200);
 
 /// Reads a feed and its changes without ever going back to an older revision.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     clock: C,
     kind: &'static str,
     wait: Duration,
+    pause: Duration,
+    due: Duration,
     rng: SmallRng,
     backoff: Backoff,
     revision: u64,
@@ -54,6 +56,8 @@
     /// Creates a follower whose watches wait up to `wait`; `kind` names the objects in logs.
     pub fn new(feed: F, clock: C, kind: &'static str, wait: Duration, rng: SmallRng) -> Self {
         Self {
+            pause: Duration::ZERO,
+            due: Duration::ZERO,
             feed,
             clock,
             kind,
@@ -67,6 +71,12 @@
         }
     }
 
+    /// Waits for `pause` after each change, so that changes that come together cost one call.
+    #[must_use]
+    pub fn gather(self, pause: Duration) -> Self {
+        Self { pause, ..self }
+    }
+
     /// When the store last failed to answer.
     pub fn failed(&self) -> Option<Tick> {
         self.failed
@@ -80,6 +90,8 @@
     /// Waits for the next news.
     pub async fn next(&mut self) -> News<F::Item> {
         let news = if self.listed {
+            let pause = std::mem::take(&mut self.due);
+            self.clock.sleep(pause).await;
             self.watch().await
         } else {
             self.list().await
@@ -129,6 +141,7 @@
             return Ok(News::Same);
         }
         self.revision = changes.revision;
+        self.due = self.pause;
         Ok(News::Some(changes.changes))
     }
 
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -20,6 +20,15 @@
     tokio::{sync::watch, task::JoinSet},
 };
 
+/// Time in which changes of endpoints are gathered.
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time in which changes of the list of daemons are gathered.
+const MEMBER_PAUSE: Duration = Duration::from_secs(3);
+
+/// Longest wait of one watch of the list of daemons: who calls a dead one notices by itself.
+const MEMBER_WAIT: Duration = Duration::from_secs(15);
+
 /// What a daemon that forwards is told at its start.
 #[derive(Clone, Debug)]
 pub struct ForwardSettings {
@@ -143,7 +152,8 @@
         tasks.spawn(RoutingController::new(follower, writers.routing).run());
         let roster = rng("endpoints");
         let follower =
-            FeedFollower::new(ports.endpoints, clock, "endpoints", settings.watch, roster);
+            FeedFollower::new(ports.endpoints, clock, "endpoints", settings.watch, roster)
+                .gather(ENDPOINT_PAUSE);
         tasks.spawn(RosterController::new(follower, clock, writers.fleet, reached).run());
         let (controller, health) = ReadinessController::new(
             writers.health,
@@ -170,7 +180,8 @@
         };
         tasks.spawn(register(ports.register, clock, own.clone()));
         let members = rng("members");
-        let follower = FeedFollower::new(ports.members, clock, "members", settings.watch, members);
+        let follower = FeedFollower::new(ports.members, clock, "members", MEMBER_WAIT, members)
+            .gather(MEMBER_PAUSE);
         tasks.spawn(MemberRoster::new(follower, own, writers.members).run());
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -31,6 +31,8 @@
     pub apart: bool,
     /// Names of engines that the request has failed at.
     pub avoid: Vec<String>,
+    /// Names of engines that the asker cannot reach, or that have fallen silent.
+    pub silent: Vec<String>,
 }
 
 /// Answer to an ask.
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -94,7 +94,10 @@
 impl PromptSize {
     /// Tokens of memory that the request is expected to need when it ends.
     pub fn expected(&self) -> u64 {
-        self.prompt + self.hint.unwrap_or(self.output / 2).min(self.output)
+        let usual = (self.output / 2) as f64;
+        // Hints are right at the median and often far off, so half of each is believed.
+        let hinted = self.hint.map_or(usual, |hint| (hint as f64 * usual).sqrt());
+        self.prompt + (hinted as u64).min(self.output)
     }
 }
 
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -331,9 +331,10 @@
         let size = self.call.request.size.unwrap_or_default();
         let now = self.shared.now();
         let fleet = self.shared.board().fleet.load();
-        let endpoints = fleet.endpoints.iter().filter(|(key, endpoint)| {
-            self.call.tried.contains(key) || endpoint.slot.traffic.is_avoided(now)
-        });
+        let tried = self.call.tried.iter();
+        let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
+        let endpoints = fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
+        let silent = endpoints.filter(|endpoint| endpoint.slot.traffic.is_avoided(now));
         PlaceAsk {
             id,
             pool: self.call.pool.clone(),
@@ -342,9 +343,8 @@
             late: self.call.late,
             waited: now - self.call.arrived,
             apart: !read,
-            avoid: endpoints
-                .map(|(_, endpoint)| endpoint.name.clone())
-                .collect(),
+            avoid: tried.map(|endpoint| endpoint.name.clone()).collect(),
+            silent: silent.map(|endpoint| endpoint.name.clone()).collect(),
         }
     }
 
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -35,6 +35,8 @@
     pub avoid: Duration,
     /// Time suggested to callers before they send a refused request again.
     pub retry_after: Duration,
+    /// The same for streams that found every endpoint full.
+    pub full_after: Duration,
     /// Longest idle time of a kept connection for requests that may run only once.
     pub fresh: Duration,
 }
@@ -58,6 +60,7 @@
             first_event: Duration::from_millis(1_800),
             avoid: Duration::from_millis(500),
             retry_after: Duration::from_millis(200),
+            full_after: Duration::from_secs(3),
             fresh: Duration::from_secs(2),
         }
     }
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -33,7 +33,11 @@
     P: ForwardParts,
 {
     let detail = "no endpoint of the pool has room";
-    refused(shared, call, Refusal::QueueFull, detail)
+    let refused = refused(shared, call, Refusal::QueueFull, detail);
+    match refused.ran {
+        Ran::No => refused.after(shared.options().full_after),
+        Ran::Unknown => refused,
+    }
 }
 
 /// The prompt was not read, and the retry budget is spent.
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -41,6 +41,7 @@
         waited: Duration::ZERO,
         apart: true,
         avoid: Vec::new(),
+        silent: Vec::new(),
     }
 }
 
