--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,5 +1,6 @@
 //! Integration tests, a file for each feature.
 
+mod bounded_output;
 mod budget;
 mod chunk_check;
 mod claim_table;
