Do not retry a stream under which two engines broke off

Cause: a request that crashes engines was bounded by the attempts of its route alone; with a daemon a try it could reach more engines than it may. Change: the daemon that places streams counts, by host, path and body, engines that broke off before any event; from the second on the request is not retried for 2 min. Ruled out: a record in each daemon, which sees one try of many; a record at the store, which costs a call a break. Conclusion: calls to plain services are not counted; listed as open.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         board::{Blackboard, Tick},
-        decide::{Ledger, Placement},
+        decide::{CrashRecord, Ledger, Placement},
         port::{Clock, PeerCall, PeerReply, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun},
     },
     std::{collections::HashMap, time::Duration},
@@ -29,6 +29,7 @@
     ledgers: HashMap<String, Ledger>,
     waiting: Vec<Waiting>,
     doubts: HashMap<String, Tick>,
+    crashes: CrashRecord,
 }
 
 /// Handle of the controller.
@@ -110,6 +111,7 @@
             ledgers: HashMap::new(),
             waiting: Vec::new(),
             doubts: HashMap::new(),
+            crashes: CrashRecord::default(),
         };
         (controller, Allocation { mail: sender })
     }
@@ -129,6 +131,10 @@
                 Some(Mail::Place(ask, reply)) => self.enter(ask, reply),
                 Some(Mail::Adopt(runs)) => self.adopt(&runs),
                 Some(Mail::End(end)) => {
+                    if let Some(print) = end.crashed {
+                        self.crashes.strike(print, self.clock.now());
+                        log::info!(id = end.id, print; "an engine broke off before any event");
+                    }
                     if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
                         ledger.end(&end);
                     }
@@ -188,7 +194,12 @@
             match placed {
                 Some(Placement { decode, prefill }) => {
                     let id = waiting.ask.id;
-                    let outcome = PlaceOutcome::Placed { decode, prefill };
+                    let suspect = self.crashes.is_suspect(waiting.ask.print);
+                    let outcome = PlaceOutcome::Placed {
+                        decode,
+                        prefill,
+                        suspect,
+                    };
                     if let Err(outcome) = waiting.reply.send(outcome) {
                         log::debug!(id; "the asker has gone: {outcome:?}");
                     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
     call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ANSWER_BYTES_MAX, ClaimGroup, ClaimTable, ClaimTime, ask_key, record_bytes},
+    crash_record::CrashRecord,
     endpoint_choice::{EndpointOption, choose_endpoint},
     endpoint_load::EndpointLoad,
     fair_share::{FairShare, HALF_LIFE},
@@ -43,6 +44,7 @@
 mod call_class;
 mod chunk_check;
 mod claim_table;
+mod crash_record;
 mod endpoint_choice;
 mod endpoint_load;
 mod fair_share;
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -33,6 +33,8 @@
     pub avoid: Vec<String>,
     /// Names of engines that the asker cannot reach, or that have fallen silent.
     pub silent: Vec<String>,
+    /// Fingerprint of host, path and body: equal for a request that is sent again.
+    pub print: u64,
 }
 
 /// Answer to an ask.
@@ -44,6 +46,8 @@
         decode: String,
         /// Name of the engine that reads the prompt; none if it is read where it decodes.
         prefill: Option<String>,
+        /// Whether engines have broken off under the request so often that it is not retried.
+        suspect: bool,
     },
     /// Nothing is free yet; ask again at once.
     Wait,
@@ -69,6 +73,8 @@
     pub id: u64,
     /// Pool.
     pub pool: String,
+    /// Fingerprint of the request if the engine broke off before any event.
+    pub crashed: Option<u64>,
     /// Tokens that were generated.
     pub generated: u64,
     /// Time from the first event to the last.
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -196,7 +196,11 @@
         let hold = run.hold;
         // Closing the connection stops the run before another one goes on.
         drop(run.body);
-        drop(run.placement);
+        let mut placement = run.placement;
+        if let (Some(placement), true) = (&mut placement, run.fresh && self.events == 0) {
+            placement.crashed(self.call.print);
+        }
+        drop(placement);
         self.after(&hold, error)?;
         drop(hold);
         let answer = self.start().await?;
@@ -282,6 +286,12 @@
                     });
                 }
                 Err(error) => {
+                    let crashed = matches!(error, UpstreamError::Broken(_));
+                    if let (Some(placement), true) = (&mut placement, crashed && self.events == 0) {
+                        placement.crashed(self.call.print);
+                    }
+                    // The record must be made before the next ask.
+                    drop(placement);
                     self.after(&hold, &error)?;
                     // Only a cache that was certainly not taken is offered again.
                     cache = cache.filter(|_| error.is_not_run());
@@ -297,7 +307,7 @@
 
     /// Finds a place to read the prompt and one to decode; waits for both while the answer can
     /// still be in time. A prompt that is `read`, or finds no place, is read where it decodes.
-    async fn places(&self, read: bool) -> Result<Places<P>, Refused> {
+    async fn places(&mut self, read: bool) -> Result<Places<P>, Refused> {
         let until = self.shared.now() + self.call.route.target / PLACE_SHARE;
         let id = self.shared.unique();
         loop {
@@ -308,7 +318,12 @@
                 .place(self.place_ask(id, read))
                 .await
             {
-                PlaceOutcome::Placed { decode, prefill } => {
+                PlaceOutcome::Placed {
+                    decode,
+                    prefill,
+                    suspect,
+                } => {
+                    self.call.suspect |= suspect;
                     if let Some(places) = self.placed(id, &decode, prefill.as_deref()) {
                         return Ok(places);
                     }
@@ -345,6 +360,7 @@
             apart: !read,
             avoid: tried.map(|endpoint| endpoint.name.clone()).collect(),
             silent: silent.map(|endpoint| endpoint.name.clone()).collect(),
+            print: self.call.print,
         }
     }
 
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -25,6 +25,10 @@
     pub deadline: Tick,
     /// Whether so much of the caller's time has passed that the answer cannot be in time.
     pub late: bool,
+    /// Fingerprint of host, path and body.
+    pub print: u64,
+    /// Whether engines have broken off under it so often that it is not retried.
+    pub suspect: bool,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointKey>,
     /// Attempts that ran or may have run.
@@ -55,7 +59,13 @@
         }
         let tainted = self.ran > 0;
         let spent = tainted && self.ran >= self.route.attempts;
-        let chance = if late { Chance::Late } else { Chance::Open };
+        let chance = if late {
+            Chance::Late
+        } else if self.suspect && tainted {
+            Chance::Suspect
+        } else {
+            Chance::Open
+        };
         let mut failure = Failure {
             state,
             tainted,
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -8,7 +8,11 @@
         port::ForwardRequest,
     },
     http::HeaderMap,
-    std::{sync::Arc, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Wait suggested to callers of a daemon that stops; others take their requests at once.
@@ -133,6 +137,8 @@
             arrived,
             deadline: arrived + patience,
             late,
+            print: fingerprint(&request),
+            suspect: false,
             tried: Vec::new(),
             ran: 0,
             request: Arc::new(request),
@@ -175,6 +181,13 @@
     }
 }
 
+/// Hash of what makes a request the same when it is sent again under another id.
+fn fingerprint(request: &ForwardRequest) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&request.host, &request.target, &request.body).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Notices that the caller of a request has gone before its answer.
 struct Journey<'a, P>
 where
--- a/src/request/placement_hold.rs
+++ b/src/request/placement_hold.rs
@@ -29,6 +29,7 @@
             end: PlaceEnd {
                 id,
                 pool: pool.to_owned(),
+                crashed: None,
                 generated: 0,
                 decoding: Duration::ZERO,
                 reading: Duration::ZERO,
@@ -42,6 +43,11 @@
         self.end.reading = took;
     }
 
+    /// Notes that the engine broke off before any event of the request with this fingerprint.
+    pub fn crashed(&mut self, print: u64) {
+        self.end.crashed = Some(print);
+    }
+
     /// Notes `tokens` that were generated since the event before.
     pub fn generated(&mut self, tokens: u64) {
         let now = self.shared.now();
--- a/tests/bounded_output.rs
+++ b/tests/bounded_output.rs
@@ -30,15 +30,15 @@
 struct Gated(Gate, Sender<String>);
 
 impl Write for Gated {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let (open, changed) = &*self.0;
         let mut open = open.lock().unwrap();
         while !*open {
             open = changed.wait(open).unwrap();
         }
-        let text = String::from_utf8_lossy(bytes).into_owned();
+        let text = String::from_utf8_lossy(buf).into_owned();
         self.1.send(text).map_err(io::Error::other)?;
-        Ok(bytes.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -8,9 +8,9 @@
     lentillead::{
         board::{
             Blackboard, CallerLimits, Counters, Health, ListedEndpoint, PathRoute, Repeat,
-            ReplyKind, Role, Routing, SeenLoad, StopPhase, Writers,
+            ReplyKind, Role, Routing, SeenLoad, StopPhase, Tick, Writers,
         },
-        decide::merge_described,
+        decide::{CrashRecord, merge_described},
         port::{
             AnswerBody, AnswerEvent, CacheHandle, Description, ForwardRequest, MonoClock, PlaceAsk,
             PlaceEnd, PlaceHandle, PlaceOutcome, Placer, PromptSize, Upstream, UpstreamAnswer,
@@ -161,7 +161,12 @@
     async fn place(&self, ask: PlaceAsk) -> PlaceOutcome {
         sleep(Duration::from_millis(100)).await;
         match self.0.clone() {
-            PlaceOutcome::Placed { decode, prefill } => PlaceOutcome::Placed {
+            PlaceOutcome::Placed {
+                decode,
+                prefill,
+                suspect,
+            } => PlaceOutcome::Placed {
+                suspect,
                 decode: if ask.avoid.contains(&decode) {
                     "d2".to_owned()
                 } else {
@@ -336,6 +341,7 @@
 
 fn placed() -> PlaceOutcome {
     PlaceOutcome::Placed {
+        suspect: false,
         decode: "d1".to_owned(),
         prefill: Some("p1".to_owned()),
     }
@@ -452,6 +458,26 @@
     for (name, path, acts) in cases {
         seen.push((name, site(placed(), acts).send(path).await));
     }
+    let suspect = PlaceOutcome::Placed {
+        decode: "d1".to_owned(),
+        prefill: None,
+        suspect: true,
+    };
+    let crash = site(suspect, vec![events(&[], false)])
+        .send("/stream/")
+        .await;
+    seen.push(("a suspect of crashes is not retried", crash));
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn two_crashes_make_a_suspect_for_a_while() {
+    let mut record = CrashRecord::default();
+    let mut seen = Vec::new();
+    for (second, print) in [(0, 7), (1, 8), (2, 7), (200, 9)] {
+        record.strike(print, Tick(second * 1_000_000));
+        seen.push((second, [7, 8, 9].map(|print| record.is_suspect(print))));
+    }
     assert_yaml_snapshot!(seen);
 }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -42,6 +42,7 @@
         apart: true,
         avoid: Vec::new(),
         silent: Vec::new(),
+        print: id,
     }
 }
 
@@ -130,6 +131,7 @@
     let end = PlaceEnd {
         id: 1,
         pool: "models".to_owned(),
+        crashed: None,
         generated: 0,
         decoding: Duration::ZERO,
         reading: Duration::from_millis(100),
