Order engines once the fleet is known

Change: an order needs a fleet that has not changed for 1.2 s. Test: stage_controller::no_order_is_given_while_engines_are_being_listed; it failed with the controller as it was ("e1 to Prefill" after 3.2 s) and passes now.

--- a/src/control/stage_controller.rs
+++ b/src/control/stage_controller.rs
@@ -23,11 +23,9 @@
 /// Time for one call to an engine.
 const CALL_TIME: Duration = Duration::from_millis(400);
 
-/// Time for which a difference must last before it is acted on, after the first one.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
-
-/// Time for which the first difference must last.
-const START_TIME: Duration = Duration::from_millis(300);
+/// Time for which the fleet must not change before a difference is acted on: endpoints that start
+/// together are listed one after the other.
+const QUIET_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time for an engine to change, within which nothing further is ordered.
 const CHANGE_TIME: Duration = Duration::from_secs(12);
@@ -77,7 +75,7 @@
         Self {
             parts,
             claims,
-            wait: START_TIME,
+            wait: QUIET_TIME,
         }
     }
 
@@ -90,10 +88,14 @@
                 }
                 continue;
             };
-            let wait = self.wait.mul_f64(self.parts.rng.random_range(1.0..2.0));
-            self.parts.clock.sleep(wait).await;
-            if self.uneven() == Some(pool) {
-                self.wait = self.act(pool).await;
+            let wait = self.wait.mul_f64(self.parts.rng.random_range(1.0..1.5));
+            tokio::select! {
+                () = self.parts.clock.sleep(wait) => self.wait = self.act(pool).await,
+                more = self.parts.fleet.changed() => {
+                    if !more {
+                        return;
+                    }
+                }
             }
         }
     }
@@ -128,7 +130,7 @@
             }
             self.order(&claim, endpoint, change).await;
         }
-        CHANGE_TIME.max(SETTLE_TIME)
+        CHANGE_TIME
     }
 
     async fn order(&self, claim: &OrderClaim, endpoint: &Endpoint, change: StageChange) {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -44,5 +44,6 @@
 mod sheet_follow;
 mod sheet_spread;
 mod sheet_store;
+mod stage_controller;
 mod stage_plan;
 mod suspicion;
