Keep the plan of an engine that is in doubt

Cause: found on rereading: the placing daemon left engines that were avoided or doubted out of the fleet it gave its ledger, which then forgot what ran there. When the doubt ended 0.7 s later the engine looked empty and was filled again beside its old streams. Change: an engine that is not usable stays in the ledger with its plan and gets nothing. Test: ledger::an_engine_in_doubt_keeps_its_plan_and_gets_nothing; with such engines left out it failed (a large stream was placed beside the first), now it waits.

--- a/src/board/tick.rs
+++ b/src/board/tick.rs
@@ -19,6 +19,13 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The tick `time` before this one, or the first.
+    #[must_use]
+    pub fn before(self, time: Duration) -> Self {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Tick {
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -158,7 +158,7 @@
         for name in &ask.silent {
             self.doubts.insert(name.clone(), now + DOUBT_TIME);
         }
-        let arrived = Tick(now.0.saturating_sub(ask.waited.as_micros() as u64));
+        let arrived = now.before(ask.waited);
         self.waiting.push(Waiting {
             ask,
             arrived,
@@ -232,8 +232,11 @@
             .into_iter()
             .flat_map(|pool| &pool.members)
             .filter_map(|key| fleet.endpoints.get(*key))
-            .filter(|engine| !engine.leaving && !engine.slot.traffic.is_avoided(now))
-            .filter(|engine| doubts.get(&engine.name).is_none_or(|until| *until <= now));
+            .map(|engine| {
+                let doubted = doubts.get(&engine.name).is_some_and(|until| *until > now);
+                let avoided = engine.slot.traffic.is_avoided(now);
+                (engine, !engine.leaving && !avoided && !doubted)
+            });
         let plan = routing.pools.get(pool);
         let memory = plan.map_or(0, |plan| plan.memory_tokens);
         let ledger = self.ledgers.entry(pool.to_owned()).or_default();
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Debug)]
 struct EnginePlan {
     role: Role,
+    usable: bool,
     slots: u32,
     memory: f64,
     runs: Vec<RunPlan>,
@@ -78,22 +79,21 @@
 }
 
 impl Ledger {
-    /// Brings the engines up to date with the fleet; each holds `memory` tokens.
+    /// Brings the engines up to date with the fleet; each holds `memory` tokens. An engine that is
+    /// not usable gets nothing and keeps its plan.
     pub fn sync<'a, I>(&mut self, engines: I, memory: u64)
     where
-        I: Iterator<Item = &'a Endpoint>,
+        I: Iterator<Item = (&'a Endpoint, bool)>,
     {
         let mut before = std::mem::take(&mut self.engines);
-        for engine in engines {
+        for (engine, usable) in engines {
             let old = before.remove(&engine.name);
             let old = old.filter(|old| old.role == engine.role);
             let plan = EnginePlan {
-                role: engine.role,
+                usable,
                 slots: engine.slots,
                 memory: memory as f64 * MEMORY_SHARE,
-                runs: old.as_ref().map_or(Vec::new(), |old| old.runs.clone()),
-                line: old.as_ref().map_or(Vec::new(), |old| old.line.clone()),
-                line_since: old.map_or(Tick(0), |old| old.line_since),
+                ..old.unwrap_or_else(|| EnginePlan::new(engine.role))
             };
             self.engines.insert(engine.name.clone(), plan);
         }
@@ -146,7 +146,7 @@
         let Some(plan) = self.engines.get_mut(&run.decode) else {
             return;
         };
-        let start = Tick(now.0.saturating_sub(run.since.as_micros() as u64));
+        let start = now.before(run.since);
         plan.runs.push(RunPlan {
             id: run.ask.id,
             prompt: run.ask.prompt as f64,
@@ -202,7 +202,7 @@
         let rate = self.read_rate();
         let engines = self.engines.iter();
         let readers =
-            engines.filter(|(name, plan)| plan.role == Role::Prefill && !ask.avoid.contains(name));
+            engines.filter(|(name, plan)| plan.takes(Role::Prefill) && !ask.avoid.contains(name));
         let lines = readers.map(|(name, plan)| (name, plan.line_time(rate, now)));
         let shortest = lines.min_by_key(|(_, wait)| *wait)?;
         Some((shortest.0.clone(), shortest.1))
@@ -213,7 +213,7 @@
         let rate = self.write_rate();
         let engines = self.engines.iter();
         let decoders = engines.filter(|(name, plan)| {
-            plan.role == Role::Decode
+            plan.takes(Role::Decode)
                 && !ask.avoid.contains(name)
                 && plan.runs.len() < plan.slots as usize
         });
@@ -229,7 +229,7 @@
     fn least_fill(&self, now: Tick) -> f64 {
         let rate = self.write_rate();
         let decoders = self.engines.values();
-        let decoders = decoders.filter(|plan| plan.role == Role::Decode);
+        let decoders = decoders.filter(|plan| plan.takes(Role::Decode));
         let fills = decoders.map(|plan| plan.fill(rate, now));
         fills.min_by(f64::total_cmp).unwrap_or(1.0)
     }
@@ -302,6 +302,24 @@
 }
 
 impl EnginePlan {
+    /// An engine for which nothing is planned.
+    fn new(role: Role) -> Self {
+        Self {
+            role,
+            usable: false,
+            slots: 0,
+            memory: 0.0,
+            runs: Vec::new(),
+            line: Vec::new(),
+            line_since: Tick(0),
+        }
+    }
+
+    /// Whether it may get work of `role`.
+    fn takes(&self, role: Role) -> bool {
+        self.usable && self.role == role
+    }
+
     /// Share of the memory in use.
     fn fill(&self, rate: f64, now: Tick) -> f64 {
         let used: f64 = self.runs.iter().map(|run| run.memory(rate, now)).sum();
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -52,7 +52,7 @@
         .map(|(name, role)| engine(name, *role))
         .collect();
     let mut ledger = Ledger::default();
-    ledger.sync(engines.iter(), MEMORY);
+    ledger.sync(engines.iter().map(|engine| (engine, true)), MEMORY);
     ledger
 }
 
@@ -151,6 +151,28 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[test]
+fn an_engine_in_doubt_keeps_its_plan_and_gets_nothing() {
+    let engine = engine("d1", Role::Decode);
+    let mut ledger = ledger(&[("d1", Role::Decode)]);
+    let mut seen = vec![("first", told(ledger.place(&ask(1, 6_000, 6_000), at(0))))];
+    ledger.sync([(&engine, false)].into_iter(), MEMORY);
+    seen.push((
+        "small, in doubt",
+        told(ledger.place(&ask(2, 100, 100), at(100))),
+    ));
+    ledger.sync([(&engine, true)].into_iter(), MEMORY);
+    seen.push((
+        "large, beside the first",
+        told(ledger.place(&ask(3, 6_000, 6_000), at(200))),
+    ));
+    seen.push((
+        "small, beside the first",
+        told(ledger.place(&ask(2, 100, 100), at(200))),
+    ));
+    assert_yaml_snapshot!((seen, ledger.len()));
+}
+
 #[test]
 fn placed_requests_are_taken_over_once_and_lapse() {
     let mut ledger = ledger(&[("d1", Role::Decode)]);
