Find places in a type of its own, and build attempts in one place

Change: PlaceSearch, ForwardCall::ask, one put for maps replaced as a whole, Tick::before, tests/listed.rs.

--- a/src/control/place_router.rs
+++ b/src/control/place_router.rs
@@ -9,7 +9,7 @@
         },
     },
     arc_swap::ArcSwap,
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{collections::HashMap, hash::Hash, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -82,11 +82,7 @@
 
     fn avoid(&self, host: HostKey) {
         let until = self.clock.now() + AVOID_TIME;
-        self.state.avoided.rcu(|old| {
-            let mut next = HashMap::clone(old);
-            next.insert(host, until);
-            next
-        });
+        put(&self.state.avoided, &host, &until);
     }
 
     /// Calls `host`, this daemon or another one; nothing if it does not answer.
@@ -116,11 +112,7 @@
         if self.state.told.load().get(pool) == Some(&current) {
             return;
         }
-        self.state.told.rcu(|old| {
-            let mut next = HashMap::clone(old);
-            next.insert(pool.to_owned(), current);
-            next
-        });
+        put(&self.state.told, &pool.to_owned(), &current);
         let now = self.clock.now();
         let runs = self.state.runs.load();
         let runs: Vec<_> = runs
@@ -144,11 +136,7 @@
             decode: decode.to_owned(),
             placed: self.clock.now(),
         };
-        self.state.runs.rcu(|old| {
-            let mut next = HashMap::clone(old);
-            next.insert(ask.id, run.clone());
-            next
-        });
+        put(&self.state.runs, &ask.id, &run);
     }
 }
 
@@ -189,3 +177,16 @@
         });
     }
 }
+
+/// Replaces a map by one that holds `value` under `key`.
+fn put<K, V>(map: &ArcSwap<HashMap<K, V>>, key: &K, value: &V)
+where
+    K: Clone + Eq + Hash,
+    V: Clone,
+{
+    map.rcu(|old| {
+        let mut next = HashMap::clone(old);
+        next.insert(key.clone(), value.clone());
+        next
+    });
+}
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -121,8 +121,8 @@
     pub left: Duration,
     /// Time after which a connection that was not established is given up.
     pub connect: Duration,
-    /// Longest idle time of a kept connection that may be used; nothing asks for a new one.
-    pub idle: Option<Duration>,
+    /// Longest idle time of a kept connection that may be used.
+    pub idle: Duration,
     /// KV cache to start from.
     pub cache: Option<CacheHandle>,
     /// Place that was reserved for it.
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -1,20 +1,23 @@
 use {
     super::{
-        CacheHold, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, PlaceHold, PlacementHold, Refused, forward_answer::ForwardAnswer,
-        forward_log::retry_reason, forward_refusal,
+        CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, PlaceHold,
+        PlacementHold, Refused,
+        forward_answer::ForwardAnswer,
+        forward_log::retry_reason,
+        forward_refusal,
+        place_search::{PlaceSearch, Places},
     },
     crate::{
-        board::{Refusal, RetryReason, Role, Tick},
+        board::{Refusal, RetryReason},
         decide::Verdict,
         port::{
-            AnswerBody, AnswerEvent, CacheHandle, Clock, PlaceAsk, PlaceHandle, PlaceOutcome,
-            Placer, Upstream, UpstreamAnswer, UpstreamAsk, UpstreamError,
+            AnswerBody, AnswerEvent, CacheHandle, PlaceHandle, Upstream, UpstreamAnswer,
+            UpstreamAsk, UpstreamError,
         },
     },
     bytes::Bytes,
     http::HeaderMap,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     tokio::time::timeout,
 };
 
@@ -24,12 +27,6 @@
 /// Times that a prompt is read apart before it is read where it decodes.
 const READ_TRIES: u32 = 1;
 
-/// Requests of this daemon at one endpoint that reads prompts, while no daemon places requests.
-const OWN_LINE: u32 = 1;
-
-/// Part of a stream's target time for which it may wait for a place.
-const PLACE_SHARE: u32 = 2;
-
 /// Body of the answers of a port.
 type BodyOf<P> = <<P as ForwardParts>::Upstream as Upstream>::Body;
 
@@ -254,7 +251,9 @@
                 place,
                 mut placement,
                 prefill,
-            } = self.places(read).await?;
+            } = PlaceSearch::new(&self.shared, &mut self.call)
+                .find(read)
+                .await?;
             let waited = (self.shared.now() - asked).as_secs_f64();
             self.shared.counters().place_time.observe(waited);
             if let Some(prefill) = prefill {
@@ -305,174 +304,14 @@
         self.shared.budget(&self.call.pool).spend()
     }
 
-    /// Finds a place to read the prompt and one to decode; waits for both while the answer can
-    /// still be in time. A prompt that is `read`, or finds no place, is read where it decodes.
-    async fn places(&mut self, read: bool) -> Result<Places<P>, Refused> {
-        let until = self.shared.now() + self.call.route.target / PLACE_SHARE;
-        let id = self.shared.unique();
-        loop {
-            match self
-                .shared
-                .parts()
-                .placer()
-                .place(self.place_ask(id, read))
-                .await
-            {
-                PlaceOutcome::Placed {
-                    decode,
-                    prefill,
-                    suspect,
-                } => {
-                    self.call.suspect |= suspect;
-                    if let Some(places) = self.placed(id, &decode, prefill.as_deref()) {
-                        return Ok(places);
-                    }
-                    self.shared
-                        .parts()
-                        .clock()
-                        .sleep(self.shared.options().line_wait)
-                        .await;
-                }
-                PlaceOutcome::Wait => {}
-                PlaceOutcome::Absent => return self.own_places(read, until).await,
-            }
-            if self.shared.now() >= until {
-                return Err(forward_refusal::full(&self.shared, &self.call));
-            }
-        }
-    }
-
-    fn place_ask(&self, id: u64, read: bool) -> PlaceAsk {
-        let size = self.call.request.size.unwrap_or_default();
-        let now = self.shared.now();
-        let fleet = self.shared.board().fleet.load();
-        let tried = self.call.tried.iter();
-        let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
-        let endpoints = fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
-        let silent = endpoints.filter(|endpoint| endpoint.slot.traffic.is_avoided(now));
-        PlaceAsk {
-            id,
-            pool: self.call.pool.clone(),
-            prompt: size.prompt,
-            output: size.expected().saturating_sub(size.prompt),
-            late: self.call.late,
-            waited: now - self.call.arrived,
-            apart: !read,
-            avoid: tried.map(|endpoint| endpoint.name.clone()).collect(),
-            silent: silent.map(|endpoint| endpoint.name.clone()).collect(),
-            print: self.call.print,
-        }
-    }
-
-    /// The places by name; nothing if they are not known here.
-    fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Option<Places<P>> {
-        let size = self.call.request.size.unwrap_or_default();
-        let placement = PlacementHold::new(&self.shared, id, &self.call.pool);
-        let need = |role, tokens: u64| EndpointNeed {
-            pool: &self.call.pool,
-            role,
-            tokens: tokens.max(1),
-            tried: &self.call.tried,
-        };
-        let decode = EndpointHold::at(&self.shared, &need(Role::Decode, size.expected()), decode)?;
-        ForwardLog::new(&self.call).chosen(&decode, "decode");
-        let reads = need(Role::Prefill, size.prompt);
-        let prefill = prefill.and_then(|name| EndpointHold::at(&self.shared, &reads, name));
-        Some(Places {
-            decode,
-            place: None,
-            placement: Some(placement),
-            prefill,
-        })
-    }
-
-    /// Finds places by what is known here alone, while no daemon places requests.
-    async fn own_places(&self, read: bool, until: Tick) -> Result<Places<P>, Refused> {
-        let options = self.shared.options();
-        let alone = self.shared.now() + options.alone_wait;
-        loop {
-            let prefill = if read { None } else { self.prefill_place() };
-            let now = self.shared.now();
-            if (read || prefill.is_some() || now >= alone)
-                && let Some((decode, place)) = self.free_place().await?
-            {
-                return Ok(Places {
-                    decode,
-                    place: Some(place),
-                    placement: None,
-                    prefill,
-                });
-            }
-            if now >= until {
-                return Err(forward_refusal::full(&self.shared, &self.call));
-            }
-            let wait = if prefill.is_some() {
-                options.place_wait
-            } else {
-                options.line_wait
-            };
-            drop(prefill);
-            self.shared.parts().clock().sleep(wait).await;
-        }
-    }
-
-    /// A place at an endpoint that computes prompts and has a short line.
-    fn prefill_place(&self) -> Option<EndpointHold> {
-        let need = EndpointNeed {
-            pool: &self.call.pool,
-            role: Role::Prefill,
-            tokens: self.call.request.size.unwrap_or_default().prompt.max(1),
-            tried: &[],
-        };
-        let hold = EndpointHold::choose(&self.shared, &need)?;
-        (!hold.option.avoided && hold.running() <= OWN_LINE).then_some(hold)
-    }
-
-    /// Asks the endpoints that decode for a place, best first; nothing if every one is full.
-    async fn free_place(&self) -> Result<Option<(EndpointHold, PlaceHold<P>)>, Refused> {
-        let size = self.call.request.size.unwrap_or_default();
-        let tokens = size.expected().max(1);
-        let mut tried = self.call.tried.clone();
-        loop {
-            let need = EndpointNeed {
-                pool: &self.call.pool,
-                role: Role::Decode,
-                tokens,
-                tried: &tried,
-            };
-            let hold = EndpointHold::choose(&self.shared, &need);
-            let hold =
-                hold.ok_or_else(|| forward_refusal::no_endpoint(&self.shared, &self.call))?;
-            if hold.option.tried {
-                return Ok(None);
-            }
-            ForwardLog::new(&self.call).chosen(&hold, "decode");
-            tried.push(hold.key);
-            let options = self.shared.options();
-            let ask = self.ask(&hold, None, None);
-            let reserve = self.shared.parts().upstream();
-            let reserve = reserve.reserve(ask, tokens, options.place_time);
-            match timeout(options.reserve, reserve)
-                .await
-                .unwrap_or(Err(UpstreamError::Silent))
-            {
-                Ok(place) => return Ok(Some((hold, PlaceHold::new(&self.shared, place)))),
-                Err(error) => {
-                    let ms = hold.age(&self.shared).as_millis() as u64;
-                    ForwardLog::new(&self.call).failed(&hold, &error, "ask another", ms);
-                    if !matches!(error, UpstreamError::Refused { .. }) {
-                        hold.failed(&self.shared, &error);
-                    }
-                }
-            }
-        }
-    }
-
     /// Has the prompt computed at `hold`; nothing if that failed and it may be read elsewhere.
     async fn prefill(&self, hold: EndpointHold) -> Result<Option<CacheHold<P>>, Refused> {
         ForwardLog::new(&self.call).chosen(&hold, "prefill");
         let start = self.shared.now();
-        let ask = self.ask(&hold, None, None);
+        let ask = UpstreamAsk {
+            resume: self.last,
+            ..self.call.ask(&self.shared, &hold)
+        };
         let prefill = self.shared.parts().upstream().prefill(ask);
         let computed = timeout(self.shared.options().prefill, prefill).await;
         let error = match computed.unwrap_or(Err(UpstreamError::Silent)) {
@@ -502,31 +341,15 @@
         cache: Option<CacheHandle>,
         place: Option<PlaceHandle>,
     ) -> Result<UpstreamAnswer<BodyOf<P>>, UpstreamError> {
-        let ask = self.ask(hold, cache, place);
-        let send = self.shared.parts().upstream().send(ask);
-        let answer = timeout(self.limit(), send).await;
-        answer.unwrap_or(Err(UpstreamError::Silent))
-    }
-
-    fn ask(
-        &self,
-        hold: &EndpointHold,
-        cache: Option<CacheHandle>,
-        place: Option<PlaceHandle>,
-    ) -> UpstreamAsk {
-        let options = self.shared.options();
-        let fresh = self.call.is_once();
-        UpstreamAsk {
-            request: Arc::clone(&self.call.request),
-            address: hold.address.clone(),
-            endpoint: hold.name.clone(),
-            left: self.shared.left(self.call.deadline),
-            connect: options.connect,
-            idle: Some(if fresh { options.fresh } else { Duration::MAX }),
+        let ask = UpstreamAsk {
             cache,
             place,
             resume: self.last,
-        }
+            ..self.call.ask(&self.shared, hold)
+        };
+        let send = self.shared.parts().upstream().send(ask);
+        let answer = timeout(self.limit(), send).await;
+        answer.unwrap_or(Err(UpstreamError::Silent))
     }
 
     /// Passes on a failure that the endpoint answered.
@@ -578,18 +401,6 @@
     }
 }
 
-/// Where a stream is to run.
-#[derive(Debug)]
-struct Places<P>
-where
-    P: ForwardParts,
-{
-    decode: EndpointHold,
-    place: Option<PlaceHold<P>>,
-    placement: Option<PlacementHold<P>>,
-    prefill: Option<EndpointHold>,
-}
-
 /// An attempt whose answer has begun.
 #[derive(Debug)]
 struct Started<P>
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -1,11 +1,12 @@
 use {
+    super::{EndpointHold, ForwardParts, ForwardShared},
     crate::{
         board::{PathRoute, Repeat, Tick},
         decide::{AttemptState, Chance, Failure, RetryBudget, Verdict, after_failure},
         key::EndpointKey,
-        port::{ForwardRequest, UpstreamError},
+        port::{ForwardRequest, UpstreamAsk, UpstreamError},
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// A forwarded request on its way: its route, its time and what was tried.
@@ -41,6 +42,31 @@
         self.route.repeat == Repeat::AtMostOnce
     }
 
+    /// An attempt at `hold`, without a cache, a place or events to go on from.
+    pub fn ask<P>(&self, shared: &ForwardShared<P>, hold: &EndpointHold) -> UpstreamAsk
+    where
+        P: ForwardParts,
+    {
+        let options = shared.options();
+        // A connection that was idle for long may be closing, and what is lost on it may have run.
+        let idle = if self.is_once() {
+            options.fresh
+        } else {
+            Duration::MAX
+        };
+        UpstreamAsk {
+            request: Arc::clone(&self.request),
+            address: hold.address.clone(),
+            endpoint: hold.name.clone(),
+            left: shared.left(self.deadline),
+            connect: options.connect,
+            idle,
+            cache: None,
+            place: None,
+            resume: None,
+        }
+    }
+
     /// Whether another endpoint may run the request after one that may have run it.
     pub fn may_repeat(&self) -> bool {
         !self.is_once() && self.ran < self.route.attempts
--- a/src/request/forward_whole.rs
+++ b/src/request/forward_whole.rs
@@ -6,9 +6,9 @@
     crate::{
         board::{RetryReason, Role},
         decide::Verdict,
-        port::{AnswerBody, Clock, Upstream, UpstreamAsk, UpstreamError},
+        port::{AnswerBody, Clock, Upstream, UpstreamError},
     },
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{pin::pin, time::Duration},
     tokio::time::timeout,
 };
 
@@ -96,22 +96,7 @@
     } else {
         left
     };
-    let idle = if call.is_once() {
-        shared.options().fresh
-    } else {
-        Duration::MAX
-    };
-    let ask = UpstreamAsk {
-        request: Arc::clone(&call.request),
-        address: hold.address.clone(),
-        endpoint: hold.name.clone(),
-        left,
-        connect: shared.options().connect,
-        idle: Some(idle),
-        cache: None,
-        place: None,
-        resume: None,
-    };
+    let ask = call.ask(shared, hold);
     let answering = async {
         let answer = shared.parts().upstream().send(ask).await?;
         hold.hear(answer.load, shared.now());
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -69,6 +69,7 @@
 mod parts;
 mod path_options;
 mod place_hold;
+mod place_search;
 mod placement_hold;
 mod pools;
 mod progress;
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -1,20 +1,20 @@
 //! The path of forwarded requests with scripted endpoints.
 
 use {
-    crate::routing::route,
+    crate::{listed::listed, routing::route},
     bytes::Bytes,
     http::{HeaderMap, Method},
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{
-            Blackboard, CallerLimits, Counters, Health, ListedEndpoint, PathRoute, Repeat,
-            ReplyKind, Role, Routing, SeenLoad, StopPhase, Tick, Writers,
+            Blackboard, CallerLimits, Counters, Health, PathRoute, Repeat, ReplyKind, Role,
+            Routing, SeenLoad, StopPhase, Tick, Writers,
         },
         decide::{CrashRecord, merge_described},
         port::{
-            AnswerBody, AnswerEvent, CacheHandle, Description, ForwardRequest, MonoClock, PlaceAsk,
-            PlaceEnd, PlaceHandle, PlaceOutcome, Placer, PromptSize, Upstream, UpstreamAnswer,
-            UpstreamAsk, UpstreamError,
+            AnswerBody, AnswerEvent, CacheHandle, ForwardRequest, MonoClock, PlaceAsk, PlaceEnd,
+            PlaceHandle, PlaceOutcome, Placer, PromptSize, Upstream, UpstreamAnswer, UpstreamAsk,
+            UpstreamError,
         },
         request::{
             ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
@@ -22,7 +22,7 @@
     },
     prometheus_client::registry::Registry,
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{HashMap, VecDeque},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -209,34 +209,6 @@
     writers: Writers,
 }
 
-fn listed(name: &str, role: Role) -> (ListedEndpoint, Description) {
-    let pool = if role == Role::Service {
-        "ledger"
-    } else {
-        "models"
-    };
-    let listed = ListedEndpoint {
-        name: name.to_owned(),
-        role,
-        address: format!("10.0.0.1:{name}"),
-        zone: "zone-a".to_owned(),
-        pool: pool.to_owned(),
-        leaving: false,
-    };
-    let description = Description {
-        role,
-        models: BTreeMap::new(),
-        adapters: Vec::new(),
-        pieces: 0,
-        piece_tokens: 0,
-        slots: 6,
-        fenced: false,
-        fence: 0,
-        incarnation: 0,
-    };
-    (listed, description)
-}
-
 fn routes() -> Vec<PathRoute> {
     let once = |route| PathRoute {
         repeat: Repeat::AtMostOnce,
@@ -261,11 +233,11 @@
 fn site(places: PlaceOutcome, acts: Vec<Act>) -> Site {
     let (board, mut writers) = Blackboard::new();
     let endpoints = [
-        listed("s1", Role::Service),
-        listed("s2", Role::Service),
-        listed("d1", Role::Decode),
-        listed("d2", Role::Decode),
-        listed("p1", Role::Prefill),
+        listed("s1", "ledger", Role::Service),
+        listed("s2", "ledger", Role::Service),
+        listed("d1", "models", Role::Decode),
+        listed("d2", "models", Role::Decode),
+        listed("p1", "models", Role::Prefill),
     ];
     let described: Vec<_> = endpoints.iter().map(|(l, d)| (l, d)).collect();
     writers
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -21,6 +21,7 @@
 mod line_bench;
 mod line_memory;
 mod lines;
+mod listed;
 mod membership;
 mod model_path;
 mod operations_page;
--- /dev/null
+++ b/tests/listed.rs
@@ -0,0 +1,33 @@
+//! Endpoints as they register, for tests of what is done with them.
+
+use {
+    lentillead::{
+        board::{ListedEndpoint, Role},
+        port::Description,
+    },
+    std::collections::BTreeMap,
+};
+
+/// The endpoint `name` of `pool` in `zone-a`, with six slots and an address of its own.
+pub fn listed(name: &str, pool: &str, role: Role) -> (ListedEndpoint, Description) {
+    let listed = ListedEndpoint {
+        name: name.to_owned(),
+        role,
+        address: format!("10.0.0.1:{name}"),
+        zone: "zone-a".to_owned(),
+        pool: pool.to_owned(),
+        leaving: false,
+    };
+    let description = Description {
+        role,
+        models: BTreeMap::new(),
+        adapters: Vec::new(),
+        pieces: 0,
+        piece_tokens: 0,
+        slots: 6,
+        fenced: false,
+        fence: 0,
+        incarnation: 0,
+    };
+    (listed, description)
+}
--- a/tests/stage_controller.rs
+++ b/tests/stage_controller.rs
@@ -1,6 +1,7 @@
 //! Engines are ordered once the fleet is known, not while it is being listed.
 
 use {
+    crate::listed::listed,
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Blackboard, ListedEndpoint, Role},
@@ -11,7 +12,6 @@
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{
-        collections::BTreeMap,
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -38,32 +38,13 @@
     }
 }
 
-fn listed(number: usize) -> (ListedEndpoint, Description) {
+fn engine(number: usize) -> (ListedEndpoint, Description) {
     let role = if number < 5 {
         Role::Decode
     } else {
         Role::Prefill
     };
-    let listed = ListedEndpoint {
-        name: format!("e{number}"),
-        role,
-        address: format!("10.0.0.1:{number}"),
-        zone: "zone-a".to_owned(),
-        pool: "models".to_owned(),
-        leaving: false,
-    };
-    let description = Description {
-        role,
-        models: BTreeMap::new(),
-        adapters: Vec::new(),
-        pieces: 0,
-        piece_tokens: 0,
-        slots: 64,
-        fenced: false,
-        fence: 0,
-        incarnation: 0,
-    };
-    (listed, description)
+    listed(&format!("e{number}"), "models", role)
 }
 
 #[tokio::test(start_paused = true)]
@@ -83,7 +64,7 @@
     let start = Instant::now();
     let mut seen = Vec::new();
     for count in 2..=9 {
-        let engines: Vec<_> = (0..count).map(listed).collect();
+        let engines: Vec<_> = (0..count).map(engine).collect();
         let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
         writers
             .fleet
--- a/tests/stage_plan.rs
+++ b/tests/stage_plan.rs
@@ -1,38 +1,21 @@
 //! Which engines change between reading prompts and decoding.
 
 use {
+    crate::listed::listed,
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{Fleet, ListedEndpoint, Role},
+        board::{Fleet, Role},
         decide::{merge_described, prefill_goal, stage_changes},
-        port::Description,
     },
-    std::collections::BTreeMap,
 };
 
 fn fleet(engines: &[(&str, &str, Role, bool)]) -> Fleet {
     let entries: Vec<_> = engines
         .iter()
         .map(|(name, zone, role, leaving)| {
-            let listed = ListedEndpoint {
-                name: (*name).to_owned(),
-                role: *role,
-                address: format!("10.0.0.1:{name}"),
-                zone: (*zone).to_owned(),
-                pool: "models".to_owned(),
-                leaving: *leaving,
-            };
-            let description = Description {
-                role: *role,
-                models: BTreeMap::new(),
-                adapters: Vec::new(),
-                pieces: 0,
-                piece_tokens: 0,
-                slots: 64,
-                fenced: false,
-                fence: 0,
-                incarnation: 0,
-            };
+            let (mut listed, description) = listed(name, "models", *role);
+            (*zone).clone_into(&mut listed.zone);
+            listed.leaving = *leaving;
             (listed, description)
         })
         .collect();
