Log the figures of the ledger with each placement

Cause: why a prompt was read where it decodes could not be told from the logs; the entry daemon's line has no figures of the daemon that places. Change: the placing daemon logs line, peak and rates with the number of the placement, the entry daemon logs that number with the request id. The plan of one engine and of one answer move into files of their own, unchanged.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -192,8 +192,12 @@
                 self.place(&waiting.ask, now)
             };
             match placed {
-                Some(Placement { decode, prefill }) => {
+                Some(placement) => {
                     let id = waiting.ask.id;
+                    Self::note(&waiting, &placement, now);
+                    let Placement {
+                        decode, prefill, ..
+                    } = placement;
                     let suspect = self.crashes.is_suspect(waiting.ask.print);
                     let outcome = PlaceOutcome::Placed {
                         decode,
@@ -218,6 +222,23 @@
         self.waiting = left;
     }
 
+    /// Logs what decided about a placement.
+    fn note(waiting: &Waiting, placement: &Placement, now: Tick) {
+        let figures = &placement.figures;
+        log::info!(
+            place = waiting.ask.id,
+            pool = waiting.ask.pool.as_str(),
+            decode = placement.decode.as_str(),
+            prefill = placement.prefill.as_deref().unwrap_or("in place"),
+            waited_ms = (now - waiting.arrived).as_millis() as u64,
+            line_ms = figures.line.map(|line| line.as_millis() as u64),
+            peak = figures.peak,
+            reading = figures.reading,
+            writing = figures.writing;
+            "placed"
+        );
+    }
+
     fn place(&mut self, ask: &PlaceAsk, now: Tick) -> Option<Placement> {
         self.ledger(&ask.pool, now).place(ask, now)
     }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,4 +1,5 @@
 use {
+    super::{EnginePlan, RunPlan},
     crate::{
         board::{Endpoint, Role, Tick},
         port::{PlaceAsk, PlaceEnd, PlaceRun},
@@ -24,9 +25,6 @@
 /// Part of the reading rate that is kept with each slower sample.
 const READ_DECAY: f64 = 0.99;
 
-/// Tokens that an answer is taken to go on for when it is longer than was expected.
-const MORE_TOKENS: f64 = 700.0;
-
 /// Longest line before an engine that reads prompts.
 const LINE_TIME: Duration = Duration::from_millis(350);
 
@@ -48,34 +46,28 @@
     writing: Option<f64>,
 }
 
-/// What is planned for one engine.
-#[derive(Clone, Debug)]
-struct EnginePlan {
-    role: Role,
-    usable: bool,
-    slots: u32,
-    memory: f64,
-    runs: Vec<RunPlan>,
-    line: Vec<(u64, f64)>,
-    line_since: Tick,
-}
-
-/// One answer that an engine generates.
-#[derive(Clone, Copy, Debug)]
-struct RunPlan {
-    id: u64,
-    prompt: f64,
-    output: f64,
-    start: Tick,
-}
-
 /// Where a request was placed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
     /// Name of the engine that decodes.
     pub decode: String,
     /// Name of the engine that reads the prompt.
     pub prefill: Option<String>,
+    /// Figures that decided.
+    pub figures: PlaceFigures,
+}
+
+/// Figures of the ledger that decided about a placement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceFigures {
+    /// Expected time in line before the prompt is read; none if no engine reads prompts.
+    pub line: Option<Duration>,
+    /// Greatest planned share of the memory of the engine that decodes.
+    pub peak: f64,
+    /// Tokens of a prompt that are read in a millisecond.
+    pub reading: f64,
+    /// Tokens of an answer that are generated in a millisecond.
+    pub writing: f64,
 }
 
 impl Ledger {
@@ -104,6 +96,7 @@
         self.lapse(now);
         let rates = (self.read_rate(), self.write_rate());
         let reader = ask.apart.then(|| self.reader(ask, now)).flatten();
+        let line = reader.as_ref().map(|(_, wait)| *wait);
         let fits = reader.as_ref().is_some_and(|(_, wait)| *wait <= LINE_TIME);
         let (start, prefill) = match reader {
             Some((name, wait)) if fits => {
@@ -124,7 +117,7 @@
             output: ask.output.max(1) as f64,
             start,
         };
-        let decode = self.decoder(&run, ask, now)?;
+        let (decode, peak) = self.decoder(&run, ask, now)?;
         if let Some(plan) = self.engines.get_mut(&decode) {
             plan.runs.push(run);
         }
@@ -135,7 +128,17 @@
             plan.line.push((ask.id, run.prompt));
         }
         self.runs.insert(ask.id, (decode.clone(), prefill.clone()));
-        Some(Placement { decode, prefill })
+        let figures = PlaceFigures {
+            line,
+            peak,
+            reading: rates.0,
+            writing: rates.1,
+        };
+        Some(Placement {
+            decode,
+            prefill,
+            figures,
+        })
     }
 
     /// Takes over a request that was placed elsewhere.
@@ -208,8 +211,8 @@
         Some((shortest.0.clone(), shortest.1))
     }
 
-    /// The decoding engine that `run` fits into with the lowest peak.
-    fn decoder(&self, run: &RunPlan, ask: &PlaceAsk, now: Tick) -> Option<String> {
+    /// The decoding engine that `run` fits into with the lowest peak, and that peak.
+    fn decoder(&self, run: &RunPlan, ask: &PlaceAsk, now: Tick) -> Option<(String, f64)> {
         let rate = self.write_rate();
         let engines = self.engines.iter();
         let decoders = engines.filter(|(name, plan)| {
@@ -222,7 +225,7 @@
         let peaks = decoders.map(|(name, plan)| (name, peak(plan)));
         let fitting = peaks.filter(|(_, peak)| *peak <= 1.0);
         let best = fitting.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some(best.0.clone())
+        Some((best.0.clone(), best.1))
     }
 
     /// Lowest fill among the decoding engines.
@@ -268,93 +271,3 @@
         }
     }
 }
-
-impl RunPlan {
-    /// The run cut to what an engine of `memory` tokens can hold.
-    fn within(&self, memory: f64) -> Self {
-        let prompt = self.prompt.min(memory);
-        Self {
-            prompt,
-            output: self.output.min(memory - prompt),
-            ..*self
-        }
-    }
-
-    /// Time that the answer takes.
-    fn time(&self, rate: f64) -> Duration {
-        Duration::from_secs_f64(self.output / rate / 1_000.0)
-    }
-
-    /// Memory at `at`.
-    fn memory(&self, rate: f64, at: Tick) -> f64 {
-        let grown = (at - self.start).as_secs_f64() * 1_000.0 * rate;
-        self.prompt + grown
-    }
-
-    /// When it ends, seen from `now`.
-    fn end(&self, rate: f64, now: Tick) -> Tick {
-        let end = self.start + self.time(rate);
-        if end > now {
-            return end;
-        }
-        now + Duration::from_secs_f64(MORE_TOKENS / rate / 1_000.0)
-    }
-}
-
-impl EnginePlan {
-    /// An engine for which nothing is planned.
-    fn new(role: Role) -> Self {
-        Self {
-            role,
-            usable: false,
-            slots: 0,
-            memory: 0.0,
-            runs: Vec::new(),
-            line: Vec::new(),
-            line_since: Tick(0),
-        }
-    }
-
-    /// Whether it may get work of `role`.
-    fn takes(&self, role: Role) -> bool {
-        self.usable && self.role == role
-    }
-
-    /// Share of the memory in use.
-    fn fill(&self, rate: f64, now: Tick) -> f64 {
-        let used: f64 = self.runs.iter().map(|run| run.memory(rate, now)).sum();
-        used / self.memory.max(1.0)
-    }
-
-    /// Greatest share of the memory in use from `now` on, with `run`.
-    ///
-    /// Memory grows between the ends of answers, so the peak is just before one of them.
-    fn peak_with(&self, run: &RunPlan, rate: f64, now: Tick) -> f64 {
-        let runs = || self.runs.iter().chain([run]);
-        let ends = runs().map(|run| run.end(rate, now));
-        let sums = ends.map(|at| {
-            let alive = runs().filter(|run| run.end(rate, now) >= at);
-            alive.map(|run| run.memory(rate, at)).sum::<f64>()
-        });
-        sums.fold(0.0, f64::max) / self.memory.max(1.0)
-    }
-
-    /// Time until the prompts in line are read.
-    fn line_time(&self, rate: f64, now: Tick) -> Duration {
-        let tokens: f64 = self.line.iter().map(|(_, tokens)| tokens).sum();
-        let whole = Duration::from_secs_f64(tokens / rate / 1_000.0);
-        whole.saturating_sub(now - self.line_since)
-    }
-
-    /// Takes prompts that must have been read out of the line.
-    fn advance(&mut self, rate: f64, now: Tick) {
-        while let Some((_, tokens)) = self.line.first() {
-            let took = Duration::from_secs_f64(tokens / rate / 1_000.0);
-            if self.line_since + took > now {
-                return;
-            }
-            self.line_since = self.line_since + took;
-            self.line.remove(0);
-        }
-    }
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,10 +9,11 @@
     crash_record::CrashRecord,
     endpoint_choice::{EndpointOption, choose_endpoint},
     endpoint_load::EndpointLoad,
+    engine_plan::EnginePlan,
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     host_roster::HostRoster,
-    ledger::{Ledger, Placement},
+    ledger::{Ledger, PlaceFigures, Placement},
     load_news::LoadNews,
     member_timing::MemberTiming,
     news_queue::NewsQueue,
@@ -27,6 +28,7 @@
     retry_budget::RetryBudget,
     rule_choice::{is_open, minute_of_day, routes},
     rule_text::{repeat_text, rule_text},
+    run_plan::RunPlan,
     service_fit::ServiceFit,
     sheet_check::{BRANCH_RULES_MAX, LISTED_FAULTS, sheet_check},
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
@@ -47,6 +49,7 @@
 mod crash_record;
 mod endpoint_choice;
 mod endpoint_load;
+mod engine_plan;
 mod fair_share;
 mod fleet_merge;
 mod host_roster;
@@ -68,6 +71,7 @@
 mod retry_budget;
 mod rule_choice;
 mod rule_text;
+mod run_plan;
 mod service_fit;
 mod sheet_cell;
 mod sheet_check;
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -18,6 +18,24 @@
         Self { call }
     }
 
+    /// The daemon that places streams chose `decode`, and `prefill` to read the prompt before.
+    /// Its own line with the same `place` has the figures that decided.
+    pub fn placed(&self, place: u64, decode: &str, prefill: Option<&str>) {
+        let size = self.call.request.size.unwrap_or_default();
+        log::info!(
+            request = self.call.request.id.as_str(),
+            route = self.call.route.name.as_str(),
+            version = self.call.version,
+            attempt = self.call.tried.len(),
+            place,
+            decode,
+            prefill = prefill.unwrap_or("in place"),
+            prompt = size.prompt,
+            output = size.output;
+            "places given"
+        );
+    }
+
     /// An endpoint was chosen for `purpose`.
     pub fn chosen(&self, hold: &EndpointHold, purpose: &str) {
         let option = &hold.option;
--- a/src/request/place_search.rs
+++ b/src/request/place_search.rs
@@ -106,6 +106,7 @@
     fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Option<Places<P>> {
         let size = self.call.request.size.unwrap_or_default();
         let placement = PlacementHold::new(self.shared, id, &self.call.pool);
+        ForwardLog::new(self.call).placed(id, decode, prefill);
         let need = |role, tokens: u64| EndpointNeed {
             pool: &self.call.pool,
             role,
@@ -113,7 +114,6 @@
             tried: &self.call.tried,
         };
         let decode = EndpointHold::at(self.shared, &need(Role::Decode, size.expected()), decode)?;
-        ForwardLog::new(self.call).chosen(&decode, "decode");
         let reads = need(Role::Prefill, size.prompt);
         let prefill = prefill.and_then(|name| EndpointHold::at(self.shared, &reads, name));
         Some(Places {
