Replace an engine that reads prompts within seconds of its loss

Change: a daemon acts a quiet second after the last change, or 4 s after the need arose; daemons take turns in the rendezvous order of the pool, half a second apart; the holder gives the lease back at its end, which now covers the switch of an engine (6 s on the sites). Ruled out: orders refused or unanswered (none were sent). Tests: both new tests failed before (no order in 3 s; none at all while the fleet changed each half second).

--- a/src/control/stage_controller.rs
+++ b/src/control/stage_controller.rs
@@ -1,12 +1,14 @@
 use {
     super::{OrderClaim, OrderClaims},
     crate::{
-        board::{Endpoint, Fleet, Section},
-        decide::{StageChange, stage_changes},
-        key::PoolKey,
+        board::{Endpoint, Fleet, HostState, Members, Section, Tick},
+        decide::{
+            StageChange,
+            rendezvous::{Candidate, rank},
+            stage_changes,
+        },
         port::{Clock, ObjectStore, RoleOrder, RoleOrders, UpstreamError},
     },
-    rand::{RngExt, rngs::SmallRng},
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -14,8 +16,9 @@
 /// Name of the object that the lease is kept in.
 const LEASE: &str = "stage-lease";
 
-/// Term of the lease.
-const TERM: Duration = Duration::from_secs(6);
+/// Term of the lease: longer than an engine takes to change and to be listed anew, so that nobody
+/// acts on a fleet in which an ordered change is still to come.
+const TERM: Duration = Duration::from_secs(8);
 
 /// Part of the term in which orders are sent, so that those of two holders stay apart.
 const ORDER_TIME: Duration = Duration::from_millis(1_500);
@@ -27,11 +30,14 @@
 /// together are listed one after the other.
 const QUIET_TIME: Duration = Duration::from_millis(1_200);
 
-/// Time for an engine to change, within which nothing further is ordered.
-const CHANGE_TIME: Duration = Duration::from_secs(12);
+/// Time after which a difference is acted on although the fleet goes on changing.
+const QUIET_MOST: Duration = Duration::from_secs(4);
 
-/// Wait before a lease that another host holds is asked for again.
-const HELD_WAIT: Duration = Duration::from_millis(6_500);
+/// Time that each daemon leaves to the one before it in the order of the pool.
+const TURN_TIME: Duration = Duration::from_millis(500);
+
+/// Wait before a lease that was not to be had is asked for again.
+const HELD_WAIT: Duration = Duration::from_secs(4);
 
 /// What the controller works with.
 #[derive(Debug)]
@@ -48,18 +54,23 @@
     pub percent: usize,
     /// Endpoints.
     pub fleet: Section<Fleet>,
-    /// Randomness.
-    pub rng: SmallRng,
+    /// Daemons, which act in an order of their own for each pool.
+    pub members: Section<Members>,
 }
 
 /// Orders engines to read prompts or to decode, so that both kinds of work find their share.
 ///
 /// Any daemon may act; a lease at the store keeps their orders apart.
 #[derive(Debug)]
-pub struct StageController<S, O, C> {
+pub struct StageController<S, O, C>
+where
+    C: Clock,
+{
     parts: StageParts<S, O, C>,
     claims: OrderClaims<S, C>,
-    wait: Duration,
+    changed: Tick,
+    uneven: Option<Tick>,
+    rest: Tick,
 }
 
 impl<S, O, C> StageController<S, O, C>
@@ -72,43 +83,73 @@
     pub fn new(parts: StageParts<S, O, C>) -> Self {
         let holder = parts.holder.clone();
         let claims = OrderClaims::new(parts.store.clone(), parts.clock.clone(), holder, TERM);
+        let now = parts.clock.now();
         Self {
             parts,
             claims,
-            wait: QUIET_TIME,
+            changed: now,
+            uneven: None,
+            rest: now,
         }
     }
 
     /// Runs until the fleet has no writer any more.
     pub async fn run(mut self) {
         loop {
-            let Some(pool) = self.uneven() else {
-                if !self.parts.fleet.changed().await {
-                    return;
+            let now = self.parts.clock.now();
+            let due = self.due(now);
+            let act = async {
+                match due {
+                    Some(due) => self.parts.clock.sleep(due - now).await,
+                    None => std::future::pending().await,
                 }
-                continue;
             };
-            let wait = self.wait.mul_f64(self.parts.rng.random_range(1.0..1.5));
             tokio::select! {
-                () = self.parts.clock.sleep(wait) => self.wait = self.act(pool).await,
+                () = act => {
+                    let wait = self.act().await;
+                    self.rest = self.parts.clock.now() + wait;
+                }
                 more = self.parts.fleet.changed() => {
                     if !more {
                         return;
                     }
+                    self.changed = self.parts.clock.now();
                 }
             }
         }
     }
 
-    /// A pool that is not as it should be.
-    fn uneven(&self) -> Option<PoolKey> {
+    /// When this daemon acts, if a pool is not as it should be.
+    fn due(&mut self, now: Tick) -> Option<Tick> {
         let fleet = self.parts.fleet.load();
-        let mut pools = fleet.pools.iter().map(|(key, _)| key);
-        pools.find(|pool| !stage_changes(&fleet, *pool, self.parts.percent).is_empty())
+        let mut pools = fleet.pools.iter();
+        let uneven =
+            pools.find(|(key, _)| !stage_changes(&fleet, *key, self.parts.percent).is_empty());
+        let Some((_, pool)) = uneven else {
+            self.uneven = None;
+            return None;
+        };
+        let since = *self.uneven.get_or_insert(now);
+        let quiet = (self.changed + QUIET_TIME).min(since + QUIET_MOST);
+        let due = quiet + TURN_TIME * self.turn(&pool.name);
+        Some(due.max(self.rest))
+    }
+
+    /// Daemons that act on `pool` before this one.
+    fn turn(&self, pool: &str) -> u32 {
+        let members = self.parts.members.load();
+        let alive = members.hosts.iter();
+        let alive = alive.filter(|(_, host)| host.state == HostState::Alive);
+        let able: Vec<_> = alive
+            .map(|(key, host)| Candidate::new(key, &host.name))
+            .collect();
+        let ranked = rank(pool, &able);
+        let before = ranked.iter().take_while(|key| **key != members.own);
+        before.count() as u32
     }
 
-    /// Orders the changes of `pool`; returns the time to wait before the next ones.
-    async fn act(&self, pool: PoolKey) -> Duration {
+    /// Orders what every pool needs; returns the time to wait before the next orders.
+    async fn act(&self) -> Duration {
         let boot = self.parts.clock.since_boot();
         let claim = match self.claims.take(LEASE, 0, false).await {
             Ok(claim) => claim,
@@ -119,18 +160,23 @@
         };
         log::info!(fence = claim.fence; "lease for orders taken");
         let fleet = self.parts.fleet.snapshot();
-        for change in stage_changes(&fleet, pool, self.parts.percent) {
+        let spent = || self.parts.clock.since_boot().saturating_sub(boot);
+        let pools = fleet.pools.iter();
+        let changes = pools.flat_map(|(pool, _)| stage_changes(&fleet, pool, self.parts.percent));
+        for change in changes {
             let Some(endpoint) = fleet.endpoints.get(change.key) else {
                 continue;
             };
-            let spent = self.parts.clock.since_boot().saturating_sub(boot);
-            if spent > ORDER_TIME {
+            if spent() > ORDER_TIME {
                 log::warn!(fence = claim.fence; "too little of the lease is left for orders");
                 break;
             }
             self.order(&claim, endpoint, change).await;
         }
-        CHANGE_TIME
+        self.parts.clock.sleep(TERM.saturating_sub(spent())).await;
+        // The next holder need not wait until it has seen the term out.
+        self.claims.release(&claim).await;
+        QUIET_TIME
     }
 
     async fn order(&self, claim: &OrderClaim, endpoint: &Endpoint, change: StageChange) {
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -169,7 +169,7 @@
             holder: format!("{}-{}", settings.host, clock.unix_ms()),
             percent: settings.prefill_percent,
             fleet: board.fleet.clone(),
-            rng: rng("stages"),
+            members: board.members.clone(),
         };
         tasks.spawn(StageController::new(stages).run());
         let own = MemberEntry {
--- a/tests/stage_controller.rs
+++ b/tests/stage_controller.rs
@@ -4,13 +4,12 @@
     crate::listed::listed,
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{Blackboard, ListedEndpoint, Role},
+        board::{Blackboard, Host, HostState, ListedEndpoint, Role, Tick, Writers},
         control::{StageController, StageParts},
         decide::merge_described,
         fake::MemoryPlatform,
         port::{Description, EngineState, MonoClock, RoleOrder, RoleOrders, UpstreamError},
     },
-    rand::{SeedableRng, rngs::SmallRng},
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -18,10 +17,74 @@
     tokio::time::{Instant, sleep},
 };
 
-/// Engines that note their orders.
+/// Engines that note their orders, by any daemon.
 #[derive(Clone, Debug, Default)]
 struct Noted(Arc<Mutex<Vec<String>>>);
 
+impl Noted {
+    fn told(&self) -> Vec<String> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+/// Daemons that act on one fleet, each with its own board, and the engines that they order.
+struct Site {
+    writers: Vec<Writers>,
+    orders: Noted,
+    start: Instant,
+}
+
+impl Site {
+    /// Starts `count` daemons that know one another.
+    fn start(count: usize) -> Self {
+        let store = MemoryPlatform::default();
+        let orders = Noted::default();
+        let names: Vec<_> = (0..count).map(|number| format!("front-{number}")).collect();
+        let writers = names.iter().map(|own| {
+            let (board, mut writers) = Blackboard::new();
+            writers.members.update(|members| {
+                for name in &names {
+                    let key = members.hosts.insert(name, host(name));
+                    if name == own {
+                        members.own = key;
+                    }
+                }
+            });
+            let parts = StageParts {
+                store: store.clone(),
+                orders: orders.clone(),
+                clock: MonoClock::start(),
+                holder: own.clone(),
+                percent: 22,
+                fleet: board.fleet.clone(),
+                members: board.members.clone(),
+            };
+            tokio::spawn(StageController::new(parts).run());
+            writers
+        });
+        Self {
+            writers: writers.collect(),
+            orders,
+            start: Instant::now(),
+        }
+    }
+
+    /// Lists engines at every daemon.
+    fn list(&mut self, engines: &[(ListedEndpoint, Description)]) {
+        let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
+        for writers in &mut self.writers {
+            writers
+                .fleet
+                .update(|fleet| merge_described(fleet, &described));
+        }
+    }
+
+    /// Orders up to now.
+    fn seen(&self) -> (u128, Vec<String>) {
+        (self.start.elapsed().as_millis(), self.orders.told())
+    }
+}
+
 impl RoleOrders for Noted {
     async fn state(&self, _: &str, _: &str) -> Result<EngineState, UpstreamError> {
         Ok(EngineState {
@@ -38,47 +101,73 @@
     }
 }
 
+fn host(name: &str) -> Host {
+    Host {
+        name: name.to_owned(),
+        address: format!("10.0.0.9:{name}"),
+        zone: "zone-a".to_owned(),
+        incarnation: 1,
+        round: 0,
+        state: HostState::Alive,
+        since: Tick::default(),
+    }
+}
+
 fn engine(number: usize) -> (ListedEndpoint, Description) {
-    let role = if number < 5 {
-        Role::Decode
-    } else {
+    let role = if (5..10).contains(&number) {
         Role::Prefill
+    } else {
+        Role::Decode
     };
     listed(&format!("e{number}"), "models", role)
 }
 
+fn engines(numbers: &[usize]) -> Vec<(ListedEndpoint, Description)> {
+    numbers.iter().map(|number| engine(*number)).collect()
+}
+
 #[tokio::test(start_paused = true)]
 async fn no_order_is_given_while_engines_are_being_listed() {
-    let (board, mut writers) = Blackboard::new();
-    let orders = Noted::default();
-    let parts = StageParts {
-        store: MemoryPlatform::default(),
-        orders: orders.clone(),
-        clock: MonoClock::start(),
-        holder: "front-1".to_owned(),
-        percent: 22,
-        fleet: board.fleet.clone(),
-        rng: SmallRng::seed_from_u64(3),
-    };
-    tokio::spawn(StageController::new(parts).run());
-    let start = Instant::now();
-    let mut seen = Vec::new();
+    let mut site = Site::start(1);
     for count in 2..=9 {
-        let engines: Vec<_> = (0..count).map(engine).collect();
-        let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
-        writers
-            .fleet
-            .update(|fleet| merge_described(fleet, &described));
+        site.list(&engines(&(0..count).collect::<Vec<_>>()));
         sleep(Duration::from_millis(400)).await;
     }
-    seen.push((
-        start.elapsed().as_millis(),
-        orders.0.lock().unwrap().clone(),
-    ));
+    let mut seen = vec![site.seen()];
+    sleep(Duration::from_secs(3)).await;
+    seen.push(site.seen());
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_leaves_is_replaced_within_seconds_by_whichever_daemon() {
+    let mut site = Site::start(3);
+    // Too many read, then the right number, and long after that one of them leaves.
+    site.list(&engines(&[0, 1, 2, 3, 4, 5, 6, 7]));
     sleep(Duration::from_secs(3)).await;
-    seen.push((
-        start.elapsed().as_millis(),
-        orders.0.lock().unwrap().clone(),
-    ));
+    let mut seen = vec![site.seen()];
+    site.list(&engines(&[0, 1, 2, 3, 4, 5, 6]));
+    sleep(Duration::from_secs(20)).await;
+    seen.push(site.seen());
+    site.list(&engines(&[0, 1, 2, 3, 4, 5]));
+    sleep(Duration::from_secs(3)).await;
+    seen.push(site.seen());
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_never_rests_gets_its_orders() {
+    let mut site = Site::start(2);
+    let mut seen = Vec::new();
+    for turn in 0..20 {
+        let mut listed = vec![0, 1, 2, 3, 4, 5, 11];
+        if turn % 2 == 0 {
+            listed.push(10);
+        }
+        site.list(&engines(&listed));
+        sleep(Duration::from_millis(500)).await;
+        seen.push(site.seen());
+    }
+    let first = seen.iter().find(|(_, told)| !told.is_empty());
+    assert_yaml_snapshot!(first);
+}
