Leave engines that read beyond the goal as they are for ten seconds

Cause: a release or a crash that returns makes one reader too many for seconds; the order that followed took an engine out for six, and the next loss of a reader ordered it back. Change: a surplus is acted on after 10 s, but at once in the first 10 s of a daemon, when the fleet is new; a lack as before. Ruled out: no orders at all for a surplus (a pool would keep what a scale-out left).

--- a/src/control/stage_controller.rs
+++ b/src/control/stage_controller.rs
@@ -1,7 +1,7 @@
 use {
     super::{OrderClaim, OrderClaims},
     crate::{
-        board::{Endpoint, Fleet, HostState, Members, Section, Tick},
+        board::{Endpoint, Fleet, HostState, Members, Role, Section, Tick},
         decide::{
             StageChange,
             rendezvous::{Candidate, rank},
@@ -33,6 +33,13 @@
 /// Time after which a difference is acted on although the fleet goes on changing.
 const QUIET_MOST: Duration = Duration::from_secs(4);
 
+/// Time for which engines that read prompts beyond the goal are left as they are: a change takes an
+/// engine out for seconds, and others often leave or return meanwhile.
+const SURPLUS_TIME: Duration = Duration::from_secs(10);
+
+/// Time after the start of a daemon in which it takes no surplus for a passing one.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Time that each daemon leaves to the one before it in the order of the pool.
 const TURN_TIME: Duration = Duration::from_millis(500);
 
@@ -70,6 +77,7 @@
     claims: OrderClaims<S, C>,
     changed: Tick,
     uneven: Option<Tick>,
+    start: Tick,
     rest: Tick,
 }
 
@@ -89,6 +97,7 @@
             claims,
             changed: now,
             uneven: None,
+            start: now,
             rest: now,
         }
     }
@@ -122,15 +131,19 @@
     /// When this daemon acts, if a pool is not as it should be.
     fn due(&mut self, now: Tick) -> Option<Tick> {
         let fleet = self.parts.fleet.load();
-        let mut pools = fleet.pools.iter();
-        let uneven =
-            pools.find(|(key, _)| !stage_changes(&fleet, *key, self.parts.percent).is_empty());
-        let Some((_, pool)) = uneven else {
+        let changes = |pool| stage_changes(&fleet, pool, self.parts.percent);
+        let mut pools = fleet.pools.iter().map(|(key, pool)| (changes(key), pool));
+        let Some((changes, pool)) = pools.find(|(changes, _)| !changes.is_empty()) else {
             self.uneven = None;
             return None;
         };
         let since = *self.uneven.get_or_insert(now);
-        let quiet = (self.changed + QUIET_TIME).min(since + QUIET_MOST);
+        let surplus = changes.iter().any(|change| change.role == Role::Decode);
+        let quiet = if surplus && now.since(self.start) > SETTLE_TIME {
+            since + SURPLUS_TIME
+        } else {
+            (self.changed + QUIET_TIME).min(since + QUIET_MOST)
+        };
         let due = quiet + TURN_TIME * self.turn(&pool.name);
         Some(due.max(self.rest))
     }
--- a/tests/stage_controller.rs
+++ b/tests/stage_controller.rs
@@ -171,3 +171,19 @@
     let first = seen.iter().find(|(_, told)| !told.is_empty());
     assert_yaml_snapshot!(first);
 }
+
+#[tokio::test(start_paused = true)]
+async fn engines_too_many_are_left_for_a_while_in_case_others_leave() {
+    let mut site = Site::start(1);
+    site.list(&engines(&[0, 1, 2, 3, 5, 6]));
+    sleep(Duration::from_secs(20)).await;
+    site.list(&engines(&[0, 1, 2, 3, 5, 6, 7]));
+    sleep(Duration::from_secs(6)).await;
+    site.list(&engines(&[0, 1, 2, 3, 5, 7]));
+    sleep(Duration::from_secs(20)).await;
+    let mut seen = vec![site.seen()];
+    site.list(&engines(&[0, 1, 2, 3, 5, 6, 7]));
+    sleep(Duration::from_secs(12)).await;
+    seen.push(site.seen());
+    assert_yaml_snapshot!(seen);
+}
