Learn the reading rate of each engine from prompts that waited for no other

Cause: the rate of a pool was that of the fastest sample, less 1 in 100 with each slower one. A prompt that an engine held already made it rise to 1,500 tokens a millisecond, after which lines were not seen for a minute; a busy minute, in which every prompt waits in line, made it fall to half, after which prompts were read in place though engines were free. Change: sums of tokens and time over the last ten or so prompts that found an empty line, by engine, where the pool's stand in for an engine that has read none; one prompt raises a rate by half at most. The engine that would have read the prompt first gets it. Ruled out: time in line taken off each sample by the plan (the plan is what is wrong). Tests: three, each failed before (1,250 tokens a millisecond after one kept prompt; 28 after a busy time at 50; half of the prompts to an engine of a quarter the speed).

--- a/src/decide/engine_plan.rs
+++ b/src/decide/engine_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::RunPlan,
+    super::{ReadRate, RunPlan},
     crate::board::{Role, Tick},
     std::time::Duration,
 };
@@ -21,6 +21,8 @@
     pub line: Vec<(u64, f64)>,
     /// Since when it reads the first of the line.
     pub line_since: Tick,
+    /// How fast it has read prompts.
+    pub reading: ReadRate,
 }
 
 impl EnginePlan {
@@ -34,6 +36,7 @@
             runs: Vec::new(),
             line: Vec::new(),
             line_since: Tick(0),
+            reading: ReadRate::default(),
         }
     }
 
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EnginePlan, RunPlan},
+    super::{EnginePlan, ReadRate, RunPlan},
     crate::{
         board::{Endpoint, Role, Tick},
         port::{PlaceAsk, PlaceEnd, PlaceRun},
@@ -13,18 +13,12 @@
 /// Share of an engine's memory that may be planned for.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// Tokens a millisecond that an engine is taken to read before any was seen.
-const READ_RATE: f64 = 50.0;
-
 /// Tokens a millisecond that one answer is taken to grow by before any was seen.
 const WRITE_RATE: f64 = 1.4;
 
 /// Weight of the newest sample of a rate.
 const RATE_SAMPLE: f64 = 0.1;
 
-/// Part of the reading rate that is kept with each slower sample.
-const READ_DECAY: f64 = 0.99;
-
 /// Longest line before an engine that reads prompts.
 const LINE_TIME: Duration = Duration::from_millis(350);
 
@@ -41,11 +35,27 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     engines: BTreeMap<String, EnginePlan>,
-    runs: HashMap<u64, (String, Option<String>)>,
-    reading: Option<f64>,
+    runs: HashMap<u64, Placed>,
+    reading: ReadRate,
     writing: Option<f64>,
 }
 
+/// Engines of one request that has its places.
+#[derive(Clone, Debug)]
+struct Placed {
+    decode: String,
+    prefill: Option<String>,
+    alone: bool,
+}
+
+/// An engine that may read a prompt.
+#[derive(Clone, Debug)]
+struct Reader {
+    name: String,
+    wait: Duration,
+    time: Duration,
+}
+
 /// Where a request was placed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -80,11 +90,13 @@
         let mut before = std::mem::take(&mut self.engines);
         for (engine, usable) in engines {
             let old = before.remove(&engine.name);
+            let reading = old.as_ref().map(|old| old.reading).unwrap_or_default();
             let old = old.filter(|old| old.role == engine.role);
             let plan = EnginePlan {
                 usable,
                 slots: engine.slots,
                 memory: memory as f64 * MEMORY_SHARE,
+                reading,
                 ..old.unwrap_or_else(|| EnginePlan::new(engine.role))
             };
             self.engines.insert(engine.name.clone(), plan);
@@ -94,20 +106,17 @@
     /// Places a request, or nothing if it has to wait.
     pub fn place(&mut self, ask: &PlaceAsk, now: Tick) -> Option<Placement> {
         self.lapse(now);
-        let rates = (self.read_rate(), self.write_rate());
+        let reading = self.reading.per_milli();
         let reader = ask.apart.then(|| self.reader(ask, now)).flatten();
-        let line = reader.as_ref().map(|(_, wait)| *wait);
-        let fits = reader.as_ref().is_some_and(|(_, wait)| *wait <= LINE_TIME);
+        let line = reader.as_ref().map(|reader| reader.wait);
+        let fits = line.is_some_and(|wait| wait <= LINE_TIME);
         let (start, prefill) = match reader {
-            Some((name, wait)) if fits => {
-                let reading = Duration::from_secs_f64(ask.prompt as f64 / rates.0 / 1_000.0);
-                (now + wait + reading, Some(name))
-            }
+            Some(reader) if fits => (now + reader.wait + reader.time, Some(reader.name)),
             reader => {
                 if reader.is_some() && self.least_fill(now) > SPARE_FILL {
                     return None;
                 }
-                let reading = ask.prompt as f64 * IN_PLACE / rates.0 / 1_000.0;
+                let reading = ask.prompt as f64 * IN_PLACE / reading / 1_000.0;
                 (now + Duration::from_secs_f64(reading), None)
             }
         };
@@ -127,12 +136,17 @@
             }
             plan.line.push((ask.id, run.prompt));
         }
-        self.runs.insert(ask.id, (decode.clone(), prefill.clone()));
+        let placed = Placed {
+            decode: decode.clone(),
+            prefill: prefill.clone(),
+            alone: line.is_some_and(|wait| wait.is_zero()),
+        };
+        self.runs.insert(ask.id, placed);
         let figures = PlaceFigures {
             line,
             peak,
-            reading: rates.0,
-            writing: rates.1,
+            reading,
+            writing: self.write_rate(),
         };
         Some(Placement {
             decode,
@@ -156,18 +170,18 @@
             output: run.ask.output.max(1) as f64,
             start,
         });
-        self.runs.insert(run.ask.id, (run.decode.clone(), None));
+        let placed = Placed {
+            decode: run.decode.clone(),
+            prefill: None,
+            alone: false,
+        };
+        self.runs.insert(run.ask.id, placed);
     }
 
     /// Gives places back and learns from what was used.
     pub fn end(&mut self, end: &PlaceEnd) {
-        let prompt = self.prompt(end.id);
+        self.learn(end);
         self.forget(end.id);
-        // Time in line counts as reading, so that the fastest of the latest samples is true.
-        let reading = prompt.unwrap_or(0.0) / end.reading.as_secs_f64() / 1_000.0;
-        if reading.is_finite() && reading > 0.0 {
-            self.reading = Some(reading.max(self.read_rate() * READ_DECAY));
-        }
         let writing = end.generated as f64 / end.decoding.as_secs_f64() / 1_000.0;
         if writing.is_finite() && end.generated > 0 {
             let old = self.write_rate();
@@ -175,11 +189,25 @@
         }
     }
 
-    /// Tokens of the prompt of a request.
-    fn prompt(&self, id: u64) -> Option<f64> {
-        let plan = self.engines.get(&self.runs.get(&id)?.0)?;
-        let run = plan.runs.iter().find(|run| run.id == id);
-        run.map(|run| run.prompt)
+    /// Learns how fast a prompt was read, from one that found no other in line.
+    fn learn(&mut self, end: &PlaceEnd) {
+        let Some(placed) = self.runs.get(&end.id).filter(|placed| placed.alone) else {
+            return;
+        };
+        let decode = self.engines.get(&placed.decode);
+        let runs = decode.into_iter().flat_map(|plan| &plan.runs);
+        let Some(prompt) = runs
+            .filter(|run| run.id == end.id)
+            .map(|run| run.prompt)
+            .next()
+        else {
+            return;
+        };
+        self.reading.note(prompt, end.reading);
+        let reader = placed.prefill.as_ref();
+        if let Some(reader) = reader.and_then(|name| self.engines.get_mut(name)) {
+            reader.reading.note(prompt, end.reading);
+        }
     }
 
     /// Requests that are placed.
@@ -192,23 +220,26 @@
         self.runs.is_empty()
     }
 
-    fn read_rate(&self) -> f64 {
-        self.reading.unwrap_or(READ_RATE)
-    }
-
     fn write_rate(&self) -> f64 {
         self.writing.unwrap_or(WRITE_RATE)
     }
 
-    /// The reading engine with the shortest line, and the time until it is free.
-    fn reader(&self, ask: &PlaceAsk, now: Tick) -> Option<(String, Duration)> {
-        let rate = self.read_rate();
+    /// The engine that has the prompt read first.
+    fn reader(&self, ask: &PlaceAsk, now: Tick) -> Option<Reader> {
         let engines = self.engines.iter();
         let readers =
             engines.filter(|(name, plan)| plan.takes(Role::Prefill) && !ask.avoid.contains(name));
-        let lines = readers.map(|(name, plan)| (name, plan.line_time(rate, now)));
-        let shortest = lines.min_by_key(|(_, wait)| *wait)?;
-        Some((shortest.0.clone(), shortest.1))
+        let lines = readers.map(|(name, plan)| {
+            let rate = plan.reading.or(self.reading.per_milli());
+            let time = Duration::from_secs_f64(ask.prompt as f64 / rate / 1_000.0);
+            (name, plan.line_time(rate, now), time)
+        });
+        let (name, wait, time) = lines.min_by_key(|(_, wait, time)| *wait + *time)?;
+        Some(Reader {
+            name: name.clone(),
+            wait,
+            time,
+        })
     }
 
     /// The decoding engine that `run` fits into with the lowest peak, and that peak.
@@ -238,13 +269,13 @@
     }
 
     fn forget(&mut self, id: u64) {
-        let Some((decode, prefill)) = self.runs.remove(&id) else {
+        let Some(placed) = self.runs.remove(&id) else {
             return;
         };
-        if let Some(plan) = self.engines.get_mut(&decode) {
+        if let Some(plan) = self.engines.get_mut(&placed.decode) {
             plan.runs.retain(|run| run.id != id);
         }
-        if let Some(plan) = prefill.and_then(|name| self.engines.get_mut(&name)) {
+        if let Some(plan) = placed.prefill.and_then(|name| self.engines.get_mut(&name)) {
             plan.line.retain(|(other, _)| *other != id);
         }
     }
@@ -265,9 +296,9 @@
         let known: Vec<_> = self.engines.values().flat_map(|plan| &plan.runs).collect();
         let known: std::collections::HashSet<_> = known.iter().map(|run| run.id).collect();
         self.runs.retain(|id, _| known.contains(id));
-        let reading = self.read_rate();
+        let reading = self.reading.per_milli();
         for plan in self.engines.values_mut() {
-            plan.advance(reading, now);
+            plan.advance(plan.reading.or(reading), now);
         }
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,7 @@
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
     queue_order::{AGE_STEP, LATE_TURN, Rank, late_rank, rank},
+    read_rate::ReadRate,
     retry::{Chance, Failure, Verdict, after_failure},
     retry_budget::RetryBudget,
     rule_choice::{is_open, minute_of_day, routes},
@@ -66,6 +67,7 @@
 mod place;
 mod prefix_hash;
 mod queue_order;
+mod read_rate;
 pub mod rendezvous;
 mod retry;
 mod retry_budget;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -190,3 +190,78 @@
     let later = told(ledger.place(&ask(3, 6_000, 6_000), at(20_000)));
     assert_yaml_snapshot!((sizes, beside, later, ledger.len()));
 }
+
+/// Places `id` at `ms`, lets it end, and tells the reading rate that a placement after it uses.
+fn rate_after(ledger: &mut Ledger, id: u64, ms: u64, reading: Duration) -> String {
+    ledger.place(&ask(id, 5_000, 10), at(ms)).unwrap();
+    ledger.end(&read_in(id, reading));
+    let next = ledger.place(&ask(id + 1_000, 100, 10), at(ms + 900));
+    ledger.end(&read_in(id + 1_000, Duration::ZERO));
+    format!("{:.1} tokens/ms", next.unwrap().figures.reading)
+}
+
+fn read_in(id: u64, reading: Duration) -> PlaceEnd {
+    PlaceEnd {
+        id,
+        pool: "models".to_owned(),
+        crashed: None,
+        generated: 0,
+        decoding: Duration::ZERO,
+        reading,
+    }
+}
+
+#[test]
+fn a_prompt_that_an_engine_held_already_hardly_moves_the_reading_rate() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    let mut seen = Vec::new();
+    for (id, ms) in [(1, 95), (2, 95), (3, 4), (4, 95), (5, 95), (6, 95), (7, 95)] {
+        let rate = rate_after(&mut ledger, id, id * 2_000, Duration::from_millis(ms));
+        seen.push((format!("read in {ms} ms"), rate));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn prompts_that_waited_in_line_hardly_lower_the_reading_rate() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    // Two prompts stand in line before each, which arrives as another has been read.
+    for id in 0..2 {
+        ledger.place(&ask(id, 5_000, 10), at(0));
+    }
+    for id in 2..60 {
+        ledger.place(&ask(id, 5_000, 10), at(id * 100 - 190));
+        let ms = if id == 2 { 100 } else { 300 };
+        ledger.end(&read_in(id - 2, Duration::from_millis(ms)));
+    }
+    let next = ledger.place(&ask(999, 100, 10), at(60_000)).unwrap();
+    assert_yaml_snapshot!(format!("{:.1}", next.figures.reading));
+}
+
+#[test]
+fn an_engine_that_reads_slowly_gets_fewer_prompts() {
+    let mut ledger = ledger(&[
+        ("d1", Role::Decode),
+        ("d2", Role::Decode),
+        ("d3", Role::Decode),
+        ("d4", Role::Decode),
+        ("fast", Role::Prefill),
+        ("slow", Role::Prefill),
+    ]);
+    let mut counts = std::collections::BTreeMap::<String, u32>::new();
+    let mut times = Vec::new();
+    for id in 0..60 {
+        let placed = ledger.place(&ask(id, 5_000, 10), at(id * 70)).unwrap();
+        let reader = placed.prefill.unwrap_or("in place".to_owned());
+        times.push(Duration::from_millis(if reader == "slow" {
+            400
+        } else {
+            100
+        }));
+        *counts.entry(reader).or_default() += 1;
+        if id >= 10 {
+            ledger.end(&read_in(id - 10, times[id as usize - 10]));
+        }
+    }
+    assert_yaml_snapshot!(counts);
+}
