Ask for another engine when the one given is not known here

A reader that was not known was left out without a word, and the prompt read in place. Change: names that are not known here are avoided in the next ask of the stream, with a log line; each ask has a number of its own, so that the end of one cannot give back the next. Ruled out: telling addresses with the placement (the asker has no figures of the engine, and its belief about the fleet is repaired by the feed within seconds). Test: failed before (refused after 480 ms; read in place).

--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -1,7 +1,7 @@
 use {
     super::{EndpointHold, ForwardCall, ForwardParts, ForwardShared},
     crate::{
-        board::{Refusal, RetryReason},
+        board::{Refusal, RetryReason, Role},
         port::UpstreamError,
     },
 };
@@ -36,6 +36,16 @@
         );
     }
 
+    /// The engine `name` is not known here with `role`, so that another one is asked for.
+    pub fn unknown(&self, name: &str, role: Role) {
+        log::warn!(
+            request = self.call.request.id.as_str(),
+            endpoint = name,
+            role:? = role;
+            "place not known here"
+        );
+    }
+
     /// An endpoint was chosen for `purpose`.
     pub fn chosen(&self, hold: &EndpointHold, purpose: &str) {
         let option = &hold.option;
--- a/src/request/place_search.rs
+++ b/src/request/place_search.rs
@@ -55,21 +55,22 @@
     /// still be in time. A prompt that is `read`, or finds no place, is read where it decodes.
     pub async fn find(self, read: bool) -> Result<Places<P>, Refused> {
         let until = self.shared.now() + self.call.route.target / PLACE_SHARE;
-        let id = self.shared.unique();
+        let mut unknown = Vec::new();
         loop {
-            let place = self.shared.parts().placer().place(self.place_ask(id, read));
-            match place.await {
+            // A number of its own for each ask: the end of one must not give back the next.
+            let id = self.shared.unique();
+            let ask = self.place_ask(id, read, &unknown);
+            match self.shared.parts().placer().place(ask).await {
                 PlaceOutcome::Placed {
                     decode,
                     prefill,
                     suspect,
                 } => {
                     self.call.suspect |= suspect;
-                    if let Some(places) = self.placed(id, &decode, prefill.as_deref()) {
-                        return Ok(places);
+                    match self.placed(id, &decode, prefill.as_deref()) {
+                        Ok(places) => return Ok(places),
+                        Err(name) => unknown.push(name),
                     }
-                    let wait = self.shared.options().line_wait;
-                    self.shared.parts().clock().sleep(wait).await;
                 }
                 PlaceOutcome::Wait => {}
                 PlaceOutcome::Absent => return self.own_places(read, until).await,
@@ -80,7 +81,8 @@
         }
     }
 
-    fn place_ask(&self, id: u64, read: bool) -> PlaceAsk {
+    /// What is asked for; engines that are `unknown` here are no use.
+    fn place_ask(&self, id: u64, read: bool, unknown: &[String]) -> PlaceAsk {
         let size = self.call.request.size.unwrap_or_default();
         let now = self.shared.now();
         let fleet = self.shared.board().fleet.load();
@@ -96,31 +98,41 @@
             late: self.call.late,
             waited: now - self.call.arrived,
             apart: !read,
-            avoid: tried.map(|endpoint| endpoint.name.clone()).collect(),
+            avoid: tried
+                .map(|endpoint| &endpoint.name)
+                .chain(unknown)
+                .cloned()
+                .collect(),
             silent: silent.map(|endpoint| endpoint.name.clone()).collect(),
             print: self.call.print,
         }
     }
 
-    /// The places by name; nothing if they are not known here.
-    fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Option<Places<P>> {
+    /// The places by name, or the name that is not known here with the role that it is needed for:
+    /// a daemon that is cut off from the store knows old endpoints only.
+    fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Result<Places<P>, String> {
         let size = self.call.request.size.unwrap_or_default();
         let placement = PlacementHold::new(self.shared, id, &self.call.pool);
         ForwardLog::new(self.call).placed(id, decode, prefill);
-        let need = |role, tokens: u64| EndpointNeed {
-            pool: &self.call.pool,
-            role,
-            tokens: tokens.max(1),
-            tried: &self.call.tried,
+        let find = |role, tokens: u64, name: &str| {
+            let need = EndpointNeed {
+                pool: &self.call.pool,
+                role,
+                tokens: tokens.max(1),
+                tried: &self.call.tried,
+            };
+            EndpointHold::at(self.shared, &need, name).ok_or_else(|| {
+                ForwardLog::new(self.call).unknown(name, role);
+                name.to_owned()
+            })
         };
-        let decode = EndpointHold::at(self.shared, &need(Role::Decode, size.expected()), decode)?;
-        let reads = need(Role::Prefill, size.prompt);
-        let prefill = prefill.and_then(|name| EndpointHold::at(self.shared, &reads, name));
-        Some(Places {
+        let decode = find(Role::Decode, size.expected(), decode)?;
+        let prefill = prefill.map(|name| find(Role::Prefill, size.prompt, name));
+        Ok(Places {
             decode,
             place: None,
             placement: Some(placement),
-            prefill,
+            prefill: prefill.transpose()?,
         })
     }
 
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -172,7 +172,7 @@
                 } else {
                     decode
                 },
-                prefill: prefill.filter(|_| ask.apart),
+                prefill: prefill.filter(|name| ask.apart && !ask.avoid.contains(name)),
             },
             other => other,
         }
@@ -475,6 +475,29 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn places_that_are_not_known_here_are_asked_for_anew() {
+    let events = || vec![Act::Events(vec![1], true)];
+    let places = |decode: &str, prefill: &str| PlaceOutcome::Placed {
+        decode: decode.to_owned(),
+        prefill: Some(prefill.to_owned()),
+        suspect: false,
+    };
+    let mut read = vec![Act::Answer(200, 1)];
+    read.extend(events());
+    let seen = vec![
+        (
+            "an engine that decodes is new",
+            site(places("new", "p1"), read).send("/stream/").await,
+        ),
+        (
+            "an engine that reads is new",
+            site(places("d1", "new"), events()).send("/stream/").await,
+        ),
+    ];
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_is_said_without_knowledge_or_at_the_end() {
     let mut site = site(placed(), vec![]);
