Soak the real daemons under faults from outside

The store stand-in of the adapter's tests moves there and is shared. Ruled out: the existing in-process fault schedules (no signals, no sockets).

--- a/justfile
+++ b/justfile
@@ -14,6 +14,10 @@
 faults SEED="0" COUNT="2000" *ARGS:
     cargo run --release -- faults --from {{SEED}} --count {{COUNT}} {{ARGS}}
 
+# Soak the real daemons under faults, seeds from SEED on, COUNT of them.
+soak SEED="1" COUNT="50" *ARGS:
+    cargo run --release -- soak --seed {{SEED}} --count {{COUNT}} {{ARGS}}
+
 # Format the sources.
 fmt:
     cargo fmt --all
--- /dev/null
+++ b/soak/command.rs
@@ -0,0 +1,203 @@
+use {
+    super::{
+        SoakError,
+        finding::Finding,
+        soak_run::{CALLERS, DAEMONS, SoakPlan, SoakReport},
+    },
+    argh::FromArgs,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        runtime::Builder,
+        signal::{
+            ctrl_c,
+            unix::{SignalKind, signal},
+        },
+    },
+};
+
+/// Soak the real daemons under random faults, on loopback.
+#[derive(Debug, FromArgs)]
+pub struct SoakArguments {
+    /// first seed; a fresh one without it
+    #[argh(option)]
+    seed: Option<u64>,
+    /// seeds to play, one after the other
+    #[argh(option, default = "1")]
+    count: u64,
+    /// daemons
+    #[argh(option, default = "DAEMONS")]
+    daemons: usize,
+    /// callers of each daemon
+    #[argh(option, default = "CALLERS")]
+    callers: usize,
+    /// seconds in which faults begin
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// faults of each seed
+    #[argh(option, default = "10")]
+    faults: usize,
+    /// numbers of the faults to play, such as 2,5; all without it
+    #[argh(option)]
+    only: Option<String>,
+    /// leave bounds of time out, on a machine that does other work
+    #[argh(switch)]
+    untimed: bool,
+    /// leave faults out one by one for as long as the same promise is broken
+    #[argh(switch)]
+    shrink: bool,
+    /// folder for the daemons' settings and logs
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    folder: PathBuf,
+}
+
+/// Runs what `arguments` say, without the name of the program and of this subcommand.
+pub fn main(name: &[&str], arguments: &[&str]) -> ExitCode {
+    let arguments = match SoakArguments::from_args(name, arguments) {
+        Ok(parsed) => parsed,
+        Err(exit) => {
+            println!("{}", exit.output);
+            return exit
+                .status
+                .map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
+        }
+    };
+    match arguments.run() {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken) => {
+            eprintln!(
+                "soak: {broken} of {} seeds broke a promise",
+                arguments.count
+            );
+            ExitCode::FAILURE
+        }
+        Err(e) => {
+            eprintln!("soak: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+impl SoakArguments {
+    /// Plays every seed; returns how many broke a promise.
+    fn run(&self) -> Result<usize, SoakError> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let fresh = || now.map_or(0, |now| now.as_secs());
+        let first = self.seed.unwrap_or_else(fresh);
+        let mut broken = 0;
+        for seed in first..first + self.count {
+            let plan = self.plan(seed);
+            let found = self.play(&plan)?.found;
+            if found.is_empty() {
+                continue;
+            }
+            broken += 1;
+            if self.shrink {
+                self.shrink(plan, &found)?;
+            }
+        }
+        Ok(broken)
+    }
+
+    fn plan(&self, seed: u64) -> SoakPlan {
+        let time = Duration::from_secs(self.seconds);
+        let mut plan = SoakPlan::new(seed, time, self.faults);
+        plan.daemons = self.daemons;
+        plan.callers = self.callers;
+        if let Some(only) = &self.only {
+            let kept: Vec<usize> = only
+                .split(',')
+                .filter_map(|word| word.parse().ok())
+                .collect();
+            plan.faults.retain(|fault| kept.contains(&fault.number));
+        }
+        plan
+    }
+
+    /// Plays one plan and prints what it showed.
+    fn play(&self, plan: &SoakPlan) -> Result<SoakReport, SoakError> {
+        let folder = self.folder.join(plan.seed.to_string());
+        if folder.exists() {
+            fs::remove_dir_all(&folder)?;
+        }
+        let runtime = Builder::new_multi_thread().enable_all().build()?;
+        let mut report = runtime.block_on(async {
+            let mut told = signal(SignalKind::terminate())?;
+            // Dropping the play ends its daemons.
+            tokio::select! {
+                report = plan.play(&folder) => report,
+                _ = told.recv() => Err(SoakError::Interrupted),
+                _ = ctrl_c() => Err(SoakError::Interrupted),
+            }
+        })?;
+        if self.untimed {
+            report.found.retain(|finding| !finding.rule.is_timed());
+        }
+        println!(
+            "seed {}: {} daemons, {} faults, {} requests, {} served, {} findings",
+            plan.seed,
+            plan.daemons,
+            plan.faults.len(),
+            report.asked,
+            report.served,
+            report.found.len()
+        );
+        if report.found.is_empty() {
+            fs::remove_dir_all(&folder)?;
+        } else {
+            tell(plan, &report.found, &folder)?;
+        }
+        Ok(report)
+    }
+
+    /// Leaves faults out one by one, and prints the command for those that are needed.
+    fn shrink(&self, mut plan: SoakPlan, found: &[Finding]) -> Result<(), SoakError> {
+        for fault in plan.faults.clone() {
+            let mut less = plan.clone();
+            less.faults.retain(|other| other.number != fault.number);
+            let again = self.play(&less)?.found;
+            if found
+                .iter()
+                .any(|old| again.iter().any(|new| new.rule == old.rule))
+            {
+                plan = less;
+            }
+        }
+        let kept: Vec<_> = plan
+            .faults
+            .iter()
+            .map(|fault| fault.number.to_string())
+            .collect();
+        println!(
+            "seed {} needs: --seed {} --daemons {} --seconds {} --faults {} --only {}",
+            plan.seed,
+            plan.seed,
+            self.daemons,
+            self.seconds,
+            self.faults,
+            kept.join(",")
+        );
+        Ok(())
+    }
+}
+
+/// Prints findings, and writes them with the plan beside the logs.
+fn tell(plan: &SoakPlan, found: &[Finding], folder: &Path) -> Result<(), SoakError> {
+    let mut text = String::new();
+    for fault in &plan.faults {
+        text.push_str(&fault.to_string());
+        text.push('\n');
+    }
+    for finding in found {
+        text.push_str(&finding.to_string());
+        text.push('\n');
+    }
+    print!("{text}");
+    fs::write(folder.join("found.txt"), text)?;
+    println!("logs: {}", folder.display());
+    Ok(())
+}
--- a/platform/tests/fake_store.rs
+++ b/soak/store_stand_in.rs
@@ -7,37 +7,58 @@
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
-        convert::Infallible,
+        io,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::Notify, time::timeout},
+    tokio::{
+        net::TcpListener,
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
+/// Objects of a page of a list: few, so that paging is met.
+const PAGE_ITEMS: usize = 2;
+
 /// The store of the platform: objects, conditional writes and watches.
 #[derive(Clone, Debug)]
-pub struct FakeStore {
-    pub address: SocketAddr,
+pub struct StoreStandIn {
+    address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
 }
 
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Every call is answered with 503.
+    Down,
+    /// Every answer waits.
+    Slow(Duration),
+    /// Calls are carried out, and their connections closed instead of an answer.
+    Mute,
+}
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     events: Vec<(String, u64, Value)>,
-    down: bool,
+    fault: StoreFault,
     compacted: u64,
 }
 
-impl FakeStore {
-    /// Starts an empty store.
-    pub async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+impl StoreStandIn {
+    /// Starts an empty store on a free port.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
         let store = Self {
-            address: listener.local_addr().unwrap(),
+            address: listener.local_addr()?,
             state: Arc::default(),
             changed: Arc::default(),
         };
@@ -54,12 +75,21 @@
                 });
             }
         });
-        store
+        Ok(store)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Writes an object as the operator or a worker does.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) -> u64 {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -71,42 +101,57 @@
         revision
     }
 
-    /// Removes an object.
+    /// Removes an object, if it is there.
     pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some((old, spec)) = state.objects.remove(&key) else {
+            return;
+        };
         state.revision += 1;
         let revision = state.revision;
-        let key = (kind.to_owned(), name.to_owned());
-        let (old, spec) = state.objects.remove(&key).unwrap();
         let event = json!({ "Object": object(name, old, &spec), "Removed": true });
         state.events.push((kind.to_owned(), revision, event));
         self.changed.notify_waiters();
     }
 
-    /// Answers every call with 503, or no longer.
-    pub fn set_down(&self, down: bool) {
-        self.state.lock().unwrap().down = down;
+    /// Goes wrong, or right again.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state().fault = fault;
         self.changed.notify_waiters();
     }
 
     /// Drops the history of changes.
     pub fn compact(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state();
         state.compacted = state.revision;
         state.events.clear();
     }
 
     /// Names of the objects of `kind`.
     pub fn names(&self, kind: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
+        let state = self.state();
         let keys = state.objects.keys().filter(|(other, _)| other == kind);
         keys.map(|(_, name)| name.clone()).collect()
     }
 
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<Full<Bytes>>> {
+        let fault = self.state().fault;
+        match fault {
+            StoreFault::Down => {
+                return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+            }
+            StoreFault::Slow(time) => sleep(time).await,
+            StoreFault::None | StoreFault::Mute => {}
+        }
+        let answer = self.carry_out(request).await;
+        if fault == StoreFault::Mute {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(answer)
+    }
+
+    async fn carry_out(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map(Collected::to_bytes);
         let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or(Value::Null);
@@ -123,46 +168,45 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
-        if self.state.lock().unwrap().down {
-            return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
-        }
         let (kind, name) = path.split_once('/').unwrap_or((&path, ""));
-        Ok(match (parts.method, query.get("Watch")) {
+        match (parts.method, query.get("Watch")) {
             (Method::GET, Some(since)) => {
-                let wait = query["WaitMs"].parse().unwrap();
-                let since = since.parse().unwrap();
+                let number = |text: Option<&String>| text.and_then(|text| text.parse().ok());
+                let (Some(wait), Some(since)) = (number(query.get("WaitMs")), number(Some(since)))
+                else {
+                    return reply(StatusCode::BAD_REQUEST, &Value::Null);
+                };
                 self.watch(kind, since, Duration::from_millis(wait)).await
             }
             (Method::GET, None) if name.is_empty() => self.list(kind, query.get("after")),
             (Method::GET, None) => self.get(kind, name),
             (Method::POST, _) => {
-                let name = body["Metadata"]["Name"].as_str().unwrap().to_owned();
-                self.write(kind, &name, None, &body["Spec"])
+                let name = body["Metadata"]["Name"].as_str().unwrap_or_default();
+                self.write(kind, name, None, &body["Spec"])
             }
             (_, _) => {
                 let revision = body["Metadata"]["Revision"].as_u64();
                 self.write(kind, name, revision, &body["Spec"])
             }
-        })
+        }
     }
 
-    /// Lists two objects a page, so that paging is met.
     fn list(&self, kind: &str, after: Option<&String>) -> Response<Full<Bytes>> {
-        let state = self.state.lock().unwrap();
+        let state = self.state();
         let found: Vec<_> = state
             .objects
             .iter()
             .filter(|((other, name), _)| other == kind && after.is_none_or(|after| name > after))
             .map(|((_, name), (revision, spec))| object(name, *revision, spec))
             .collect();
-        let more = found.len() > 2;
-        let items: Vec<_> = found.into_iter().take(2).collect();
+        let more = found.len() > PAGE_ITEMS;
+        let items: Vec<_> = found.into_iter().take(PAGE_ITEMS).collect();
         let page = json!({ "items": items, "HasMore": more, "StoreRevision": state.revision });
         reply(StatusCode::OK, &page)
     }
 
     fn get(&self, kind: &str, name: &str) -> Response<Full<Bytes>> {
-        let state = self.state.lock().unwrap();
+        let state = self.state();
         match state.objects.get(&(kind.to_owned(), name.to_owned())) {
             Some((revision, spec)) => reply(StatusCode::OK, &object(name, *revision, spec)),
             None => reply(StatusCode::NOT_FOUND, &Value::Null),
@@ -177,7 +221,7 @@
         spec: &Value,
     ) -> Response<Full<Bytes>> {
         let key = (kind.to_owned(), name.to_owned());
-        let before = self.state.lock().unwrap().objects.get(&key).cloned();
+        let before = self.state().objects.get(&key).cloned();
         if let Some((revision, old)) = before
             && expected != Some(revision)
         {
@@ -192,8 +236,8 @@
             loop {
                 let changed = self.changed.notified();
                 {
-                    let state = self.state.lock().unwrap();
-                    if state.down || since < state.compacted {
+                    let state = self.state();
+                    if state.fault == StoreFault::Down || since < state.compacted {
                         return None;
                     }
                     let events: Vec<_> = state
@@ -210,7 +254,7 @@
             }
         });
         let events = events.await.unwrap_or(Some(Vec::new()));
-        let revision = self.state.lock().unwrap().revision;
+        let revision = self.state().revision;
         match events {
             Some(events) => reply(
                 StatusCode::OK,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -45,6 +45,7 @@
 mod sheet_follow;
 mod sheet_spread;
 mod sheet_store;
+mod soak;
 mod stage_controller;
 mod stage_plan;
 mod suspicion;
