Give an engine nothing while it changes what it does

Ruled out: lapsed caches as the cause of the refusals (one engine refused, the others took caches of the same readers). Tests: both failed before (never avoided).

--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -31,6 +31,10 @@
     avoided: AtomicU64,
     /// Consecutive silences, which lengthen the time for which the endpoint is avoided.
     silences: AtomicU32,
+    /// Refusals in a row, with nothing accepted between.
+    refusals: AtomicU32,
+    /// Tick in microseconds until which the endpoint is taken to refuse everything.
+    refusing: AtomicU64,
 }
 
 /// Load that an endpoint told with an answer.
@@ -132,8 +136,25 @@
         self.silences.fetch_add(1, Ordering::AcqRel) + 1
     }
 
+    /// Counts a refusal and returns how many there were in a row.
+    pub fn refused(&self) -> u32 {
+        self.refusals.fetch_add(1, Ordering::AcqRel) + 1
+    }
+
+    /// Takes the endpoint to refuse everything until `until`; a later end stays.
+    pub fn turn_away(&self, until: Tick) {
+        self.refusing.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    /// Notes that the endpoint has accepted something, or may be expected to.
+    pub fn accepts(&self) {
+        self.refusals.store(0, Ordering::Release);
+        self.refusing.store(0, Ordering::Release);
+    }
+
     /// Whether the endpoint is avoided at `now`.
     pub fn is_avoided(&self, now: Tick) -> bool {
-        self.avoided.load(Ordering::Acquire) > now.0
+        let until = |tick: &AtomicU64| tick.load(Ordering::Acquire);
+        until(&self.avoided).max(until(&self.refusing)) > now.0
     }
 }
--- a/src/control/stage_controller.rs
+++ b/src/control/stage_controller.rs
@@ -43,6 +43,10 @@
 /// Time that each daemon leaves to the one before it in the order of the pool.
 const TURN_TIME: Duration = Duration::from_millis(500);
 
+/// Longest time for which an engine that was ordered to change is taken to refuse everything: it
+/// finishes its answers first.
+const CHANGE_MOST: Duration = Duration::from_secs(20);
+
 /// Wait before a lease that was not to be had is asked for again.
 const HELD_WAIT: Duration = Duration::from_secs(4);
 
@@ -198,7 +202,11 @@
         let role = change.role;
         let name = endpoint.name.as_str();
         match ordered {
-            Ok(true) => log::info!(endpoint = name, role:? = role, fence = claim.fence; "ordered"),
+            Ok(true) => {
+                log::info!(endpoint = name, role:? = role, fence = claim.fence; "ordered");
+                let until = self.parts.clock.now() + CHANGE_MOST;
+                endpoint.slot.traffic.turn_away(until);
+            }
             Ok(false) => log::info!(endpoint = name, role:? = role; "already ordered"),
             Err(e) => log::warn!(endpoint = name, role:? = role; "the order failed: {e}"),
         }
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -81,6 +81,13 @@
     let before = before.and_then(|key| fleet.endpoints.get(key)).cloned();
     let slot = before.as_ref().map(|old| Arc::clone(&old.slot));
     let slot = slot.unwrap_or_else(Arc::<EndpointSlot>::default);
+    if before
+        .as_ref()
+        .is_some_and(|old| old.role != described.role)
+    {
+        // What it refused while it changed says nothing about what it does now.
+        slot.traffic.accepts();
+    }
     let pool = fleet.pools.find(&listed.pool).unwrap_or_else(|| {
         let pool = Pool {
             name: listed.pool.clone(),
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -12,6 +12,15 @@
 /// Silences after which the time for which an endpoint is avoided no longer grows.
 const SILENCES: u32 = 4;
 
+/// Refusals in a row from which on an engine is taken to refuse everything.
+const REFUSALS: u32 = 2;
+
+/// Time for which an engine is avoided at first after refusals; it doubles with each further one.
+const REFUSED_TIME: Duration = Duration::from_millis(500);
+
+/// Doublings of that time at most.
+const REFUSED_DOUBLINGS: u32 = 3;
+
 /// Tokens that a request of others is taken to need, where only their number is known.
 const OTHER_TOKENS: f64 = 5_000.0;
 
@@ -43,6 +52,7 @@
     pub among: usize,
     slot: Arc<EndpointSlot>,
     tokens: u64,
+    role: Role,
     since: Tick,
 }
 
@@ -89,6 +99,7 @@
             among,
             slot: Arc::clone(&endpoint.slot),
             tokens: need.tokens,
+            role: need.role,
             since: shared.now(),
         })
     }
@@ -144,6 +155,9 @@
             UpstreamError::Refused { load, .. } => {
                 self.hear(*load, now);
                 traffic.ended(true);
+                if self.role != Role::Service {
+                    self.refused(now);
+                }
             }
             UpstreamError::Broken(_) => traffic.ended(true),
             UpstreamError::Unsent(_) | UpstreamError::Silent | UpstreamError::Misdirected => {
@@ -153,6 +167,24 @@
             }
         }
     }
+
+    /// Takes an engine that refuses again and again to refuse everything for a while: while it
+    /// changes what it does, it looks empty.
+    fn refused(&self, now: Tick) {
+        let traffic = &self.slot.traffic;
+        let beyond = traffic.refused().checked_sub(REFUSALS);
+        if let Some(beyond) = beyond {
+            let time = REFUSED_TIME * 2_u32.pow(beyond.min(REFUSED_DOUBLINGS));
+            traffic.turn_away(now + time);
+            let ms = time.as_millis() as u64;
+            log::info!(endpoint = self.name.as_str(), ms; "avoided: it refuses again and again");
+        }
+    }
+
+    /// Notes that the endpoint has begun to answer.
+    pub fn accepted(&self) {
+        self.slot.traffic.accepts();
+    }
 }
 
 impl Drop for EndpointHold {
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -276,6 +276,7 @@
                         cache.taken();
                     }
                     hold.hear(answer.load, self.shared.now());
+                    hold.accepted();
                     return Ok(Started {
                         status: answer.status,
                         headers: answer.headers,
@@ -317,6 +318,7 @@
         let error = match computed.unwrap_or(Err(UpstreamError::Silent)) {
             Ok(handle) => {
                 hold.answered(self.shared.now() - start);
+                hold.accepted();
                 hold.ended(false);
                 return Ok(Some(CacheHold::new(&self.shared, handle)));
             }
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -498,6 +498,43 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_refuses_again_and_again_is_avoided_until_it_accepts() {
+    let events = || Act::Events(vec![1], true);
+    let prefill = || Act::Answer(200, 1);
+    let mut site = site(placed(), vec![]);
+    let refuse = async |site: &Site| {
+        *site.script.acts.lock().unwrap() = [prefill(), full(), events()].into();
+        site.send("/stream/").await;
+    };
+    let avoided = |site: &Site| {
+        let shared = site.entry.shared();
+        let fleet = shared.board().fleet.load();
+        let key = fleet.endpoints.find("d1").unwrap();
+        let slot = &fleet.endpoints.get(key).unwrap().slot;
+        slot.traffic.is_avoided(shared.now())
+    };
+    let mut seen = Vec::new();
+    for turn in ["first refusal", "second refusal"] {
+        refuse(&site).await;
+        seen.push((turn, avoided(&site)));
+    }
+    sleep(Duration::from_millis(600)).await;
+    seen.push(("600 ms later", avoided(&site)));
+    refuse(&site).await;
+    seen.push(("third refusal", avoided(&site)));
+    let changed = [
+        listed("d1", "models", Role::Prefill),
+        listed("d2", "models", Role::Decode),
+    ];
+    let described: Vec<_> = changed.iter().map(|(l, d)| (l, d)).collect();
+    site.writers
+        .fleet
+        .update(|fleet| merge_described(fleet, &described));
+    seen.push(("once it does something else", avoided(&site)));
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_is_said_without_knowledge_or_at_the_end() {
     let mut site = site(placed(), vec![]);
--- a/tests/stage_controller.rs
+++ b/tests/stage_controller.rs
@@ -187,3 +187,30 @@
     seen.push(site.seen());
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_was_ordered_gets_nothing_until_it_has_changed() {
+    let mut site = Site::start(1);
+    let avoided = |site: &Site| {
+        let fleet = site.writers[0].fleet.load();
+        let key = fleet.endpoints.find("e7").unwrap();
+        let now = Tick(site.start.elapsed().as_micros() as u64);
+        fleet
+            .endpoints
+            .get(key)
+            .unwrap()
+            .slot
+            .traffic
+            .is_avoided(now)
+    };
+    site.list(&engines(&[0, 1, 2, 3, 4, 5, 6, 7]));
+    let mut seen = vec![("listed", avoided(&site))];
+    sleep(Duration::from_secs(2)).await;
+    seen.push(("ordered", avoided(&site)));
+    let mut changed = engines(&[0, 1, 2, 3, 4, 5, 6, 7]);
+    changed[7].0.role = Role::Decode;
+    changed[7].1.role = Role::Decode;
+    site.list(&changed);
+    seen.push(("changed", avoided(&site)));
+    assert_yaml_snapshot!((seen, site.seen()));
+}
