Learn the reading rate from prompts in line, too

Cause: only prompts that found an empty line told the rate. Change: every prompt tells it, with the tokens that were in line before it; a rate that is too low makes these too many, which raises it. What leaves the head of a line early no longer shortens the wait of the next. Ruled out: a floor under the rate (engines of unseen deployments may be slower). Test: failed before (13 tokens a millisecond for ever; now back at 50).

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -135,8 +135,9 @@
                         self.crashes.strike(print, self.clock.now());
                         log::info!(id = end.id, print; "an engine broke off before any event");
                     }
+                    let now = self.clock.now();
                     if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
-                        ledger.end(&end);
+                        ledger.end(&end, now);
                     }
                 }
                 None => {}
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -45,13 +45,14 @@
 struct Placed {
     decode: String,
     prefill: Option<String>,
-    alone: bool,
+    ahead: f64,
 }
 
 /// An engine that may read a prompt.
 #[derive(Clone, Debug)]
 struct Reader {
     name: String,
+    ahead: f64,
     wait: Duration,
     time: Duration,
 }
@@ -109,6 +110,7 @@
         let reading = self.reading.per_milli();
         let reader = ask.apart.then(|| self.reader(ask, now)).flatten();
         let line = reader.as_ref().map(|reader| reader.wait);
+        let ahead = reader.as_ref().map_or(0.0, |reader| reader.ahead);
         let fits = line.is_some_and(|wait| wait <= LINE_TIME);
         let (start, prefill) = match reader {
             Some(reader) if fits => (now + reader.wait + reader.time, Some(reader.name)),
@@ -139,7 +141,7 @@
         let placed = Placed {
             decode: decode.clone(),
             prefill: prefill.clone(),
-            alone: line.is_some_and(|wait| wait.is_zero()),
+            ahead,
         };
         self.runs.insert(ask.id, placed);
         let figures = PlaceFigures {
@@ -173,15 +175,16 @@
         let placed = Placed {
             decode: run.decode.clone(),
             prefill: None,
-            alone: false,
+            ahead: 0.0,
         };
         self.runs.insert(run.ask.id, placed);
     }
 
     /// Gives places back and learns from what was used.
-    pub fn end(&mut self, end: &PlaceEnd) {
+    pub fn end(&mut self, end: &PlaceEnd, now: Tick) {
+        self.lapse(now);
         self.learn(end);
-        self.forget(end.id);
+        self.forget(end.id, now);
         let writing = end.generated as f64 / end.decoding.as_secs_f64() / 1_000.0;
         if writing.is_finite() && end.generated > 0 {
             let old = self.write_rate();
@@ -189,24 +192,22 @@
         }
     }
 
-    /// Learns how fast a prompt was read, from one that found no other in line.
+    /// Learns how fast a prompt was read, with what was in line before it.
     fn learn(&mut self, end: &PlaceEnd) {
-        let Some(placed) = self.runs.get(&end.id).filter(|placed| placed.alone) else {
+        let Some(placed) = self.runs.get(&end.id) else {
             return;
         };
         let decode = self.engines.get(&placed.decode);
-        let runs = decode.into_iter().flat_map(|plan| &plan.runs);
-        let Some(prompt) = runs
-            .filter(|run| run.id == end.id)
-            .map(|run| run.prompt)
-            .next()
-        else {
+        let mut runs = decode.into_iter().flat_map(|plan| &plan.runs);
+        let Some(run) = runs.find(|run| run.id == end.id) else {
             return;
         };
-        self.reading.note(prompt, end.reading);
+        // A rate that is too low makes the line look too long, which raises it, and the reverse.
+        let tokens = placed.ahead + run.prompt;
+        self.reading.note(tokens, end.reading);
         let reader = placed.prefill.as_ref();
         if let Some(reader) = reader.and_then(|name| self.engines.get_mut(name)) {
-            reader.reading.note(prompt, end.reading);
+            reader.reading.note(tokens, end.reading);
         }
     }
 
@@ -229,17 +230,17 @@
         let engines = self.engines.iter();
         let readers =
             engines.filter(|(name, plan)| plan.takes(Role::Prefill) && !ask.avoid.contains(name));
-        let lines = readers.map(|(name, plan)| {
+        let readers = readers.map(|(name, plan)| {
             let rate = plan.reading.or(self.reading.per_milli());
-            let time = Duration::from_secs_f64(ask.prompt as f64 / rate / 1_000.0);
-            (name, plan.line_time(rate, now), time)
+            let wait = plan.line_time(rate, now);
+            Reader {
+                name: name.clone(),
+                ahead: wait.as_secs_f64() * 1_000.0 * rate,
+                wait,
+                time: Duration::from_secs_f64(ask.prompt as f64 / rate / 1_000.0),
+            }
         });
-        let (name, wait, time) = lines.min_by_key(|(_, wait, time)| *wait + *time)?;
-        Some(Reader {
-            name: name.clone(),
-            wait,
-            time,
-        })
+        readers.min_by_key(|reader| reader.wait + reader.time)
     }
 
     /// The decoding engine that `run` fits into with the lowest peak, and that peak.
@@ -268,7 +269,7 @@
         fills.min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
-    fn forget(&mut self, id: u64) {
+    fn forget(&mut self, id: u64, now: Tick) {
         let Some(placed) = self.runs.remove(&id) else {
             return;
         };
@@ -276,6 +277,9 @@
             plan.runs.retain(|run| run.id != id);
         }
         if let Some(plan) = placed.prefill.and_then(|name| self.engines.get_mut(&name)) {
+            if plan.line.first().is_some_and(|(first, _)| *first == id) {
+                plan.line_since = now;
+            }
             plan.line.retain(|(other, _)| *other != id);
         }
     }
@@ -291,7 +295,7 @@
             .map(|run| run.id)
             .collect();
         for id in lapsed {
-            self.forget(id);
+            self.forget(id, now);
         }
         let known: Vec<_> = self.engines.values().flat_map(|plan| &plan.runs).collect();
         let known: std::collections::HashSet<_> = known.iter().map(|run| run.id).collect();
--- a/src/decide/read_rate.rs
+++ b/src/decide/read_rate.rs
@@ -10,7 +10,7 @@
 /// already take no time.
 const RISE_MOST: f64 = 1.5;
 
-/// How fast prompts are read, from those that were read without a wait.
+/// How fast prompts are read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadRate {
     tokens: f64,
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -136,7 +136,7 @@
         decoding: Duration::ZERO,
         reading: Duration::from_millis(100),
     };
-    ledger.end(&end);
+    ledger.end(&end, at(2));
     let mut spare = self::ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
     spare.place(&ask(1, 1_000, 10), at(0));
     spare.place(&ask(2, 19_000, 10), at(0));
@@ -194,9 +194,9 @@
 /// Places `id` at `ms`, lets it end, and tells the reading rate that a placement after it uses.
 fn rate_after(ledger: &mut Ledger, id: u64, ms: u64, reading: Duration) -> String {
     ledger.place(&ask(id, 5_000, 10), at(ms)).unwrap();
-    ledger.end(&read_in(id, reading));
+    ledger.end(&read_in(id, reading), at(ms + 800));
     let next = ledger.place(&ask(id + 1_000, 100, 10), at(ms + 900));
-    ledger.end(&read_in(id + 1_000, Duration::ZERO));
+    ledger.end(&read_in(id + 1_000, Duration::ZERO), at(ms + 950));
     format!("{:.1} tokens/ms", next.unwrap().figures.reading)
 }
 
@@ -224,15 +224,23 @@
 
 #[test]
 fn prompts_that_waited_in_line_hardly_lower_the_reading_rate() {
-    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    let mut ledger = ledger(&[
+        ("d1", Role::Decode),
+        ("d2", Role::Decode),
+        ("d3", Role::Decode),
+        ("p1", Role::Prefill),
+    ]);
     // Two prompts stand in line before each, which arrives as another has been read.
     for id in 0..2 {
         ledger.place(&ask(id, 5_000, 10), at(0));
     }
     for id in 2..60 {
         ledger.place(&ask(id, 5_000, 10), at(id * 100 - 190));
-        let ms = if id == 2 { 100 } else { 300 };
-        ledger.end(&read_in(id - 2, Duration::from_millis(ms)));
+        if let Some(read) = id.checked_sub(4) {
+            let ms = [100, 200].get(read as usize).copied().unwrap_or(290);
+            let end = read_in(read, Duration::from_millis(ms));
+            ledger.end(&end, at(id * 100 - 190));
+        }
     }
     let next = ledger.place(&ask(999, 100, 10), at(60_000)).unwrap();
     assert_yaml_snapshot!(format!("{:.1}", next.figures.reading));
@@ -260,8 +268,34 @@
         }));
         *counts.entry(reader).or_default() += 1;
         if id >= 10 {
-            ledger.end(&read_in(id - 10, times[id as usize - 10]));
+            let end = read_in(id - 10, times[id as usize - 10]);
+            ledger.end(&end, at(id * 70));
         }
     }
     assert_yaml_snapshot!(counts);
 }
+
+#[test]
+fn a_rate_that_was_too_low_rises_although_the_line_never_looks_empty() {
+    let mut ledger = ledger(&[
+        ("d1", Role::Decode),
+        ("d2", Role::Decode),
+        ("d3", Role::Decode),
+        ("p1", Role::Prefill),
+    ]);
+    let mut rates = Vec::new();
+    // The first prompts of 5,000 tokens take 400 ms, later ones 100 ms; one comes each 150 ms.
+    for id in 0..150 {
+        let placed = ledger.place(&ask(id, 5_000, 10), at(id * 150));
+        if let Some(read) = id.checked_sub(4) {
+            let ms = if read < 4 { 400 } else { 100 };
+            let end = read_in(read, Duration::from_millis(ms));
+            ledger.end(&end, at(id * 150));
+        }
+        if id % 12 == 0 {
+            let figures = placed.map(|placed| (placed.prefill, placed.figures.reading));
+            rates.push(figures.map(|(prefill, rate)| (prefill, format!("{rate:.0}"))));
+        }
+    }
+    assert_yaml_snapshot!(rates);
+}
