Read one long prompt in place at a time at each engine

Cause: prompts that are read where they decode hold the engine's other answers up; two at once made pauses of 370 ms where 300 are allowed. Change: an engine gets no prompt to read in place while those that it reads so would together take more than 250 ms. Test: failed before (all six placed at once).

--- a/src/decide/engine_plan.rs
+++ b/src/decide/engine_plan.rs
@@ -4,6 +4,9 @@
     std::time::Duration,
 };
 
+/// Longest time for which prompts that are read in place may hold an engine's answers up together.
+const IN_PLACE_MOST: Duration = Duration::from_millis(250);
+
 /// What is planned for one engine.
 #[derive(Clone, Debug)]
 pub struct EnginePlan {
@@ -45,6 +48,14 @@
         self.usable && self.role == role
     }
 
+    /// Whether a prompt that is read in `time` between the tokens of other answers would, with
+    /// those that are being read so already, make the pauses of these too long.
+    pub fn holds_up(&self, time: Duration, now: Tick) -> bool {
+        let reading = self.runs.iter().filter(|run| run.in_place);
+        let left: Duration = reading.map(|run| run.start - now).sum();
+        !left.is_zero() && left + time > IN_PLACE_MOST
+    }
+
     /// Share of the memory in use.
     pub fn fill(&self, rate: f64, now: Tick) -> f64 {
         let used: f64 = self.runs.iter().map(|run| run.memory(rate, now)).sum();
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -127,6 +127,7 @@
             prompt: ask.prompt as f64,
             output: ask.output.max(1) as f64,
             start,
+            in_place: prefill.is_none(),
         };
         let (decode, peak) = self.decoder(&run, ask, now)?;
         if let Some(plan) = self.engines.get_mut(&decode) {
@@ -171,6 +172,7 @@
             prompt: run.ask.prompt as f64,
             output: run.ask.output.max(1) as f64,
             start,
+            in_place: false,
         });
         let placed = Placed {
             decode: run.decode.clone(),
@@ -251,6 +253,7 @@
             plan.takes(Role::Decode)
                 && !ask.avoid.contains(name)
                 && plan.runs.len() < plan.slots as usize
+                && !(run.in_place && plan.holds_up(run.start - now, now))
         });
         // What is larger than an engine must not wait for ever: the engine itself refuses it.
         let peak = |plan: &EnginePlan| plan.peak_with(&run.within(plan.memory), rate, now);
--- a/src/decide/run_plan.rs
+++ b/src/decide/run_plan.rs
@@ -14,6 +14,8 @@
     pub output: f64,
     /// When its first token is expected.
     pub start: Tick,
+    /// Whether the prompt is read where the answer is generated.
+    pub in_place: bool,
 }
 
 impl RunPlan {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -299,3 +299,17 @@
     }
     assert_yaml_snapshot!(rates);
 }
+
+#[test]
+fn one_long_prompt_at_a_time_is_read_in_place_at_each_engine() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("d2", Role::Decode)]);
+    let seen: Vec<_> = [0, 1, 2, 100, 210, 211]
+        .into_iter()
+        .enumerate()
+        .map(|(id, ms)| {
+            let placed = ledger.place(&ask(id as u64, 5_000, 10), at(ms));
+            (format!("at {ms} ms"), told(placed))
+        })
+        .collect();
+    assert_yaml_snapshot!(seen);
+}
