Count and log each refusal and retry in one place, and print a request's story

Cause: refusals before a route was known, retries after an answered failure and the reason for a retry were counted but not logged; a stream refused for want of a place did not say what the placing daemon saw. Change: ForwardLog counts what it logs; a failed attempt names what follows, why, the attempts of the route and what is left of the retry budget; the placing daemon says why a request goes on waiting. `lentillead story ID LOGS` prints one request's lines from the logs of all daemons, with its placement and what became of the engines that it met. Tests: every reason that is counted is in a log line about the request (failed before on no route, not ready and answered failures); the story from recorded lines.

--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -2,7 +2,7 @@
     super::{
         BenchCommand, CapacityCommand, CommandError, DemoCommand, DrainCommand, ExitStatus,
         FakeCommand, FaultsCommand, ReplayCommand, ServeCommand, SettingsCommand, SheetCommand,
-        StatusCommand, TraceCommand,
+        StatusCommand, StoryCommand, TraceCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -43,6 +43,8 @@
     Sheet(SheetCommand),
     /// Show the whole fleet.
     Status(StatusCommand),
+    /// Print one request's story from logs.
+    Story(StoryCommand),
     /// Work on traces.
     Trace(TraceCommand),
 }
@@ -61,6 +63,7 @@
             Self::Settings(command) => command.run().await,
             Self::Sheet(command) => command.run().await,
             Self::Status(command) => command.run().await,
+            Self::Story(command) => command.run(),
             Self::Trace(command) => command.run(),
         }
     }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -34,6 +34,7 @@
     sheet_show::SheetShow,
     sheet_submit::SheetSubmit,
     status::StatusCommand,
+    story::StoryCommand,
     trace::TraceCommand,
     trace_make::TraceMake,
 };
@@ -79,5 +80,6 @@
 mod sheet_show;
 mod sheet_submit;
 mod status;
+mod story;
 mod trace;
 mod trace_make;
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -210,6 +210,7 @@
                     }
                 }
                 None if waiting.until <= now => {
+                    self.note_wait(&waiting, now);
                     if waiting.reply.send(PlaceOutcome::Wait).is_err() {
                         log::debug!(id = waiting.ask.id; "the asker has gone");
                     }
@@ -223,6 +224,24 @@
         self.waiting = left;
     }
 
+    /// Logs why a request goes on waiting.
+    fn note_wait(&self, waiting: &Waiting, now: Tick) {
+        let ledger = self.ledgers.get(&waiting.ask.pool);
+        let Some(pressure) = ledger.map(|ledger| ledger.pressure(now)) else {
+            return;
+        };
+        log::info!(
+            place = waiting.ask.id,
+            pool = waiting.ask.pool.as_str(),
+            waited_ms = (now - waiting.arrived).as_millis() as u64,
+            readers = pressure.readers,
+            decoders = pressure.decoders,
+            least_fill = pressure.fill,
+            waiting = self.waiting.len();
+            "no place yet"
+        );
+    }
+
     /// Logs what decided about a placement.
     fn note(waiting: &Waiting, placement: &Placement, now: Tick) {
         let figures = &placement.figures;
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -81,6 +81,17 @@
     pub writing: f64,
 }
 
+/// Why nothing can be placed: what there is, and how full it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pressure {
+    /// Engines that may be given prompts to read.
+    pub readers: usize,
+    /// Engines that may be given answers to generate.
+    pub decoders: usize,
+    /// Least share of the memory in use among these.
+    pub fill: f64,
+}
+
 impl Ledger {
     /// Brings the engines up to date with the fleet; each holds `memory` tokens. An engine that is
     /// not usable gets nothing and keeps its plan.
@@ -158,6 +169,21 @@
         })
     }
 
+    /// What there is at `now`.
+    pub fn pressure(&self, now: Tick) -> Pressure {
+        let count = |role| {
+            self.engines
+                .values()
+                .filter(|plan| plan.takes(role))
+                .count()
+        };
+        Pressure {
+            readers: count(Role::Prefill),
+            decoders: count(Role::Decode),
+            fill: self.least_fill(now),
+        }
+    }
+
     /// Takes over a request that was placed elsewhere.
     pub fn adopt(&mut self, run: &PlaceRun, now: Tick) {
         if self.runs.contains_key(&run.ask.id) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,7 +13,7 @@
     fair_share::{FairShare, HALF_LIFE},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     host_roster::HostRoster,
-    ledger::{Ledger, PlaceFigures, Placement},
+    ledger::{Ledger, PlaceFigures, Placement, Pressure},
     load_news::LoadNews,
     member_timing::MemberTiming,
     news_queue::NewsQueue,
--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -33,6 +33,11 @@
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
     }
 
+    /// Whole retries that may be made now.
+    pub fn left(&self) -> u64 {
+        self.credit.load(Ordering::Acquire) / RETRY_CREDIT
+    }
+
     /// Spends the credit of one retry; `false` if there is none.
     pub fn spend(&self) -> bool {
         let less = |credit: u64| credit.checked_sub(RETRY_CREDIT);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod key;
 pub mod port;
 pub mod request;
+pub mod story;
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -3,7 +3,7 @@
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, PlaceHold,
         PlacementHold, Refused,
         forward_answer::ForwardAnswer,
-        forward_log::retry_reason,
+        forward_log::Next,
         forward_refusal,
         place_search::{PlaceSearch, Places},
     },
@@ -180,8 +180,8 @@
         self.open = false;
         if let Some(run) = self.run.take() {
             run.hold.ended(false);
-            self.shared.counters().answered.inc();
-            ForwardLog::new(&self.call).answered(&self.shared, &run.hold.name, 200, self.events);
+            let log = ForwardLog::new(&self.shared, &self.call);
+            log.answered(&run.hold.name, 200, self.events);
         }
     }
 
@@ -213,24 +213,18 @@
     /// Decides what follows a failed attempt.
     fn after(&mut self, hold: &EndpointHold, error: &UpstreamError) -> Result<(), Refused> {
         hold.failed(&self.shared, error);
-        let ms = hold.age(&self.shared).as_millis() as u64;
         let late = self.shared.left(self.call.deadline).is_zero();
-        let shared = &self.shared;
-        let budget = shared.budget(&self.call.pool);
+        let budget = self.shared.budget(&self.call.pool);
         let verdict = self.call.after(error, late, &budget);
-        let again = verdict == Verdict::Retry;
-        let next = if again { "retry" } else { "refuse" };
-        ForwardLog::new(&self.call).failed(hold, error, next, ms);
-        if !again {
-            return Err(forward_refusal::after(shared, verdict, error));
-        }
-        let reason = if self.events > 0 {
-            RetryReason::Moved
-        } else {
-            retry_reason(error)
+        let next = match verdict {
+            Verdict::Retry if self.events > 0 => Next::Retry(RetryReason::Moved),
+            verdict => Next::after(verdict, error),
         };
-        shared.counters().retry(reason);
-        Ok(())
+        ForwardLog::new(&self.shared, &self.call).failed(hold, error, next);
+        if verdict == Verdict::Retry {
+            return Ok(());
+        }
+        Err(forward_refusal::after(&self.shared, verdict, error))
     }
 
     /// Finds an endpoint that decodes, has the prompt computed, and sends the request.
@@ -307,7 +301,7 @@
 
     /// Has the prompt computed at `hold`; nothing if that failed and it may be read elsewhere.
     async fn prefill(&self, hold: EndpointHold) -> Result<Option<CacheHold<P>>, Refused> {
-        ForwardLog::new(&self.call).chosen(&hold, "prefill");
+        ForwardLog::new(&self.shared, &self.call).chosen(&hold, "prefill");
         let start = self.shared.now();
         let ask = UpstreamAsk {
             resume: self.last,
@@ -325,15 +319,14 @@
             Err(error) => error,
         };
         hold.failed(&self.shared, &error);
-        let ms = (self.shared.now() - start).as_millis() as u64;
+        let log = ForwardLog::new(&self.shared, &self.call);
         // What follows is a further arrival at the pool, unless this one never left.
         let free = matches!(error, UpstreamError::Unsent(_));
         if !free && !self.spend() {
-            ForwardLog::new(&self.call).failed(&hold, &error, "refuse", ms);
+            log.failed(&hold, &error, Next::Refuse(Refusal::RetryBudget));
             return Err(forward_refusal::spent(&self.shared, &self.call));
         }
-        ForwardLog::new(&self.call).failed(&hold, &error, "read in place", ms);
-        self.shared.counters().retry(RetryReason::PrefillBroken);
+        log.failed(&hold, &error, Next::Retry(RetryReason::PrefillBroken));
         Ok(None)
     }
 
@@ -363,7 +356,8 @@
         match body.unwrap_or(Err(UpstreamError::Silent)) {
             Ok(body) => {
                 self.open = false;
-                ForwardLog::new(&self.call).answered(&self.shared, &answer.hold.name, status, 0);
+                let log = ForwardLog::new(&self.shared, &self.call);
+                log.answered(&answer.hold.name, status, 0);
                 Opened::Failure(ForwardAnswer {
                     status,
                     headers: answer.headers,
@@ -386,8 +380,8 @@
         } else {
             refused.reason
         };
-        self.shared.counters().refuse(reason);
-        ForwardLog::new(&self.call).refused(&self.shared, reason, self.events, &refused.detail);
+        let log = ForwardLog::new(&self.shared, &self.call);
+        log.refused(reason, self.events, &refused.detail);
     }
 }
 
@@ -397,8 +391,7 @@
 {
     fn drop(&mut self) {
         if self.open {
-            self.shared.counters().abandoned.inc();
-            ForwardLog::new(&self.call).abandoned(&self.shared, self.events);
+            ForwardLog::new(&self.shared, &self.call).abandoned(self.events);
         }
     }
 }
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
-        event_relay::Opened, forward_answer::ForwardAnswer, forward_whole,
+        event_relay::Opened, forward_answer::ForwardAnswer, forward_log::not_admitted,
+        forward_whole,
     },
     crate::{
         board::{PathRoute, Refusal, ReplyKind, Routing, StopPhase},
@@ -59,10 +60,11 @@
         patience: Option<Duration>,
     ) -> ForwardReply<P> {
         self.shared.counters().requests.inc();
-        let call = match self.admit(request, patience) {
+        let request = Arc::new(request);
+        let call = match self.admit(&request, patience) {
             Ok(call) => call,
             Err(refused) => {
-                self.shared.counters().refuse(refused.reason);
+                not_admitted(&self.shared, &request.id, &refused);
                 return ForwardReply::Refused(refused);
             }
         };
@@ -85,21 +87,19 @@
         };
         let result = forward_whole(&self.shared, &mut journey.call).await;
         journey.open = false;
-        let log = ForwardLog::new(&journey.call);
+        let log = ForwardLog::new(&self.shared, &journey.call);
         match result {
             Ok(answer) => {
                 let took = self.shared.now() - journey.call.arrived;
-                self.shared.counters().answered.inc();
                 self.shared
                     .counters()
                     .answer_time
                     .observe(took.as_secs_f64());
-                log.answered(&self.shared, "", answer.status, 0);
+                log.answered("", answer.status, 0);
                 ForwardReply::Whole(answer)
             }
             Err(refused) => {
-                self.shared.counters().refuse(refused.reason);
-                log.refused(&self.shared, refused.reason, 0, &refused.detail);
+                log.refused(refused.reason, 0, &refused.detail);
                 ForwardReply::Refused(refused)
             }
         }
@@ -108,7 +108,7 @@
     /// Finds the route of `request` and its deadline.
     fn admit(
         &self,
-        request: ForwardRequest,
+        request: &Arc<ForwardRequest>,
         patience: Option<Duration>,
     ) -> Result<ForwardCall, Refused> {
         let arrived = self.shared.now();
@@ -119,7 +119,7 @@
             return Err(Refused::not_run(Refusal::NotReady, detail).after(wait));
         }
         let Some((_, route)) = routing.find(&request.host, request.path()) else {
-            return Err(self.no_route(&routing, &request));
+            return Err(self.no_route(&routing, request));
         };
         let closing = self.shared.board().health.load().stop == StopPhase::Closing;
         if closing && route.reply == ReplyKind::Events {
@@ -137,11 +137,11 @@
             arrived,
             deadline: arrived + patience,
             late,
-            print: fingerprint(&request),
+            print: fingerprint(request),
             suspect: false,
             tried: Vec::new(),
             ran: 0,
-            request: Arc::new(request),
+            request: Arc::clone(request),
         })
     }
 
@@ -204,8 +204,7 @@
 {
     fn drop(&mut self) {
         if self.open {
-            self.shared.counters().abandoned.inc();
-            ForwardLog::new(&self.call).abandoned(self.shared, 0);
+            ForwardLog::new(self.shared, &self.call).abandoned(0);
         }
     }
 }
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -1,21 +1,29 @@
 use {
-    super::{EndpointHold, ForwardCall, ForwardParts, ForwardShared},
+    super::{EndpointHold, ForwardCall, ForwardParts, ForwardShared, Refused},
     crate::{
         board::{Refusal, RetryReason, Role},
+        decide::Verdict,
         port::UpstreamError,
     },
 };
 
-/// Log lines about the decisions on one forwarded request.
-#[derive(Clone, Copy, Debug)]
-pub struct ForwardLog<'a> {
+/// Log lines and counters about the decisions on one forwarded request.
+#[derive(Debug)]
+pub struct ForwardLog<'a, P>
+where
+    P: ForwardParts,
+{
+    shared: &'a ForwardShared<P>,
     call: &'a ForwardCall,
 }
 
-impl<'a> ForwardLog<'a> {
+impl<'a, P> ForwardLog<'a, P>
+where
+    P: ForwardParts,
+{
     /// Lines about `call`.
-    pub fn new(call: &'a ForwardCall) -> Self {
-        Self { call }
+    pub fn new(shared: &'a ForwardShared<P>, call: &'a ForwardCall) -> Self {
+        Self { shared, call }
     }
 
     /// The daemon that places streams chose `decode`, and `prefill` to read the prompt before.
@@ -69,42 +77,68 @@
         );
     }
 
-    /// An attempt failed.
-    pub fn failed(&self, hold: &EndpointHold, error: &UpstreamError, next: &str, ms: u64) {
+    /// An attempt failed, and `next` follows.
+    pub fn failed(&self, hold: &EndpointHold, error: &UpstreamError, next: Next) {
+        if let Next::Retry(reason) = next {
+            self.shared.counters().retry(reason);
+        }
         log::warn!(
             request = self.call.request.id.as_str(),
             endpoint = hold.name.as_str(),
             not_run = error.is_not_run(),
             ran = self.call.ran,
-            next,
-            ms;
+            attempts = self.call.route.attempts,
+            next = next.word(),
+            reason = next.reason(),
+            budget = self.shared.budget(&self.call.pool).left(),
+            ms = hold.age(self.shared).as_millis() as u64;
             "attempt failed: {error}"
         );
     }
 
+    /// The endpoint answered a failure, after which another one is asked.
+    pub fn failure(&self, hold: &EndpointHold, status: u16) {
+        let reason = RetryReason::AnsweredFailure;
+        self.shared.counters().retry(reason);
+        log::warn!(
+            request = self.call.request.id.as_str(),
+            endpoint = hold.name.as_str(),
+            status,
+            ran = self.call.ran,
+            next = "retry",
+            reason = reason.word(),
+            budget = self.shared.budget(&self.call.pool).left();
+            "attempt answered with a failure"
+        );
+    }
+
+    /// The last ask for a place was answered with none.
+    pub fn no_place(&self, place: u64, asks: u32) {
+        log::info!(
+            request = self.call.request.id.as_str(),
+            place,
+            asks;
+            "no place in time"
+        );
+    }
+
     /// The request was answered with `status`, or its stream came to its end.
-    pub fn answered<P>(&self, shared: &ForwardShared<P>, endpoint: &str, status: u16, events: u64)
-    where
-        P: ForwardParts,
-    {
-        let took = shared.now() - self.call.arrived;
+    pub fn answered(&self, endpoint: &str, status: u16, events: u64) {
+        self.shared.counters().answered.inc();
         log::info!(
             request = self.call.request.id.as_str(),
             endpoint,
             status,
             events,
             ran = self.call.ran,
-            ms = took.as_millis() as u64;
+            ms = self.ms();
             "answered"
         );
     }
 
     /// The request was refused.
-    pub fn refused<P>(&self, shared: &ForwardShared<P>, reason: Refusal, events: u64, detail: &str)
-    where
-        P: ForwardParts,
-    {
-        let took = shared.now() - self.call.arrived;
+    pub fn refused(&self, reason: Refusal, events: u64, detail: &str) {
+        self.shared.counters().refuse(reason);
         log::warn!(
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
@@ -113,28 +147,80 @@
             ran = self.call.ran,
             tried = self.call.tried.len(),
             events,
-            ms = took.as_millis() as u64;
+            ms = self.ms();
             "refused: {detail}"
         );
     }
 
     /// The caller went away.
-    pub fn abandoned<P>(&self, shared: &ForwardShared<P>, events: u64)
-    where
-        P: ForwardParts,
-    {
-        let took = shared.now() - self.call.arrived;
+    pub fn abandoned(&self, events: u64) {
+        self.shared.counters().abandoned.inc();
         log::info!(
             request = self.call.request.id.as_str(),
             events,
-            ms = took.as_millis() as u64;
+            ms = self.ms();
             "caller gone"
         );
     }
+
+    /// Time since the request arrived, in milliseconds.
+    fn ms(&self) -> u64 {
+        (self.shared.now() - self.call.arrived).as_millis() as u64
+    }
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Another attempt.
+    Retry(RetryReason),
+    /// The request is refused.
+    Refuse(Refusal),
+    /// Another endpoint is asked for a place; nothing was sent.
+    AskAnother,
+}
+
+impl Next {
+    /// What is done.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Retry(_) => "retry",
+            Self::Refuse(_) => "refuse",
+            Self::AskAnother => "ask another",
+        }
+    }
+
+    /// Why.
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Retry(reason) => reason.word(),
+            Self::Refuse(reason) => reason.word(),
+            Self::AskAnother => "no-place",
+        }
+    }
+
+    /// What `verdict` says after `error`.
+    pub fn after(verdict: Verdict, error: &UpstreamError) -> Self {
+        match verdict {
+            Verdict::Retry => Self::Retry(retry_reason(error)),
+            Verdict::NotRun(reason) | Verdict::Unknown(reason) => Self::Refuse(reason),
+        }
+    }
+}
+
+/// A request was refused before it had a route, or by its form.
+pub fn not_admitted<P>(shared: &ForwardShared<P>, request: &str, refused: &Refused)
+where
+    P: ForwardParts,
+{
+    shared.counters().refuse(refused.reason);
+    let version = shared.board().routing.load().version;
+    let reason = refused.reason.word();
+    log::warn!(request, version, reason; "refused: {}", refused.detail);
 }
 
 /// Why the attempt that `error` ended is followed by another.
-pub fn retry_reason(error: &UpstreamError) -> RetryReason {
+fn retry_reason(error: &UpstreamError) -> RetryReason {
     match error {
         UpstreamError::Unsent(_) => RetryReason::Unsent,
         UpstreamError::Refused { .. } | UpstreamError::Misdirected => RetryReason::Refused,
--- a/src/request/forward_whole.rs
+++ b/src/request/forward_whole.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
-        forward_answer::ForwardAnswer, forward_log::retry_reason, forward_refusal,
+        forward_answer::ForwardAnswer, forward_log::Next, forward_refusal,
     },
     crate::{
-        board::{RetryReason, Role},
+        board::Role,
         decide::Verdict,
         port::{AnswerBody, Clock, Upstream, UpstreamError},
     },
@@ -43,7 +43,7 @@
         if hold.option.tried {
             return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
         }
-        ForwardLog::new(call).chosen(&hold, "run");
+        ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
         match run(shared, call, &hold).await {
             Ok(reply) if reply.status < FAILED_STATUS => {
@@ -57,24 +57,18 @@
                 if !again || !shared.budget(&call.pool).spend() {
                     return Ok(reply);
                 }
-                shared.counters().retry(RetryReason::AnsweredFailure);
+                ForwardLog::new(shared, call).failure(&hold, reply.status);
                 failure = Some(reply);
             }
             Err(error) => {
                 hold.failed(shared, &error);
-                let ms = hold.age(shared).as_millis() as u64;
                 let late = shared.left(call.deadline).is_zero();
                 let verdict = call.after(&error, late, &shared.budget(&call.pool));
-                let next = if verdict == Verdict::Retry {
-                    "retry"
-                } else {
-                    "refuse"
-                };
-                ForwardLog::new(call).failed(&hold, &error, next, ms);
+                let next = Next::after(verdict, &error);
+                ForwardLog::new(shared, call).failed(&hold, &error, next);
                 if verdict != Verdict::Retry {
                     return failure.ok_or_else(|| forward_refusal::after(shared, verdict, &error));
                 }
-                shared.counters().retry(retry_reason(&error));
             }
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -19,7 +19,7 @@
     forward_answer::ForwardAnswer,
     forward_call::ForwardCall,
     forward_entry::{ForwardEntry, ForwardReply},
-    forward_log::ForwardLog,
+    forward_log::{ForwardLog, Next, not_admitted},
     forward_options::ForwardOptions,
     forward_parts::ForwardParts,
     forward_shared::ForwardShared,
--- a/src/request/place_search.rs
+++ b/src/request/place_search.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts, ForwardShared,
-        PlaceHold, PlacementHold, Refused, forward_refusal,
+        PlaceHold, PlacementHold, Refused, forward_log::Next, forward_refusal,
     },
     crate::{
         board::{Role, Tick},
@@ -56,7 +56,9 @@
     pub async fn find(self, read: bool) -> Result<Places<P>, Refused> {
         let until = self.shared.now() + self.call.route.target / PLACE_SHARE;
         let mut unknown = Vec::new();
+        let mut asks = 0;
         loop {
+            asks += 1;
             // A number of its own for each ask: the end of one must not give back the next.
             let id = self.shared.unique();
             let ask = self.place_ask(id, read, &unknown);
@@ -76,6 +78,7 @@
                 PlaceOutcome::Absent => return self.own_places(read, until).await,
             }
             if self.shared.now() >= until {
+                ForwardLog::new(self.shared, self.call).no_place(id, asks);
                 return Err(forward_refusal::full(self.shared, self.call));
             }
         }
@@ -113,7 +116,7 @@
     fn placed(&self, id: u64, decode: &str, prefill: Option<&str>) -> Result<Places<P>, String> {
         let size = self.call.request.size.unwrap_or_default();
         let placement = PlacementHold::new(self.shared, id, &self.call.pool);
-        ForwardLog::new(self.call).placed(id, decode, prefill);
+        ForwardLog::new(self.shared, self.call).placed(id, decode, prefill);
         let find = |role, tokens: u64, name: &str| {
             let need = EndpointNeed {
                 pool: &self.call.pool,
@@ -122,7 +125,7 @@
                 tried: &self.call.tried,
             };
             EndpointHold::at(self.shared, &need, name).ok_or_else(|| {
-                ForwardLog::new(self.call).unknown(name, role);
+                ForwardLog::new(self.shared, self.call).unknown(name, role);
                 name.to_owned()
             })
         };
@@ -195,7 +198,7 @@
             if hold.option.tried {
                 return Ok(None);
             }
-            ForwardLog::new(self.call).chosen(&hold, "decode");
+            ForwardLog::new(self.shared, self.call).chosen(&hold, "decode");
             tried.push(hold.key);
             let options = self.shared.options();
             let ask = self.call.ask(self.shared, &hold);
@@ -205,8 +208,7 @@
             match reserved.unwrap_or(Err(UpstreamError::Silent)) {
                 Ok(place) => return Ok(Some((hold, PlaceHold::new(self.shared, place)))),
                 Err(error) => {
-                    let ms = hold.age(self.shared).as_millis() as u64;
-                    ForwardLog::new(self.call).failed(&hold, &error, "ask another", ms);
+                    ForwardLog::new(self.shared, self.call).failed(&hold, &error, Next::AskAnother);
                     if !matches!(error, UpstreamError::Refused { .. }) {
                         hold.failed(self.shared, &error);
                     }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -48,4 +48,5 @@
 mod soak;
 mod stage_controller;
 mod stage_plan;
+mod story;
 mod suspicion;
