Learn no reading rate from requests that were placed elsewhere

Change: they teach nothing. Ruled out: engines that were slow (one alone read at 50 again once lines had ended). Test: failed before (12.5 instead of 50).

--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -45,7 +45,7 @@
 struct Placed {
     decode: String,
     prefill: Option<String>,
-    ahead: f64,
+    ahead: Option<f64>,
 }
 
 /// An engine that may read a prompt.
@@ -121,7 +121,7 @@
         let reading = self.reading.per_milli();
         let reader = ask.apart.then(|| self.reader(ask, now)).flatten();
         let line = reader.as_ref().map(|reader| reader.wait);
-        let ahead = reader.as_ref().map_or(0.0, |reader| reader.ahead);
+        let ahead = reader.as_ref().map(|reader| reader.ahead);
         let fits = line.is_some_and(|wait| wait <= LINE_TIME);
         let (start, prefill) = match reader {
             Some(reader) if fits => (now + reader.wait + reader.time, Some(reader.name)),
@@ -203,7 +203,7 @@
         let placed = Placed {
             decode: run.decode.clone(),
             prefill: None,
-            ahead: 0.0,
+            ahead: None,
         };
         self.runs.insert(run.ask.id, placed);
     }
@@ -225,13 +225,17 @@
         let Some(placed) = self.runs.get(&end.id) else {
             return;
         };
+        // What was in line before a request that was placed elsewhere is not known.
+        let Some(ahead) = placed.ahead else {
+            return;
+        };
         let decode = self.engines.get(&placed.decode);
         let mut runs = decode.into_iter().flat_map(|plan| &plan.runs);
         let Some(run) = runs.find(|run| run.id == end.id) else {
             return;
         };
         // A rate that is too low makes the line look too long, which raises it, and the reverse.
-        let tokens = placed.ahead + run.prompt;
+        let tokens = ahead + run.prompt;
         self.reading.note(tokens, end.reading);
         let reader = placed.prefill.as_ref();
         if let Some(reader) = reader.and_then(|name| self.engines.get_mut(name)) {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -313,3 +313,21 @@
         .collect();
     assert_yaml_snapshot!(seen);
 }
+
+#[test]
+fn requests_that_were_placed_elsewhere_do_not_tell_the_reading_rate() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    for id in 0..3 {
+        let run = PlaceRun {
+            ask: ask(id, 5_000, 100),
+            decode: "d1".to_owned(),
+            since: Duration::from_millis(500),
+        };
+        ledger.adopt(&run, at(0));
+    }
+    for id in 0..3 {
+        ledger.end(&read_in(id, Duration::from_millis(400)), at(100));
+    }
+    let next = ledger.place(&ask(9, 100, 10), at(200)).unwrap();
+    assert_yaml_snapshot!(format!("{:.1}", next.figures.reading));
+}
