Let a daemon that starts again take no pool back for a while

Cause: the first daemon in the rendezvous order placed a pool's streams again as soon as it was listed anew; each change of the placing daemon loses sight of what is placed, and while daemons disagree two of them fill the same engines. Change: daemons come in rendezvous order from an age of a minute on, at multiples of 30 s; younger ones after them, the oldest first. A daemon tells a new placing daemon what is placed within half a second instead of with its next ask. Orders for roles take turns in the same order. Test: which daemon comes first, by age; did not exist before.

--- a/src/control/place_router.rs
+++ b/src/control/place_router.rs
@@ -1,15 +1,20 @@
 use {
     super::Allocation,
     crate::{
-        board::{HostState, Members, Section, Tick},
-        decide::rendezvous::{Candidate, rank},
+        board::{Members, Section, Tick},
+        decide::placer_order,
         key::HostKey,
         port::{
             Clock, Peer, PeerCall, PeerReply, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRun, Placer,
         },
     },
     arc_swap::ArcSwap,
-    std::{collections::HashMap, hash::Hash, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeSet, HashMap},
+        hash::Hash,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -19,6 +24,9 @@
 /// Time for which a daemon that did not answer is not asked again.
 const AVOID_TIME: Duration = Duration::from_secs(4);
 
+/// Pause between two looks at who places requests.
+const TELL_TIME: Duration = Duration::from_millis(500);
+
 /// Daemons that are tried for one ask.
 const TRIES: usize = 2;
 
@@ -69,15 +77,11 @@
         let members = self.members.load();
         let avoided = self.state.avoided.load();
         let now = self.clock.now();
-        let able: Vec<_> = members
+        let able = members
             .hosts
             .iter()
-            .filter(|(key, host)| {
-                host.state == HostState::Alive && avoided.get(key).is_none_or(|until| *until <= now)
-            })
-            .map(|(key, host)| Candidate::new(key, &host.name))
-            .collect();
-        rank(pool, &able)
+            .filter(|(key, _)| avoided.get(key).is_none_or(|until| *until <= now));
+        placer_order(pool, able, self.clock.unix_ms())
     }
 
     fn avoid(&self, host: HostKey) {
@@ -130,6 +134,21 @@
         }
     }
 
+    /// Tells each daemon that comes to place requests what is placed already, until it is dropped:
+    /// the next ask may be seconds away.
+    pub async fn tell(self) {
+        loop {
+            self.clock.sleep(TELL_TIME).await;
+            let runs = self.state.runs.load_full();
+            let pools: BTreeSet<_> = runs.values().map(|run| run.ask.pool.as_str()).collect();
+            for pool in pools {
+                if let Some(host) = self.ranked(pool).first() {
+                    self.introduce(*host, pool).await;
+                }
+            }
+        }
+    }
+
     fn placed(&self, ask: &PlaceAsk, decode: &str) {
         let run = PlacedRun {
             ask: ask.clone(),
--- a/src/control/stage_controller.rs
+++ b/src/control/stage_controller.rs
@@ -1,12 +1,8 @@
 use {
     super::{OrderClaim, OrderClaims},
     crate::{
-        board::{Endpoint, Fleet, HostState, Members, Role, Section, Tick},
-        decide::{
-            StageChange,
-            rendezvous::{Candidate, rank},
-            stage_changes,
-        },
+        board::{Endpoint, Fleet, Members, Role, Section, Tick},
+        decide::{StageChange, placer_order, stage_changes},
         port::{Clock, ObjectStore, RoleOrder, RoleOrders, UpstreamError},
     },
     std::time::Duration,
@@ -155,12 +151,8 @@
     /// Daemons that act on `pool` before this one.
     fn turn(&self, pool: &str) -> u32 {
         let members = self.parts.members.load();
-        let alive = members.hosts.iter();
-        let alive = alive.filter(|(_, host)| host.state == HostState::Alive);
-        let able: Vec<_> = alive
-            .map(|(key, host)| Candidate::new(key, &host.name))
-            .collect();
-        let ranked = rank(pool, &able);
+        let now = self.parts.clock.unix_ms();
+        let ranked = placer_order(pool, members.hosts.iter(), now);
         let before = ranked.iter().take_while(|key| **key != members.own);
         before.count() as u32
     }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -186,10 +186,12 @@
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
         let members = board.members.clone();
+        let placer = PlaceRouter::new(ports.peer, clock, members, allocation.clone());
+        tasks.spawn(placer.clone().tell());
         let host = HostPorts {
             clock,
             upstream: ports.upstream,
-            placer: PlaceRouter::new(ports.peer, clock, members, allocation.clone()),
+            placer,
         };
         let options = settings.options.clone();
         let shared = ForwardShared::new(host, board.clone(), counters, options, seed);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
     owner_choice::{OwnerOption, order_owners, owners_to_ask},
     partners::Partners,
     place::{Need, Place, choose_decode, choose_prefill, choose_service, prefill_end},
+    placer_order::placer_order,
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
     queue_order::{AGE_STEP, LATE_TURN, Rank, late_rank, rank},
     read_rate::ReadRate,
@@ -65,6 +66,7 @@
 pub mod ownership;
 mod partners;
 mod place;
+mod placer_order;
 mod prefix_hash;
 mod queue_order;
 mod read_rate;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -30,6 +30,7 @@
 mod owner_choice;
 mod ownership;
 mod peer_listener;
+mod placer_order;
 mod platform;
 mod process;
 mod process_daemon;
--- /dev/null
+++ b/tests/placer_order.rs
@@ -0,0 +1,64 @@
+//! Which daemon places the requests of a pool.
+
+use {
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Arena, Host, HostState, Tick},
+        decide::placer_order,
+        key::HostKey,
+    },
+};
+
+/// Start of the day, in milliseconds since the Unix epoch.
+const DAY: u64 = 1_764_806_400_000;
+
+/// Daemons by name, start in seconds of the day, and whether they live.
+fn order(daemons: &[(&str, u64, bool)], pool: &str, second: u64) -> String {
+    let mut hosts = Arena::<HostKey, Host>::default();
+    for (name, start, alive) in daemons {
+        let host = Host {
+            name: (*name).to_owned(),
+            address: "10.0.0.1:1".to_owned(),
+            zone: "zone-a".to_owned(),
+            incarnation: DAY + start * 1_000,
+            round: 0,
+            state: if *alive {
+                HostState::Alive
+            } else {
+                HostState::Dead
+            },
+            since: Tick::default(),
+        };
+        hosts.insert(name, host);
+    }
+    let order = placer_order(pool, hosts.iter(), DAY + second * 1_000);
+    let names = order.iter().filter_map(|key| hosts.get(*key));
+    names
+        .map(|host| host.name.as_str())
+        .collect::<Vec<_>>()
+        .join(" ")
+}
+
+#[test]
+fn daemons_that_start_again_take_no_pool_back_for_a_while() {
+    let mut daemons = [
+        ("a", 0, true),
+        ("b", 1, true),
+        ("c", 2, true),
+        ("d", 3, true),
+    ];
+    let mut seen = vec![("new, by age", order(&daemons, "models", 10))];
+    seen.push(("settled, by hash", order(&daemons, "models", 100)));
+    seen.push(("another pool", order(&daemons, "notes", 100)));
+    let first = daemons
+        .iter()
+        .position(|(name, _, _)| order(&daemons, "models", 100).starts_with(name));
+    let first = first.unwrap();
+    daemons[first].2 = false;
+    seen.push(("the first is dead", order(&daemons, "models", 101)));
+    daemons[first] = (daemons[first].0, 103, true);
+    seen.push(("it has started again", order(&daemons, "models", 104)));
+    seen.push(("80 s later", order(&daemons, "models", 184)));
+    seen.push(("90 s later", order(&daemons, "models", 194)));
+    assert_yaml_snapshot!(seen);
+}
