--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -331,3 +331,15 @@
     let next = ledger.place(&ask(9, 100, 10), at(200)).unwrap();
     assert_yaml_snapshot!(format!("{:.1}", next.figures.reading));
 }
+
+#[test]
+fn a_second_of_unknown_lines_does_not_ruin_the_reading_rate() {
+    let mut ledger = ledger(&[("d1", Role::Decode), ("p1", Role::Prefill)]);
+    let mut seen = Vec::new();
+    for id in 0..20 {
+        let ms = if (5..10).contains(&id) { 400 } else { 95 };
+        let rate = rate_after(&mut ledger, id, id * 2_000, Duration::from_millis(ms));
+        seen.push(format!("read in {ms} ms: {rate}"));
+    }
+    assert_yaml_snapshot!(seen);
+}
