Read the list of daemons often while a daemon is young

Cause: changes of the list are gathered for 3 s, to save calls to the store. Change: a daemon gathers changes for 0.3 s only in its first 5 s. Test: the pauses, young and after; did not exist before.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -26,6 +26,7 @@
     kind: &'static str,
     wait: Duration,
     pause: Duration,
+    first: (Duration, Tick),
     due: Duration,
     rng: SmallRng,
     backoff: Backoff,
@@ -57,6 +58,7 @@
     pub fn new(feed: F, clock: C, kind: &'static str, wait: Duration, rng: SmallRng) -> Self {
         Self {
             pause: Duration::ZERO,
+            first: (Duration::ZERO, Tick::default()),
             due: Duration::ZERO,
             feed,
             clock,
@@ -77,6 +79,16 @@
         Self { pause, ..self }
     }
 
+    /// Waits only for `pause` in the first `time`, in which a daemon has much to learn.
+    #[must_use]
+    pub fn gather_first(self, pause: Duration, time: Duration) -> Self {
+        let until = self.clock.now() + time;
+        Self {
+            first: (pause, until),
+            ..self
+        }
+    }
+
     /// When the store last failed to answer.
     pub fn failed(&self) -> Option<Tick> {
         self.failed
@@ -141,7 +153,12 @@
             return Ok(News::Same);
         }
         self.revision = changes.revision;
-        self.due = self.pause;
+        let (first, until) = self.first;
+        self.due = if self.clock.now() < until {
+            first.min(self.pause)
+        } else {
+            self.pause
+        };
         Ok(News::Some(changes.changes))
     }
 
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -23,6 +23,13 @@
 /// Time in which changes of endpoints are gathered.
 const ENDPOINT_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which changes of the list of daemons are gathered while a daemon is young: others may
+/// have started with it.
+const MEMBER_FIRST: Duration = Duration::from_millis(300);
+
+/// Time for which a daemon is young.
+const MEMBER_YOUNG: Duration = Duration::from_secs(5);
+
 /// Time in which changes of the list of daemons are gathered.
 const MEMBER_PAUSE: Duration = Duration::from_secs(3);
 
@@ -181,7 +188,8 @@
         tasks.spawn(register(ports.register, clock, own.clone()));
         let members = rng("members");
         let follower = FeedFollower::new(ports.members, clock, "members", MEMBER_WAIT, members)
-            .gather(MEMBER_PAUSE);
+            .gather(MEMBER_PAUSE)
+            .gather_first(MEMBER_FIRST, MEMBER_YOUNG);
         tasks.spawn(MemberRoster::new(follower, own, writers.members).run());
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
--- a/tests/feed_follower.rs
+++ b/tests/feed_follower.rs
@@ -118,3 +118,25 @@
     ]);
     assert_yaml_snapshot!(seen.await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn changes_are_gathered_briefly_at_first_and_longer_afterwards() {
+    let changes = (1..=6).map(|revision| Answer::Changes(revision, vec!["a"]));
+    let script = std::iter::once(Answer::Listing(0, "a")).chain(changes);
+    let feed = Scripted {
+        script: Arc::new(Mutex::new(script.collect())),
+        asked: Arc::default(),
+    };
+    let rng = SmallRng::seed_from_u64(1);
+    let wait = Duration::from_secs(4);
+    let mut follower = FeedFollower::new(feed, MonoClock::start(), "test", wait, rng)
+        .gather(Duration::from_secs(3))
+        .gather_first(Duration::from_millis(300), Duration::from_secs(1));
+    let start = tokio::time::Instant::now();
+    let mut seen = Vec::new();
+    for _ in 0..7 {
+        follower.next().await;
+        seen.push(start.elapsed().as_millis());
+    }
+    assert_yaml_snapshot!(seen);
+}
