Split the relay of events and the worker stand-in of the soak

Change: the types of a run go to stream_run.rs, answers and faults of the worker stand-in to worker_answer.rs and worker_fault.rs; no change of behaviour. Ruled out: a split of the relay by phase (open and next share the run).

--- a/soak/caller.rs
+++ b/soak/caller.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         witness::{Answer, Ask, Kind, Witness},
-        worker_stand_in::{EVENTS, event},
+        worker_answer::{EVENTS, event},
     },
     bytes::Bytes,
     http::{Request, Response},
--- a/soak/fault.rs
+++ b/soak/fault.rs
@@ -1,5 +1,5 @@
 use {
-    super::{link_proxy::LinkFault, store_stand_in::StoreFault, worker_stand_in::WorkerFault},
+    super::{link_proxy::LinkFault, store_stand_in::StoreFault, worker_fault::WorkerFault},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
         fmt::{Display, Formatter, Result},
--- a/soak/lib.rs
+++ b/soak/lib.rs
@@ -18,4 +18,6 @@
 mod soak_run;
 mod store_stand_in;
 pub mod witness;
+mod worker_answer;
+mod worker_fault;
 mod worker_stand_in;
--- a/soak/soak_run.rs
+++ b/soak/soak_run.rs
@@ -9,7 +9,7 @@
         site::Site,
         store_stand_in::StoreFault,
         witness::TroubleGuard,
-        worker_stand_in::WorkerFault,
+        worker_fault::WorkerFault,
     },
     bytes::Bytes,
     http::Request,
--- a/soak/worker_stand_in.rs
+++ b/soak/worker_stand_in.rs
@@ -2,17 +2,14 @@
     super::{
         StoreStandIn,
         link_proxy::LinkProxy,
-        witness::{Order, RunGuard, Witness},
+        witness::{Order, Witness},
+        worker_answer::{Answer, events, garbled, refused, signed, text, whole},
+        worker_fault::WorkerFault,
     },
     bytes::Bytes,
-    futures_util::stream::{self, BoxStream, StreamExt},
-    http::{HeaderMap, Method, Request, Response},
-    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
-    hyper::{
-        body::{Frame, Incoming},
-        server::conn::http1,
-        service::service_fn,
-    },
+    http::{HeaderMap, Method, Request},
+    http_body_util::{BodyExt, StreamBody},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     serde_json::{Value, json},
     std::{
@@ -24,9 +21,6 @@
     tokio::{net::TcpListener, sync::watch, time::sleep},
 };
 
-/// Events of each stream.
-pub const EVENTS: u64 = 12;
-
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(40);
 
@@ -66,24 +60,6 @@
 /// Prompts that were read apart and have not been taken, of every engine.
 pub type Caches = Arc<Mutex<HashSet<String>>>;
 
-/// What a worker does wrong with requests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum WorkerFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// Answers a failure of its own.
-    Failing,
-    /// Runs and closes the connection instead of an answer.
-    Mute,
-    /// Sends bytes that are no answer.
-    Garbled,
-    /// Runs at a fifth of its speed.
-    Slow,
-    /// Is full.
-    Full,
-}
-
 #[derive(Debug)]
 struct State {
     instance: String,
@@ -97,8 +73,6 @@
     made: u64,
 }
 
-type Answer = Response<UnsyncBoxBody<Bytes, io::Error>>;
-
 impl WorkerStandIn {
     /// Starts a worker of `service`; an engine has a `role`.
     pub async fn start(
@@ -268,7 +242,7 @@
             return Ok(refused(503));
         };
         let _run = self.witness.run(&id, instance);
-        sleep(pace(CALL_TIME, fault)).await;
+        sleep(fault.pace(CALL_TIME)).await;
         let stamp = format!("{instance}.{id}");
         match fault {
             WorkerFault::Failing => Ok(whole(500, &stamp, "failed")),
@@ -299,7 +273,7 @@
             return Ok(refused(503));
         };
         if reads {
-            sleep(pace(READ_TIME, fault)).await;
+            sleep(fault.pace(READ_TIME)).await;
             return Ok(self.keep_cache(instance));
         }
         let run = self.witness.run(&id, instance);
@@ -311,7 +285,7 @@
             _ => {}
         }
         let last: u64 = text(head, "last-event-id").parse().unwrap_or(0);
-        let pause = pace(EVENT_TIME, fault);
+        let pause = fault.pace(EVENT_TIME);
         let events = events(id, last, pause, (run, slot));
         let body = BodyExt::boxed_unsync(StreamBody::new(events));
         Ok(signed(200, &stamp, "text/event-stream", body))
@@ -411,89 +385,3 @@
         state.running = state.running.saturating_sub(1);
     }
 }
-
-/// Event `number` of the stream that answers request `id`.
-pub fn event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id} {number}\n\n")
-}
-
-/// The events after `last`; `held` is dropped with them.
-fn events(
-    id: String,
-    last: u64,
-    pause: Duration,
-    held: (RunGuard, Slot),
-) -> BoxStream<'static, io::Result<Frame<Bytes>>> {
-    let start = (last + 1, held);
-    stream::unfold(start, move |(number, held)| {
-        let id = id.clone();
-        async move {
-            if number > EVENTS {
-                return None;
-            }
-            sleep(pause).await;
-            let frame = Frame::data(Bytes::from(event(&id, number)));
-            Some((Ok(frame), (number + 1, held)))
-        }
-    })
-    .boxed()
-}
-
-/// How long what takes `time` takes.
-fn pace(time: Duration, fault: WorkerFault) -> Duration {
-    if fault == WorkerFault::Slow {
-        time * 5
-    } else {
-        time
-    }
-}
-
-fn text(head: &HeaderMap, name: &str) -> String {
-    let value = head.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
-fn body(text: &str) -> UnsyncBoxBody<Bytes, io::Error> {
-    let body = Full::new(Bytes::from(text.to_owned()));
-    body.map_err(|never| match never {}).boxed_unsync()
-}
-
-fn whole(status: u16, stamp: &str, told: &str) -> Answer {
-    signed(status, stamp, "application/json", body(told))
-}
-
-fn signed(status: u16, stamp: &str, kind: &str, body: UnsyncBoxBody<Bytes, io::Error>) -> Answer {
-    let mut answer = Response::builder()
-        .status(status)
-        .header("content-type", kind);
-    if let Some((_, id)) = stamp.split_once('.') {
-        answer = answer
-            .header("server-stamp", stamp)
-            .header("request-id", id);
-    }
-    // The parts are all valid; a mistake here would show as an unsigned answer.
-    answer.body(body).unwrap_or_default()
-}
-
-/// A success that announces more than it holds, and so is cut.
-fn garbled(stamp: &str) -> Answer {
-    let cut = stream::iter([
-        Ok(Frame::data(Bytes::from_static(b"id: 1\nda"))),
-        Err(io::ErrorKind::ConnectionReset.into()),
-    ]);
-    signed(
-        200,
-        stamp,
-        "application/json",
-        BodyExt::boxed_unsync(StreamBody::new(cut)),
-    )
-}
-
-/// A rejection that says that nothing was run.
-fn refused(status: u16) -> Answer {
-    let mut answer = whole(status, "", "");
-    answer
-        .headers_mut()
-        .insert("not-run", http::HeaderValue::from_static("1"));
-    answer
-}
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -1,11 +1,12 @@
 use {
     super::{
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, PlaceHold,
-        PlacementHold, Refused,
+        Refused,
         forward_answer::ForwardAnswer,
         forward_log::Next,
         forward_refusal,
         place_search::{PlaceSearch, Places},
+        stream_run::{BodyOf, Run, Started},
     },
     crate::{
         board::{Refusal, RetryReason},
@@ -27,9 +28,6 @@
 /// Times that a prompt is read apart before it is read where it decodes.
 const READ_TRIES: u32 = 1;
 
-/// Body of the answers of a port.
-type BodyOf<P> = <<P as ForwardParts>::Upstream as Upstream>::Body;
-
 /// A stream of events on its way to the caller, which moves to another endpoint when it breaks.
 ///
 /// Dropping it closes the connection to the endpoint, which ends the run there.
@@ -47,18 +45,6 @@
     open: bool,
 }
 
-/// The attempt that runs now.
-#[derive(Debug)]
-struct Run<P>
-where
-    P: ForwardParts,
-{
-    hold: EndpointHold,
-    body: BodyOf<P>,
-    placement: Option<PlacementHold<P>>,
-    fresh: bool,
-}
-
 /// How a stream began.
 #[derive(Debug)]
 pub enum Opened<P>
@@ -395,31 +381,3 @@
         }
     }
 }
-
-/// An attempt whose answer has begun.
-#[derive(Debug)]
-struct Started<P>
-where
-    P: ForwardParts,
-{
-    status: u16,
-    headers: HeaderMap,
-    body: BodyOf<P>,
-    hold: EndpointHold,
-    placement: Option<PlacementHold<P>>,
-}
-
-impl<P> Started<P>
-where
-    P: ForwardParts,
-{
-    fn into_run(self) -> (HeaderMap, Run<P>) {
-        let run = Run {
-            hold: self.hold,
-            body: self.body,
-            placement: self.placement,
-            fresh: true,
-        };
-        (self.headers, run)
-    }
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -80,3 +80,4 @@
 mod service_run;
 mod shared;
 mod sink;
+mod stream_run;
