--- a/src/board/host.rs
+++ b/src/board/host.rs
@@ -16,6 +16,8 @@
     pub incarnation: u64,
     /// Number of suspicions that the incarnation has refuted.
     pub round: u32,
+    /// Hundredths of a core that its daemon may use; 0 if that was not told.
+    pub strength: u32,
     /// State of the membership protocol.
     pub state: HostState,
     /// When the state last changed.
--- a/src/control/member_roster.rs
+++ b/src/control/member_roster.rs
@@ -27,6 +27,9 @@
     pub address: String,
     /// Start time in milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// Hundredths of a core that it may use; 0 if it does not say.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// Writes the `members` section from a feed in which daemons register themselves.
@@ -121,6 +124,7 @@
         address: entry.address,
         incarnation: entry.incarnation,
         round: 0,
+        strength: entry.strength,
         state: HostState::Alive,
         since: Tick::default(),
     };
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -47,6 +47,8 @@
     pub watch: Duration,
     /// Hundredths of the engines that are to read prompts.
     pub prefill_percent: usize,
+    /// Hundredths of a core that this daemon may use.
+    pub strength: u32,
     /// Limits of the path of a request.
     pub options: ForwardOptions,
 }
@@ -184,6 +186,7 @@
             zone: settings.options.zone.clone(),
             address: settings.address.clone(),
             incarnation: clock.unix_ms(),
+            strength: settings.strength,
         };
         tasks.spawn(register(ports.register, clock, own.clone()));
         let members = rng("members");
--- a/src/decide/membership.rs
+++ b/src/decide/membership.rs
@@ -90,6 +90,7 @@
                 address: listed.address.clone(),
                 incarnation: 0,
                 round: 0,
+                strength: 0,
                 state,
                 since: now,
             };
@@ -316,6 +317,7 @@
         address: news.address.clone(),
         incarnation: news.incarnation,
         round: news.round,
+        strength: 0,
         state: news.state,
         since,
     }
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -110,6 +110,7 @@
                 address: name.clone(),
                 incarnation: INCARNATION,
                 round: 0,
+                strength: 0,
                 state: HostState::Alive,
                 since: Tick(0),
             };
--- a/tests/line_bench.rs
+++ b/tests/line_bench.rs
@@ -163,6 +163,7 @@
         incarnation: 1,
         state: HostState::Alive,
         round: 0,
+        strength: 0,
         since: Tick::default(),
     }
 }
--- a/tests/operator_listener.rs
+++ b/tests/operator_listener.rs
@@ -126,6 +126,7 @@
         state,
         since: Tick(0),
         round: 0,
+        strength: 0,
     }
 }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -25,6 +25,7 @@
         address: String::from("127.0.0.1:1"),
         incarnation: 1,
         round: 0,
+        strength: 0,
         state: HostState::Alive,
         since: Tick(0),
     }
--- a/tests/placer_order.rs
+++ b/tests/placer_order.rs
@@ -12,16 +12,23 @@
 /// Start of the day, in milliseconds since the Unix epoch.
 const DAY: u64 = 1_764_806_400_000;
 
-/// Daemons by name, start in seconds of the day, and whether they live.
+/// The order of daemons by name, start in seconds of the day, and whether they live; all are alike.
 fn order(daemons: &[(&str, u64, bool)], pool: &str, second: u64) -> String {
+    let alike = daemons.iter().map(|daemon| (*daemon, 25));
+    order_of(&alike.collect::<Vec<_>>(), pool, second)
+}
+
+/// The order of daemons with hundredths of a core.
+fn order_of(daemons: &[((&str, u64, bool), u32)], pool: &str, second: u64) -> String {
     let mut hosts = Arena::<HostKey, Host>::default();
-    for (name, start, alive) in daemons {
+    for ((name, start, alive), strength) in daemons {
         let host = Host {
             name: (*name).to_owned(),
             address: "10.0.0.1:1".to_owned(),
             zone: "zone-a".to_owned(),
             incarnation: DAY + start * 1_000,
             round: 0,
+            strength: *strength,
             state: if *alive {
                 HostState::Alive
             } else {
@@ -62,3 +69,15 @@
     seen.push(("90 s later", order(&daemons, "models", 194)));
     assert_yaml_snapshot!(seen);
 }
+
+#[test]
+fn strong_hosts_come_before_weak_ones() {
+    let daemons = [
+        (("weak-1", 0, true), 12),
+        (("weak-2", 1, true), 12),
+        (("strong-1", 2, true), 50),
+        (("strong-2", 3, true), 40),
+    ];
+    let seen = [10, 100].map(|second| (second, order_of(&daemons, "models", second)));
+    assert_yaml_snapshot!(seen);
+}
--- a/tests/stage_controller.rs
+++ b/tests/stage_controller.rs
@@ -108,6 +108,7 @@
         zone: "zone-a".to_owned(),
         incarnation: 1,
         round: 0,
+        strength: 0,
         state: HostState::Alive,
         since: Tick::default(),
     }
