--- /dev/null
+++ b/tests/forward_site.rs
@@ -0,0 +1,334 @@
+//! A daemon that forwards to scripted endpoints.
+
+use {
+    crate::{listed::listed, routing::route},
+    bytes::Bytes,
+    http::{HeaderMap, Method},
+    lentillead::{
+        board::{
+            Blackboard, CallerLimits, Counters, Health, PathRoute, Repeat, ReplyKind, Role,
+            Routing, SeenLoad, Writers,
+        },
+        decide::merge_described,
+        port::{
+            AnswerBody, AnswerEvent, CacheHandle, ForwardRequest, MonoClock, PlaceAsk, PlaceEnd,
+            PlaceHandle, PlaceOutcome, Placer, PromptSize, Upstream, UpstreamAnswer, UpstreamAsk,
+            UpstreamError,
+        },
+        request::{
+            ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
+        },
+    },
+    prometheus_client::registry::Registry,
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// What an endpoint does with a call.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers after a time.
+    Answer(u16, u64),
+    /// Sends events with these numbers; then ends, or breaks off.
+    Events(Vec<u64>, bool),
+    /// Fails.
+    Fail(UpstreamError),
+    /// Never answers.
+    Hang,
+}
+
+/// Endpoints that act by a script, whichever is called, and note the calls.
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    pub acts: Arc<Mutex<VecDeque<Act>>>,
+    pub calls: Arc<Mutex<Vec<String>>>,
+}
+
+impl Script {
+    pub async fn act(&self, call: String) -> Result<Act, UpstreamError> {
+        self.calls.lock().unwrap().push(call);
+        let act = self.acts.lock().unwrap().pop_front();
+        match act.unwrap_or(Act::Answer(200, 1)) {
+            Act::Fail(error) => Err(error),
+            Act::Hang => {
+                sleep(Duration::from_hours(1)).await;
+                Err(UpstreamError::Silent)
+            }
+            Act::Answer(status, ms) => {
+                sleep(Duration::from_millis(ms)).await;
+                Ok(Act::Answer(status, ms))
+            }
+            events @ Act::Events(..) => Ok(events),
+        }
+    }
+
+    pub fn note(&self, call: &str) {
+        self.calls.lock().unwrap().push(call.to_owned());
+    }
+}
+
+/// Body of a scripted answer.
+#[derive(Debug)]
+pub struct Body(VecDeque<u64>, bool);
+
+impl AnswerBody for Body {
+    async fn next(&mut self) -> Result<Option<AnswerEvent>, UpstreamError> {
+        match self.0.pop_front() {
+            Some(id) => Ok(Some(AnswerEvent {
+                id: Some(id),
+                bytes: Bytes::from(format!("event {id}")),
+            })),
+            None if self.1 => Ok(None),
+            None => Err(UpstreamError::Broken("cut".into())),
+        }
+    }
+
+    async fn whole(self) -> Result<Bytes, UpstreamError> {
+        Ok(Bytes::from_static(b"whole"))
+    }
+}
+
+impl Upstream for Script {
+    type Body = Body;
+
+    async fn send(&self, ask: UpstreamAsk) -> Result<UpstreamAnswer<Body>, UpstreamError> {
+        let cache = ask
+            .cache
+            .map_or(String::new(), |cache| format!(" from {}", cache.handle));
+        let resume = ask
+            .resume
+            .map_or(String::new(), |last| format!(" after {last}"));
+        let act = self.act(format!("run{cache}{resume}")).await?;
+        let (status, body) = match act {
+            Act::Events(ids, ends) => (200, Body(ids.into(), ends)),
+            Act::Answer(status, _) => (status, Body(VecDeque::new(), true)),
+            Act::Fail(_) | Act::Hang => unreachable!("handled before"),
+        };
+        Ok(UpstreamAnswer {
+            status,
+            headers: HeaderMap::new(),
+            load: Some(SeenLoad {
+                running: 1,
+                waiting: 0,
+                slots: 6,
+            }),
+            body,
+        })
+    }
+
+    async fn prefill(&self, ask: UpstreamAsk) -> Result<CacheHandle, UpstreamError> {
+        self.act("prefill".into()).await?;
+        Ok(CacheHandle {
+            address: ask.address,
+            handle: "cache".into(),
+        })
+    }
+
+    async fn reserve(
+        &self,
+        ask: UpstreamAsk,
+        tokens: u64,
+        _: Duration,
+    ) -> Result<PlaceHandle, UpstreamError> {
+        self.act(format!("reserve {tokens}")).await?;
+        Ok(PlaceHandle {
+            address: ask.address,
+            handle: "place".into(),
+        })
+    }
+
+    async fn release(&self, _: PlaceHandle) -> Result<(), UpstreamError> {
+        self.note("release");
+        Ok(())
+    }
+
+    async fn free(&self, _: CacheHandle) -> Result<(), UpstreamError> {
+        self.note("free");
+        Ok(())
+    }
+}
+
+/// A daemon that places requests as the test says.
+#[derive(Clone, Debug)]
+pub struct Places(PlaceOutcome);
+
+impl Placer for Places {
+    async fn place(&self, ask: PlaceAsk) -> PlaceOutcome {
+        sleep(Duration::from_millis(100)).await;
+        match self.0.clone() {
+            PlaceOutcome::Placed {
+                decode,
+                prefill,
+                suspect,
+            } => PlaceOutcome::Placed {
+                suspect,
+                decode: if ask.avoid.contains(&decode) {
+                    "d2".to_owned()
+                } else {
+                    decode
+                },
+                prefill: prefill.filter(|name| ask.apart && !ask.avoid.contains(name)),
+            },
+            other => other,
+        }
+    }
+
+    fn end(&self, _: PlaceEnd) {}
+}
+
+#[derive(Clone, Debug)]
+pub struct Ports(Script, Places, MonoClock);
+
+impl ForwardParts for Ports {
+    type Clock = MonoClock;
+    type Upstream = Script;
+    type Placer = Places;
+
+    fn clock(&self) -> &MonoClock {
+        &self.2
+    }
+
+    fn upstream(&self) -> &Script {
+        &self.0
+    }
+
+    fn placer(&self) -> &Places {
+        &self.1
+    }
+}
+
+/// A daemon with endpoints of every role.
+pub struct Site {
+    pub entry: ForwardEntry<Ports>,
+    pub script: Script,
+    pub writers: Writers,
+}
+
+pub fn routes() -> Vec<PathRoute> {
+    let once = |route| PathRoute {
+        repeat: Repeat::AtMostOnce,
+        attempts: 1,
+        ..route
+    };
+    let events = |route| PathRoute {
+        reply: ReplyKind::Events,
+        pools: vec![("models".to_owned(), 1)],
+        timeout: Duration::from_secs(14),
+        target: Duration::from_millis(900),
+        ..route
+    };
+    vec![
+        route("read", "a.example", "/read/"),
+        once(route("order", "a.example", "/order/")),
+        events(route("stream", "a.example", "/stream/")),
+        once(events(route("stream-once", "a.example", "/once/"))),
+    ]
+}
+
+pub fn site(places: PlaceOutcome, acts: Vec<Act>) -> Site {
+    let (board, mut writers) = Blackboard::new();
+    let endpoints = [
+        listed("s1", "ledger", Role::Service),
+        listed("s2", "ledger", Role::Service),
+        listed("d1", "models", Role::Decode),
+        listed("d2", "models", Role::Decode),
+        listed("p1", "models", Role::Prefill),
+    ];
+    let described: Vec<_> = endpoints.iter().map(|(l, d)| (l, d)).collect();
+    writers
+        .fleet
+        .update(|fleet| merge_described(fleet, &described));
+    let routing = Routing::new(4, routes(), HashMap::new(), CallerLimits::default());
+    writers.routing.publish(routing);
+    writers.health.publish(Health {
+        store: true,
+        ready: true,
+        ..Health::default()
+    });
+    let script = Script {
+        acts: Arc::new(Mutex::new(acts.into())),
+        calls: Arc::default(),
+    };
+    let ports = Ports(script.clone(), Places(places), MonoClock::start());
+    let counters = Counters::new(&mut Registry::default());
+    let shared = ForwardShared::new(ports, board, counters, ForwardOptions::default(), 7);
+    Site {
+        entry: ForwardEntry::new(shared),
+        script,
+        writers,
+    }
+}
+
+pub fn refused(refused: &Refused) -> String {
+    let wait = refused.retry_after.map(|wait| wait.as_millis());
+    format!(
+        "{} ran {:?} again after {wait:?}",
+        refused.reason.word(),
+        refused.ran
+    )
+}
+
+impl Site {
+    /// Sends a request and returns what the caller and the endpoints saw.
+    pub async fn send(&self, path: &str) -> (String, Vec<String>, u128) {
+        let start = tokio::time::Instant::now();
+        let request = ForwardRequest {
+            id: "r-1".to_owned(),
+            method: Method::POST,
+            host: "a.example".to_owned(),
+            target: format!("{path}x?y=1"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            size: Some(PromptSize {
+                prompt: 5_000,
+                output: 1_000,
+                hint: None,
+            }),
+            resume: None,
+        };
+        let told = match self.entry.forward(request, None).await {
+            ForwardReply::Whole(answer) => format!("status {}", answer.status),
+            ForwardReply::Refused(reason) => refused(&reason),
+            ForwardReply::Events(_, mut relay) => {
+                let mut told = Vec::new();
+                while let Some(next) = relay.next().await {
+                    told.push(match next {
+                        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+                        Err(reason) => refused(&reason),
+                    });
+                }
+                told.join(", ")
+            }
+        };
+        let took = start.elapsed().as_millis();
+        self.entry.shared().settle().await;
+        (told, self.script.calls.lock().unwrap().clone(), took)
+    }
+}
+
+pub fn placed() -> PlaceOutcome {
+    PlaceOutcome::Placed {
+        suspect: false,
+        decode: "d1".to_owned(),
+        prefill: Some("p1".to_owned()),
+    }
+}
+
+pub fn full() -> Act {
+    Act::Fail(UpstreamError::Refused {
+        status: 503,
+        load: None,
+    })
+}
+
+pub fn broken() -> Act {
+    Act::Fail(UpstreamError::Broken("reset".into()))
+}
+
+pub fn unsent() -> Act {
+    Act::Fail(UpstreamError::Unsent("refused".into()))
+}
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -17,6 +17,7 @@
 mod feed_follower;
 mod fleet;
 mod forward_path;
+mod forward_site;
 mod ledger;
 mod line_bench;
 mod line_memory;
