Parse the arguments of both added subcommands in one place

Cause: platform/command.rs and soak/command.rs had the same parsing and exit status. Change: the thin main parses either and calls its run; outputs and status are the same. Ruled out: a shared library function (the soak is to know nothing of the library).

--- a/soak/command.rs
+++ b/soak/command.rs
@@ -55,36 +55,24 @@
     folder: PathBuf,
 }
 
-/// Runs what `arguments` say, without the name of the program and of this subcommand.
-pub fn main(name: &[&str], arguments: &[&str]) -> ExitCode {
-    let arguments = match SoakArguments::from_args(name, arguments) {
-        Ok(parsed) => parsed,
-        Err(exit) => {
-            println!("{}", exit.output);
-            return exit
-                .status
-                .map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
-        }
-    };
-    match arguments.run() {
-        Ok(0) => ExitCode::SUCCESS,
-        Ok(broken) => {
-            eprintln!(
-                "soak: {broken} of {} seeds broke a promise",
-                arguments.count
-            );
-            ExitCode::FAILURE
-        }
-        Err(e) => {
-            eprintln!("soak: {e}");
-            ExitCode::FAILURE
+impl SoakArguments {
+    /// Runs what they say, and says on standard error what failed.
+    pub fn run(&self) -> ExitCode {
+        match self.play_all() {
+            Ok(0) => ExitCode::SUCCESS,
+            Ok(broken) => {
+                eprintln!("soak: {broken} of {} seeds broke a promise", self.count);
+                ExitCode::FAILURE
+            }
+            Err(e) => {
+                eprintln!("soak: {e}");
+                ExitCode::FAILURE
+            }
         }
     }
-}
 
-impl SoakArguments {
     /// Plays every seed; returns how many broke a promise.
-    fn run(&self) -> Result<usize, SoakError> {
+    fn play_all(&self) -> Result<usize, SoakError> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let fresh = || now.map_or(0, |now| now.as_secs());
         let first = self.seed.unwrap_or_else(fresh);
--- a/soak/lib.rs
+++ b/soak/lib.rs
@@ -2,7 +2,7 @@
 //! stand in for the users' platform, with faults injected from outside.
 
 pub use self::{
-    command::main,
+    command::SoakArguments,
     soak_error::SoakError,
     store_stand_in::{StoreFault, StoreStandIn},
 };
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,9 @@
 //! The `lentillead` binary.
 
 use {
+    argh::FromArgs,
+    lentillead_platform::PlatformArguments,
+    lentillead_soak::SoakArguments,
     mimalloc::MiMalloc,
     std::{env, process::ExitCode},
 };
@@ -18,8 +21,23 @@
     let arguments: Vec<_> = env::args().collect();
     let words: Vec<_> = arguments.iter().map(String::as_str).collect();
     match words.as_slice() {
-        [name, PLATFORM, rest @ ..] => lentillead_platform::main(&[name, PLATFORM], rest),
-        [name, SOAK, rest @ ..] => lentillead_soak::main(&[name, SOAK], rest),
+        [name, PLATFORM, rest @ ..] => run(&[name, PLATFORM], rest, PlatformArguments::run),
+        [name, SOAK, rest @ ..] => run(&[name, SOAK], rest, SoakArguments::run),
         _ => lentillead::command::main(),
     }
 }
+
+/// Parses the arguments of the subcommand `name` and runs it.
+fn run<A>(name: &[&str], arguments: &[&str], command: fn(&A) -> ExitCode) -> ExitCode
+where
+    A: FromArgs,
+{
+    match A::from_args(name, arguments) {
+        Ok(parsed) => command(&parsed),
+        Err(exit) => {
+            println!("{}", exit.output);
+            let done = exit.status.map(|()| ExitCode::SUCCESS);
+            done.unwrap_or(ExitCode::FAILURE)
+        }
+    }
+}
