--- a/src/board/host_list.rs
+++ b/src/board/host_list.rs
@@ -1,4 +1,7 @@
-use super::{Role, Tick};
+use {
+    super::{Role, Tick},
+    serde::{Deserialize, Serialize},
+};
 
 /// The platform's host list, as last read.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -25,7 +28,7 @@
 }
 
 /// An endpoint of the platform's host list.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListedEndpoint {
     /// Unique name.
     pub name: String,
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -9,6 +9,7 @@
     endpoint::{Endpoint, Role},
     endpoint_counters::EndpointCounters,
     endpoint_traffic::{EndpointTraffic, ReportedLoad},
+    feed_log::{FeedLog, LoggedObject, ObjectState},
     fleet::Fleet,
     health::{Health, StopPhase},
     host::{Host, HostState},
@@ -37,6 +38,7 @@
 mod endpoint;
 mod endpoint_counters;
 mod endpoint_traffic;
+mod feed_log;
 mod fleet;
 mod health;
 mod host;
--- a/src/board/routing.rs
+++ b/src/board/routing.rs
@@ -1,11 +1,13 @@
 use {
     super::{Arena, Repeat},
     crate::key::RouteKey,
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
 };
 
 /// The routes in force for forwarded requests, and the limits on what callers send.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(from = "RoutingParts", into = "RoutingParts")]
 pub struct Routing {
     /// Version of the routing configuration; 0 while none is known.
     pub version: u64,
@@ -20,7 +22,7 @@
 }
 
 /// One route: which requests it matches and how they are served.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PathRoute {
     /// Unique name.
     pub name: String,
@@ -46,7 +48,7 @@
 }
 
 /// How a response is delivered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ResponseKind {
     /// As one complete body.
     Complete,
@@ -55,7 +57,7 @@
 }
 
 /// Configuration of a pool.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PoolConfig {
     /// Memory of one engine in tokens; 0 for plain services.
     pub memory_tokens: u64,
@@ -66,7 +68,7 @@
 }
 
 /// Limits on what a caller sends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Maximum size of a request's head (request line and headers), in bytes.
     pub head_bytes: usize,
@@ -89,6 +91,40 @@
     }
 }
 
+/// A version names one configuration, which never changes.
+impl PartialEq for Routing {
+    fn eq(&self, other: &Self) -> bool {
+        self.version == other.version
+    }
+}
+
+/// What a routing is built from, in the form in which daemons exchange it.
+#[derive(Deserialize, Serialize)]
+struct RoutingParts {
+    version: u64,
+    routes: Vec<PathRoute>,
+    pools: HashMap<String, PoolConfig>,
+    limits: CallerLimits,
+}
+
+impl From<RoutingParts> for Routing {
+    fn from(parts: RoutingParts) -> Self {
+        Self::new(parts.version, parts.routes, parts.pools, parts.limits)
+    }
+}
+
+impl From<Routing> for RoutingParts {
+    fn from(routing: Routing) -> Self {
+        let routes = routing.routes.iter();
+        Self {
+            version: routing.version,
+            routes: routes.map(|(_, route)| route.clone()).collect(),
+            pools: routing.pools,
+            limits: routing.limits,
+        }
+    }
+}
+
 impl Routing {
     /// Builds the routing from `routes`, with their lookup by host name and prefix.
     pub fn new<I>(
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -1,8 +1,8 @@
 use {
     crate::{
-        board::Tick,
-        decide::Backoff,
-        port::{Change, Clock, Feed, FeedError},
+        board::{FeedLog, Tick, Writer},
+        decide::{Backoff, jitter, record_changes, record_listing},
+        port::{Change, Clock, Feed, FeedError, FeedOrigin},
     },
     rand::rngs::SmallRng,
     std::time::Duration,
@@ -18,10 +18,19 @@
 /// Longest delay between failed calls.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 
+/// Delay after a call that found no source.
+const NO_SOURCE_DELAY: Duration = Duration::from_millis(250);
+
+/// Time for which a read vouches for what is passed on, on top of the longest read.
+const VALID_SLACK: Duration = Duration::from_secs(1);
+
 /// Follows a feed: lists its objects, then watches for changes, never returning to an older
 /// revision.
 #[derive(Debug)]
-pub struct FeedFollower<F, C> {
+pub struct FeedFollower<F, C>
+where
+    F: Feed,
+{
     feed: F,
     clock: C,
     kind: &'static str,
@@ -42,6 +51,8 @@
     failed: Option<Tick>,
     /// Whether the last call failed.
     disconnected: bool,
+    /// Log from which other daemons read, if there is one.
+    log: Option<Writer<FeedLog<F::Item>>>,
 }
 
 /// Result of one call to the feed.
@@ -79,10 +90,21 @@
             listed: false,
             failed: None,
             disconnected: false,
+            log: None,
         }
     }
 
-    /// Sets the pause after each change, so that changes in quick succession cost one call.
+    /// Sets the log in which every result is recorded for other daemons.
+    #[must_use]
+    pub fn with_log(self, log: Writer<FeedLog<F::Item>>) -> Self {
+        Self {
+            log: Some(log),
+            ..self
+        }
+    }
+
+    /// Sets the pause after each change, so that changes in quick succession cost one call to the
+    /// store. Changes that another daemon returned have been collected there already.
     #[must_use]
     pub fn with_pause(self, pause: Duration) -> Self {
         Self { pause, ..self }
@@ -146,6 +168,10 @@
         }
         self.revision = listing.revision;
         self.listed = true;
+        self.record_origin(listing.origin);
+        self.update_log(listing.origin, |log| {
+            record_listing(log, &listing.items, listing.revision);
+        });
         Ok(FeedUpdate::Listing(listing.items))
     }
 
@@ -163,16 +189,57 @@
         if changes.changes.is_empty() {
             // The store may have withheld changes, so an empty response does not prove that there are
             // none up to its revision. The known revision stays.
+            self.update_log(changes.origin, |_| {});
             return Ok(FeedUpdate::Unchanged);
         }
         self.revision = changes.revision;
+        self.record_origin(changes.origin);
+        self.update_log(changes.origin, |log| {
+            record_changes(log, &changes.changes, changes.revision);
+        });
+        self.due = self.pause(changes.origin);
+        Ok(FeedUpdate::Changes(changes.changes))
+    }
+
+    /// Returns the pause after a change.
+    fn pause(&self, origin: FeedOrigin) -> Duration {
         let (initial, until) = self.initial;
-        self.due = if self.clock.now() < until {
-            initial.min(self.pause)
-        } else {
-            self.pause
+        match origin {
+            FeedOrigin::Peer { .. } => Duration::ZERO,
+            FeedOrigin::Store if self.clock.now() < until => initial.min(self.pause),
+            FeedOrigin::Store => self.pause,
+        }
+    }
+
+    /// Takes over when a call to the store last failed from the daemon that returned a result.
+    fn record_origin(&mut self, origin: FeedOrigin) {
+        let FeedOrigin::Peer {
+            failed_ago: Some(failed_ago),
+        } = origin
+        else {
+            return;
         };
-        Ok(FeedUpdate::Changes(changes.changes))
+        let failed = self.clock.now().before(failed_ago);
+        self.failed = self.failed.max(Some(failed));
+    }
+
+    /// Changes the log after a successful read, if there is one.
+    fn update_log<U>(&mut self, origin: FeedOrigin, change: U)
+    where
+        U: FnOnce(&mut FeedLog<F::Item>),
+    {
+        let Some(log) = &mut self.log else {
+            return;
+        };
+        let valid = self.wait + RESPONSE_LIMIT + VALID_SLACK + self.pause;
+        let valid_until = self.clock.since_boot() + valid;
+        let failed = self.failed;
+        log.update(|log| {
+            log.direct = origin == FeedOrigin::Store;
+            log.valid_until = valid_until;
+            log.failed = failed;
+            change(log);
+        });
     }
 
     fn record_success(&mut self) {
@@ -190,12 +257,27 @@
         }
         // The store may have withheld changes from the watch that failed, so list all objects again.
         self.listed = false;
-        self.failed = Some(self.clock.now());
-        let wait = self.backoff.fail(&mut self.rng);
+        self.record_time_of_failure();
+        let wait = match error {
+            FeedError::NoSource => jitter(NO_SOURCE_DELAY, &mut self.rng),
+            _ => self.backoff.fail(&mut self.rng),
+        };
         self.clock.sleep(wait).await;
-        self.failed = Some(self.clock.now());
+        self.record_time_of_failure();
         FeedUpdate::Unavailable
     }
+
+    /// Records that a call has just failed; other daemons are not to rely on the log meanwhile.
+    fn record_time_of_failure(&mut self) {
+        let failed = Some(self.clock.now());
+        self.failed = failed;
+        if let Some(log) = &mut self.log {
+            log.update(|log| {
+                log.direct = false;
+                log.failed = failed;
+            });
+        }
+    }
 }
 
 fn timed_out() -> FeedError {
--- /dev/null
+++ b/src/control/feed_relay.rs
@@ -0,0 +1,66 @@
+use {
+    crate::{
+        board::{FeedLog, Routing, Section},
+        decide::{FeedQuestion, feed_reply},
+        port::{Clock, FeedItem, FeedKind, FeedRead, FeedReply, MemberEntry, RosterEntry},
+    },
+    std::time::Duration,
+};
+
+/// Longest time for which a reply waits for a change.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Lets other daemons read what this one has read from the feeds of the store.
+#[derive(Clone, Debug)]
+pub struct FeedRelay<C> {
+    /// Source of time and sleep.
+    pub clock: C,
+    /// Objects of the feed of the routing configuration.
+    pub routing: Section<FeedLog<Routing>>,
+    /// Objects of the feed of endpoints.
+    pub endpoints: Section<FeedLog<RosterEntry>>,
+    /// Objects of the feed of daemons.
+    pub members: Section<FeedLog<MemberEntry>>,
+}
+
+impl<C> FeedRelay<C>
+where
+    C: Clock,
+{
+    /// Replies to a read; waits for a change at most as long as it asks for.
+    pub async fn handle(&self, read: FeedRead) -> FeedReply {
+        match read.kind {
+            FeedKind::Routing => self.reply(self.routing.clone(), read).await,
+            FeedKind::Endpoints => self.reply(self.endpoints.clone(), read).await,
+            FeedKind::Members => self.reply(self.members.clone(), read).await,
+        }
+    }
+
+    async fn reply<T>(&self, mut log: Section<FeedLog<T>>, read: FeedRead) -> FeedReply
+    where
+        T: FeedItem,
+    {
+        let deadline = self.clock.now() + read.wait.min(MAX_WAIT);
+        loop {
+            let now = self.clock.now();
+            let current = log.snapshot();
+            let question = FeedQuestion {
+                since: read.since,
+                waited: now >= deadline,
+                now: self.clock.since_boot(),
+                failed_ago: current.failed.map(|failed| now - failed),
+            };
+            if let Some(reply) = feed_reply(&current, question) {
+                return reply;
+            }
+            tokio::select! {
+                open = log.changed() => {
+                    if !open {
+                        return FeedReply::NotReading;
+                    }
+                }
+                () = self.clock.sleep(deadline - now) => {}
+            }
+        }
+    }
+}
--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -3,10 +3,9 @@
     crate::{
         board::{Host, HostState, Members, Tick, Writer},
         key::HostKey,
-        port::{Change, Clock, Feed, ObjectStore, PlatformError},
+        port::{Change, Clock, Feed, MemberEntry, ObjectStore, PlatformError},
     },
     bytes::Bytes,
-    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
@@ -16,27 +15,14 @@
 /// Number of attempts to register before giving up.
 const REGISTER_ATTEMPTS: u32 = 30;
 
-/// Entry that a daemon registers for itself in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct MemberEntry {
-    /// Unique name of its host.
-    pub name: String,
-    /// Availability zone of its host.
-    pub zone: String,
-    /// Address of the peer listener, `ip:port`.
-    pub address: String,
-    /// Start time in milliseconds since the Unix epoch.
-    pub incarnation: u64,
-    /// Processor share that the daemon may use, in hundredths of a core; 0 if not given.
-    #[serde(default)]
-    pub strength: u32,
-}
-
 /// Writes the `members` section from a feed in which daemons register themselves.
 ///
 /// An entry does not expire, so a dead daemon stays listed; calls to it fail.
 #[derive(Debug)]
-pub struct MemberRosterController<F, C> {
+pub struct MemberRosterController<F, C>
+where
+    F: Feed,
+{
     follower: FeedFollower<F, C>,
     own: MemberEntry,
     writer: Writer<Members>,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,7 +8,9 @@
     claim_router::ClaimRouter,
     claim_settings::ClaimSettings,
     digest_controller::DigestController,
+    feed_counters::FeedCounters,
     feed_follower::{FeedFollower, FeedUpdate},
+    feed_relay::FeedRelay,
     fleet_controller::{DescriptionSender, FleetController},
     fleet_status::fleet_status,
     health_controller::{HealthController, HealthHandle},
@@ -17,7 +19,7 @@
     load_controller::{LoadController, POLL_INTERVAL},
     member_controller::{MemberController, MemberParts},
     member_handle::MemberHandle,
-    member_roster_controller::{MemberEntry, MemberRosterController, register},
+    member_roster_controller::{MemberRosterController, register},
     order_controller::{OrderController, OrderParts},
     order_error::OrderError,
     order_executor::send_order,
@@ -28,7 +30,8 @@
     queue_controller::QueueController,
     queue_handle::QueueHandle,
     readiness_controller::{ReadinessController, STOP_NOTICE_TIME},
-    roster_controller::{RosterController, RosterEntry},
+    relayed_feed::{FeedLinks, RelayedFeed},
+    roster_controller::RosterController,
     routing_controller::RoutingController,
     sheet_controller::{SheetController, SheetParts},
     sheet_handle::SheetHandle,
@@ -41,6 +44,7 @@
 };
 
 mod allocation_controller;
+mod avoided_hosts;
 mod claim_committer;
 mod claim_committers;
 mod claim_partition;
@@ -49,7 +53,9 @@
 mod claim_settings;
 mod digest_controller;
 mod endpoint_view;
+mod feed_counters;
 mod feed_follower;
+mod feed_relay;
 mod fleet_controller;
 mod fleet_status;
 mod grant_table;
@@ -78,6 +84,7 @@
 mod queue_snapshot;
 mod queue_state;
 mod readiness_controller;
+mod relayed_feed;
 mod roster_controller;
 mod routing_controller;
 mod sheet_controller;
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -1,5 +1,5 @@
 use {
-    super::AllocationHandle,
+    super::{AllocationHandle, avoided_hosts::AvoidedHosts},
     crate::{
         board::{Members, Section, Tick},
         decide::placer_order,
@@ -39,14 +39,13 @@
     clock: C,
     members: Section<Members>,
     own: AllocationHandle,
-    state: Arc<RouterState>,
+    state: Arc<RouterState<C>>,
 }
 
 /// State that the clones of a router share; an update replaces a map by a changed copy.
-#[derive(Debug, Default)]
-struct RouterState {
-    /// Daemons that are not called, with the end of that time.
-    avoided: ArcSwap<HashMap<HostKey, Tick>>,
+#[derive(Debug)]
+struct RouterState<C> {
+    avoided: AvoidedHosts<C>,
     /// Placed requests of this daemon that have not ended, by the id of the placement.
     placed: ArcSwap<HashMap<u64, PlacedRequest>>,
     /// Daemon and its incarnation that last received the placements of a pool, by the pool's name.
@@ -68,12 +67,17 @@
 {
     /// Creates the router; requests that this daemon itself is to place go to `own`.
     pub fn new(peer: P, clock: C, members: Section<Members>, own: AllocationHandle) -> Self {
+        let state = RouterState {
+            avoided: AvoidedHosts::new(clock.clone()),
+            placed: ArcSwap::default(),
+            notified: ArcSwap::default(),
+        };
         Self {
             peer,
             clock,
             members,
             own,
-            state: Arc::default(),
+            state: Arc::new(state),
         }
     }
 
@@ -81,19 +85,16 @@
     /// to avoid.
     fn ranked(&self, pool: &str) -> Vec<HostKey> {
         let members = self.members.load();
-        let avoided = self.state.avoided.load();
-        let now = self.clock.now();
         let available = members
             .hosts
             .iter()
-            .filter(|(key, _)| avoided.get(key).is_none_or(|until| *until <= now));
+            .filter(|(key, _)| !self.state.avoided.contains(*key));
         placer_order(pool, available, self.clock.unix_ms())
     }
 
     /// Leaves `host` out of the ranking for `AVOID_TIME`.
     fn avoid(&self, host: HostKey) {
-        let until = self.clock.now() + AVOID_TIME;
-        insert_copy(&self.state.avoided, &host, &until);
+        self.state.avoided.avoid(host, AVOID_TIME);
     }
 
     /// Calls `host`, this daemon or another one.
--- /dev/null
+++ b/src/control/relayed_feed.rs
@@ -0,0 +1,342 @@
+use {
+    super::{FeedCounters, avoided_hosts::AvoidedHosts},
+    crate::{
+        board::{Members, Section, Tick},
+        decide::feed_sources,
+        key::HostKey,
+        port::{
+            Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
+            Listing, Peer, PeerCall, PeerError, PeerReply,
+        },
+    },
+    arc_swap::ArcSwap,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// Longest wait of a read from another daemon. It bounds how late a change arrives after that
+/// daemon has died, and is far below the times within which changes must be in force.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+
+/// Time limit of the reply of another daemon, on top of the wait.
+const REPLY_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time for which a daemon that did not reply is not asked again.
+const SILENT_TIME: Duration = Duration::from_secs(10);
+
+/// Time for which a daemon that cannot be connected to is not asked again; it may be starting.
+const UNCONNECTED_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a daemon that does not read the store is not asked again.
+const NOT_READING_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which other daemons are asked first after a read of the store has failed; longer than
+/// the delay before the next read, which would otherwise call the store again.
+const STORE_FAILED_TIME: Duration = Duration::from_secs(2);
+
+/// Shortest time between calls to the store of a daemon that is not to read it, while the readers
+/// do not reply. In an outage of the store, calls of every daemon would only add load.
+const CALL_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Most daemons that are asked in one read before the store is.
+const MAX_TRIED_HOSTS: usize = 4;
+
+/// Most daemons without a reply in one read of changes before the store is asked; a list, which
+/// has to end sooner, tries one.
+const MAX_SILENT_HOSTS: usize = 2;
+
+/// Feed that is read from other daemons of the zone where possible, so that the number of calls to
+/// the store does not grow with the number of daemons.
+#[derive(Clone, Debug)]
+pub struct RelayedFeed<F, P, C> {
+    feed: F,
+    links: FeedLinks<P, C>,
+    state: Arc<RelayState<C>>,
+}
+
+/// What the feeds of a daemon need to read from other daemons.
+#[derive(Clone, Debug)]
+pub struct FeedLinks<P, C> {
+    /// Client of the other daemons.
+    pub peer: P,
+    /// Source of time.
+    pub clock: C,
+    /// Daemons to choose from.
+    pub members: Section<Members>,
+    /// Counters of the reads.
+    pub counters: FeedCounters,
+}
+
+/// State that the clones of a feed share.
+#[derive(Debug)]
+struct RelayState<C> {
+    avoided: AvoidedHosts<C>,
+    /// Who returned the last result.
+    source: ArcSwap<Source>,
+    /// Greatest revision returned with objects.
+    revision: AtomicU64,
+    /// Tick of the last call to the store that was not the readers' task; 0 before the first.
+    called: AtomicU64,
+}
+
+/// Who is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// Nobody yet.
+    Unknown,
+    /// The store.
+    Store,
+    /// Another daemon.
+    Host(HostKey),
+}
+
+/// Objects that another daemon returned, with the revision that it knows.
+struct PeerObjects<T> {
+    objects: Vec<Change<T>>,
+    revision: u64,
+    origin: FeedOrigin,
+}
+
+impl<F, P, C> RelayedFeed<F, P, C>
+where
+    F: Feed,
+    F::Item: FeedItem,
+    P: Peer,
+    C: Clock,
+{
+    /// Creates a feed that reads `feed` itself when no other daemon of the zone does.
+    pub fn new(feed: F, links: FeedLinks<P, C>) -> Self {
+        let state = RelayState {
+            avoided: AvoidedHosts::new(links.clock.clone()),
+            source: ArcSwap::from_pointee(Source::Unknown),
+            revision: AtomicU64::new(0),
+            called: AtomicU64::new(0),
+        };
+        Self {
+            feed,
+            links,
+            state: Arc::new(state),
+        }
+    }
+
+    /// Returns the daemon to ask, or `None` if this one is to read the store itself.
+    fn host(&self) -> Option<HostKey> {
+        let members = self.links.members.load();
+        let sources = feed_sources(&members, |key| self.state.avoided.contains(key));
+        sources.first().copied()
+    }
+
+    /// Returns the wait of a read from `source`: none for the first one, which shows whether the
+    /// source replies at all.
+    fn wait(&self, source: Source, wait: Duration) -> Duration {
+        if **self.state.source.load() == source {
+            wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Remembers who returned the last result, and counts it.
+    fn record(&self, source: Source) {
+        let before = self.state.source.swap(Arc::new(source));
+        let label = match source {
+            Source::Store => "store",
+            Source::Host(_) | Source::Unknown => "daemon",
+        };
+        self.links.counters.count(F::Item::KIND, label);
+        if *before != source {
+            let name = self.name(source);
+            log::info!(kind = F::Item::KIND.as_str(), source = name.as_str(); "feed read from another source");
+        }
+    }
+
+    fn name(&self, source: Source) -> String {
+        let members = self.links.members.load();
+        match source {
+            Source::Unknown => String::new(),
+            Source::Store => "store".to_owned(),
+            Source::Host(key) => members
+                .hosts
+                .get(key)
+                .map_or_else(String::new, |host| host.name.clone()),
+        }
+    }
+
+    /// Reads from another daemon; `None` if the store has to be read instead, since none reads the
+    /// store or `max_silent` daemons did not reply.
+    ///
+    /// Fails with `HistoryExpired` if a daemon no longer has the changes since then.
+    async fn read_peers(
+        &self,
+        since: Option<u64>,
+        max_silent: usize,
+    ) -> Result<Option<PeerObjects<F::Item>>, FeedError> {
+        let mut silent = 0;
+        for _ in 0..MAX_TRIED_HOSTS {
+            let Some(host) = self.host() else {
+                break;
+            };
+            match self.ask(host, since).await {
+                Ok(FeedReply::Objects {
+                    objects,
+                    revision,
+                    failed_ago,
+                }) => {
+                    if let Some(objects) = F::Item::unwrap(objects) {
+                        self.record(Source::Host(host));
+                        return Ok(Some(PeerObjects {
+                            objects,
+                            revision,
+                            origin: FeedOrigin::Peer { failed_ago },
+                        }));
+                    }
+                    self.avoid(host, SILENT_TIME, "the reply holds objects of another feed");
+                }
+                Ok(FeedReply::Expired) => return Err(FeedError::HistoryExpired),
+                Ok(FeedReply::TooLarge) => break,
+                Ok(FeedReply::NotReading) => {
+                    self.avoid(host, NOT_READING_TIME, "it does not read the store");
+                }
+                Err((time, cause)) => {
+                    self.avoid(host, time, &cause);
+                    silent += 1;
+                    if silent == max_silent {
+                        break;
+                    }
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Asks `host`; fails with the cause, and the time for which to avoid the host, if it does not
+    /// reply.
+    async fn ask(
+        &self,
+        host: HostKey,
+        since: Option<u64>,
+    ) -> Result<FeedReply, (Duration, String)> {
+        let members = self.links.members.snapshot();
+        let Some(member) = members.hosts.get(host) else {
+            return Ok(FeedReply::NotReading);
+        };
+        let wait = self.wait(Source::Host(host), PEER_WAIT);
+        let read = FeedRead {
+            kind: F::Item::KIND,
+            since,
+            wait,
+        };
+        let call = self
+            .links
+            .peer
+            .call(&member.address, PeerCall::ReadFeed(read));
+        match timeout(wait + REPLY_LIMIT, call).await {
+            Ok(Ok(PeerReply::Feed(reply))) => Ok(reply),
+            Ok(Ok(_)) => Err((SILENT_TIME, "the reply is of another kind".to_owned())),
+            Ok(Err(e @ PeerError::Unsent(_))) => Err((UNCONNECTED_TIME, e.to_string())),
+            Ok(Err(e)) => Err((SILENT_TIME, e.to_string())),
+            Err(_) => Err((SILENT_TIME, "no reply within the time limit".to_owned())),
+        }
+    }
+
+    /// Returns whether this daemon may call the store now.
+    ///
+    /// The readers of the zone may at any time, whether they fail or not; the other daemons only
+    /// now and then, in case the store answers them alone.
+    fn may_call_store(&self) -> bool {
+        let members = self.links.members.load();
+        if feed_sources(&members, |_| false).is_empty() {
+            return true;
+        }
+        let reading = **self.state.source.load() == Source::Store;
+        let now = self.links.clock.now();
+        let last = self.state.called.swap(now.0, Ordering::AcqRel);
+        if reading || last == 0 || now.since(Tick(last)) >= CALL_INTERVAL {
+            return true;
+        }
+        self.state.called.store(last, Ordering::Release);
+        false
+    }
+
+    /// Records the outcome of a read of the store; after a failure other daemons are asked first.
+    fn note_store<R>(&self, result: Result<R, FeedError>) -> Result<R, FeedError> {
+        match &result {
+            Ok(_) | Err(FeedError::HistoryExpired) => self.record(Source::Store),
+            Err(_) => {
+                let own = self.links.members.load().own;
+                self.state.avoided.avoid(own, STORE_FAILED_TIME);
+                self.state.source.store(Arc::new(Source::Unknown));
+            }
+        }
+        result
+    }
+
+    fn avoid(&self, host: HostKey, time: Duration, cause: &str) {
+        self.state.avoided.avoid(host, time);
+        let name = self.name(Source::Host(host));
+        log::info!(dependency = name.as_str(), kind = F::Item::KIND.as_str(); "feed not read from this daemon for a while: {cause}");
+    }
+}
+
+impl<F, P, C> Feed for RelayedFeed<F, P, C>
+where
+    F: Feed,
+    F::Item: FeedItem,
+    P: Peer,
+    C: Clock,
+{
+    type Item = F::Item;
+
+    async fn list(&self) -> Result<Listing<Self::Item>, FeedError> {
+        let known = self.state.revision.load(Ordering::Acquire);
+        let read = self.read_peers(None, 1).await?;
+        // The daemon may know the same objects under a smaller revision; only the store can tell.
+        if let Some(read) = read.filter(|read| read.revision >= known) {
+            self.state
+                .revision
+                .fetch_max(read.revision, Ordering::AcqRel);
+            return Ok(Listing {
+                items: read.objects,
+                revision: read.revision,
+                origin: read.origin,
+            });
+        }
+        if !self.may_call_store() {
+            return Err(FeedError::NoSource);
+        }
+        let listing = self.note_store(self.feed.list().await)?;
+        self.state
+            .revision
+            .fetch_max(listing.revision, Ordering::AcqRel);
+        Ok(listing)
+    }
+
+    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<Self::Item>, FeedError> {
+        if let Some(read) = self.read_peers(Some(since), MAX_SILENT_HOSTS).await? {
+            let revision = read.revision.max(since);
+            self.state.revision.fetch_max(revision, Ordering::AcqRel);
+            return Ok(Changes {
+                changes: read.objects,
+                revision,
+                origin: read.origin,
+            });
+        }
+        if !self.may_call_store() {
+            return Err(FeedError::NoSource);
+        }
+        let wait = self.wait(Source::Store, wait);
+        let changes = self.note_store(self.feed.watch(since, wait).await)?;
+        if !changes.changes.is_empty() {
+            self.state
+                .revision
+                .fetch_max(changes.revision, Ordering::AcqRel);
+        }
+        Ok(changes)
+    }
+}
--- a/src/control/roster_controller.rs
+++ b/src/control/roster_controller.rs
@@ -1,9 +1,9 @@
 use {
     super::{FeedFollower, FeedUpdate},
     crate::{
-        board::{Fleet, ListedEndpoint, Tick, Writer},
+        board::{Fleet, Tick, Writer},
         decide::merge_described,
-        port::{Change, Clock, Description, Feed},
+        port::{Change, Clock, Feed, RosterEntry},
     },
     std::{collections::BTreeMap, time::Duration},
     tokio::sync::watch,
@@ -12,18 +12,12 @@
 /// Time after an outage of the store within which a live endpoint registers again.
 const REREGISTER_TIME: Duration = Duration::from_millis(2_300);
 
-/// Entry that an endpoint registers for itself in the store.
-#[derive(Clone, Debug)]
-pub struct RosterEntry {
-    /// Name, address, zone, pool and role.
-    pub listed: ListedEndpoint,
-    /// Models, memory and slots.
-    pub description: Description,
-}
-
 /// Writes the `fleet` section from a feed in which endpoints register themselves.
 #[derive(Debug)]
-pub struct RosterController<F, C> {
+pub struct RosterController<F, C>
+where
+    F: Feed,
+{
     follower: FeedFollower<F, C>,
     clock: C,
     writer: Writer<Fleet>,
--- a/src/control/routing_controller.rs
+++ b/src/control/routing_controller.rs
@@ -8,7 +8,10 @@
 
 /// Writes the `routing` section from a feed; a version is never replaced by an older one.
 #[derive(Debug)]
-pub struct RoutingController<F, C> {
+pub struct RoutingController<F, C>
+where
+    F: Feed,
+{
     follower: FeedFollower<F, C>,
     writer: Writer<Routing>,
 }
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -63,12 +63,13 @@
             PeerCall::Sheet { since } => PeerReply::Sheet(self.sheet.changes(since).await),
             PeerCall::Claim(request) => PeerReply::Claim(self.claims.submit(request).await),
             PeerCall::Status => self.status(),
-            PeerCall::Place(_) | PeerCall::AdoptPlacements(_) | PeerCall::EndPlacement(_) => {
-                PeerReply::Failed(
-                    "this daemon does not forward by routes and accepts no placement calls"
-                        .to_owned(),
-                )
-            }
+            PeerCall::Place(_)
+            | PeerCall::AdoptPlacements(_)
+            | PeerCall::EndPlacement(_)
+            | PeerCall::ReadFeed(_) => PeerReply::Failed(
+                "this daemon does not forward by routes and accepts no placement or feed calls"
+                    .to_owned(),
+            ),
         }
     }
 }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -1,16 +1,17 @@
 use {
     crate::{
-        board::{Blackboard, Counters, Routing},
+        board::{Blackboard, Counters, FeedLog, Routing, section},
         border::PeerClient,
         control::{
-            AllocationController, AllocationHandle, FeedFollower, HealthHandle, MemberEntry,
-            MemberRosterController, PlacementRouter, ReadinessController, RosterController,
-            RosterEntry, RoutingController, StageController, StageParts, register,
+            AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
+            FeedRelay, HealthHandle, MemberRosterController, PlacementRouter, ReadinessController,
+            RelayedFeed, RosterController, RoutingController, StageController, StageParts,
+            register,
         },
         key::name_hash,
         port::{
-            Clock, Feed, MonoClock, ObjectStore, PeerCall, PeerHandler, PeerReply, RoleOrders,
-            Upstream,
+            Clock, Feed, MemberEntry, MonoClock, ObjectStore, PeerCall, PeerHandler, PeerReply,
+            RoleOrders, RosterEntry, Upstream,
         },
         request::{ForwardEntry, ForwardOptions, ForwardParts, ForwardShared},
     },
@@ -121,18 +122,24 @@
     pub registry: Arc<Registry>,
     health: HealthHandle,
     allocation: AllocationHandle,
+    relay: FeedRelay<MonoClock>,
     tasks: JoinSet<()>,
 }
 
-/// Handles calls of other daemons, which concern the endpoints that this daemon owns.
+/// Handles calls of other daemons, which concern the endpoints that this daemon places requests at
+/// and what it has read from the store.
 #[derive(Clone, Debug)]
 pub struct ForwardDispatch {
     allocation: AllocationHandle,
+    relay: FeedRelay<MonoClock>,
 }
 
 impl PeerHandler for ForwardDispatch {
     async fn handle(&self, call: PeerCall) -> PeerReply {
-        self.allocation.handle(call).await
+        match call {
+            PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
+            call => self.allocation.handle(call).await,
+        }
     }
 }
 
@@ -160,13 +167,31 @@
         let rng = |purpose: &str| SmallRng::seed_from_u64(seed ^ name_hash(purpose));
         let (reachable, reachable_rx) = watch::channel(false);
         let mut tasks = JoinSet::new();
+        let links = FeedLinks {
+            peer: ports.peer.clone(),
+            clock,
+            members: board.members.clone(),
+            counters: FeedCounters::new(&mut registry),
+        };
+        let (routing_writer, routing_log) = section(FeedLog::default());
+        let (endpoints_writer, endpoints_log) = section(FeedLog::default());
+        let (members_writer, members_log) = section(FeedLog::default());
+        let relay = FeedRelay {
+            clock,
+            routing: routing_log,
+            endpoints: endpoints_log,
+            members: members_log,
+        };
         let routing = rng("routing");
-        let follower = FeedFollower::new(ports.routing, clock, "routing", settings.watch, routing);
+        let feed = RelayedFeed::new(ports.routing, links.clone());
+        let follower = FeedFollower::new(feed, clock, "routing", settings.watch, routing)
+            .with_log(routing_writer);
         tasks.spawn(RoutingController::new(follower, writers.routing).run());
         let roster = rng("endpoints");
-        let follower =
-            FeedFollower::new(ports.endpoints, clock, "endpoints", settings.watch, roster)
-                .with_pause(ENDPOINT_PAUSE);
+        let feed = RelayedFeed::new(ports.endpoints, links.clone());
+        let follower = FeedFollower::new(feed, clock, "endpoints", settings.watch, roster)
+            .with_pause(ENDPOINT_PAUSE)
+            .with_log(endpoints_writer);
         tasks.spawn(RosterController::new(follower, clock, writers.fleet, reachable).run());
         let (controller, health) = ReadinessController::new(
             writers.health,
@@ -194,10 +219,11 @@
         };
         tasks.spawn(register(ports.register, clock, own.clone()));
         let members = rng("members");
-        let follower =
-            FeedFollower::new(ports.members, clock, "members", MEMBER_MAX_WATCH, members)
-                .with_pause(MEMBER_PAUSE)
-                .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD);
+        let feed = RelayedFeed::new(ports.members, links.clone());
+        let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
+            .with_pause(MEMBER_PAUSE)
+            .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
+            .with_log(members_writer);
         tasks.spawn(MemberRosterController::new(follower, own, writers.members).run());
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
@@ -217,6 +243,7 @@
             registry: Arc::new(registry),
             health,
             allocation,
+            relay,
             tasks,
         }
     }
@@ -225,6 +252,7 @@
     pub fn dispatch(&self) -> ForwardDispatch {
         ForwardDispatch {
             allocation: self.allocation.clone(),
+            relay: self.relay.clone(),
         }
     }
 
--- /dev/null
+++ b/src/decide/feed_reply.rs
@@ -0,0 +1,65 @@
+use {
+    super::changes_since,
+    crate::{
+        board::FeedLog,
+        port::{Change, FeedItem, FeedReply},
+    },
+    std::time::Duration,
+};
+
+/// Largest approximate length of the objects of one reply, in bytes. Larger ones are read from the
+/// store, whose link is wider than that of a host with dozens of readers.
+const MAX_REPLY_BYTES: usize = 128 << 10;
+
+/// What another daemon asked for, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedQuestion {
+    /// Revision that it has; `None` if it requests every object.
+    pub since: Option<u64>,
+    /// Whether its wait is over.
+    pub waited: bool,
+    /// Time since the boot of this host.
+    pub now: Duration,
+    /// Time since a read of the store last failed; `None` if none did.
+    pub failed_ago: Option<Duration>,
+}
+
+/// Returns the reply to a daemon that reads from `log`; `None` while it has to wait for a change.
+///
+/// Only a daemon whose own reads reach the store answers, and only for as long as one of them
+/// vouches for the log. So no two daemons can rely on each other, and one that was suspended says
+/// nothing from before. Daemons may reach different revisions with the same objects, since the
+/// store's revision also counts other objects; a log with a smaller one is not behind.
+pub fn feed_reply<T>(log: &FeedLog<T>, question: FeedQuestion) -> Option<FeedReply>
+where
+    T: FeedItem,
+{
+    if !log.direct || question.now >= log.valid_until {
+        return Some(FeedReply::NotReading);
+    }
+    let Some(objects) = changes_since(log, question.since) else {
+        return Some(FeedReply::Expired);
+    };
+    if objects.is_empty() && question.since.is_some() && !question.waited {
+        return None;
+    }
+    if objects.iter().map(encoded_len).sum::<usize>() > MAX_REPLY_BYTES {
+        return Some(FeedReply::TooLarge);
+    }
+    Some(FeedReply::Objects {
+        objects: T::wrap(objects),
+        revision: log.revision,
+        failed_ago: question.failed_ago,
+    })
+}
+
+fn encoded_len<T>(change: &Change<T>) -> usize
+where
+    T: FeedItem,
+{
+    match change {
+        Change::Put(name, item) => name.len() + item.encoded_len(),
+        Change::Unreadable(name, reason) => name.len() + reason.len(),
+        Change::Removed(name) => name.len(),
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,9 @@
     endpoint_load::EndpointLoad,
     engine_plan::EnginePlan,
     fair_share::{FairShare, HALF_LIFE},
+    feed_changes::{changes_since, record_changes, record_listing},
+    feed_reply::{FeedQuestion, feed_reply},
+    feed_sources::feed_sources,
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     grant_option::{
         GrantNeed, GrantOption, choose_decode, choose_prefill, choose_service, prefill_end,
@@ -39,6 +42,7 @@
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     stage_plan::{StageChange, prefill_goal, stage_changes},
     status_of::status_of,
+    strong_hosts::{KeyedHost, split_by_strength},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, record_crash},
     token_bucket::TokenBucket,
     update_queue::UpdateQueue,
@@ -55,6 +59,9 @@
 mod endpoint_load;
 mod engine_plan;
 mod fair_share;
+mod feed_changes;
+mod feed_reply;
+mod feed_sources;
 mod fleet_merge;
 mod grant_option;
 mod heartbeat_peers;
@@ -85,6 +92,7 @@
 mod sheet_row;
 mod stage_plan;
 mod status_of;
+mod strong_hosts;
 mod suspicion;
 mod token_bucket;
 mod update_queue;
--- a/src/decide/placer_order.rs
+++ b/src/decide/placer_order.rs
@@ -1,5 +1,8 @@
 use {
-    super::rendezvous::{Candidate, rank},
+    super::{
+        rendezvous::{Candidate, rank},
+        strong_hosts::{KeyedHost, split_by_strength},
+    },
     crate::{
         board::{Host, HostState},
         key::HostKey,
@@ -28,11 +31,7 @@
     let alive: Vec<_> = hosts
         .filter(|(_, host)| host.state == HostState::Alive)
         .collect();
-    let strongest = alive.iter().map(|(_, host)| host.cpu_hundredths).max();
-    let min_strength = strongest.unwrap_or(0) / 2;
-    let (strong, weak): (Vec<_>, Vec<_>) = alive
-        .into_iter()
-        .partition(|(_, host)| host.cpu_hundredths >= min_strength);
+    let (strong, weak) = split_by_strength(alive);
     let mut order = by_age(pool, strong, unix_ms);
     order.extend(by_age(pool, weak, unix_ms));
     order
@@ -41,7 +40,7 @@
 /// Orders `hosts`: settled daemons in rendezvous order, then the younger ones, the oldest first.
 ///
 /// The incarnation of a host is the time at which its daemon started, in the unit of `unix_ms`.
-fn by_age(pool: &str, hosts: Vec<(HostKey, &Host)>, unix_ms: u64) -> Vec<HostKey> {
+fn by_age(pool: &str, hosts: Vec<KeyedHost<'_>>, unix_ms: u64) -> Vec<HostKey> {
     let step = SETTLE_STEP.as_millis() as u64;
     let settled_by = (unix_ms / step * step).saturating_sub(SETTLED_AGE.as_millis() as u64);
     let (settled, mut young): (Vec<_>, Vec<_>) = hosts
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -1,9 +1,13 @@
-use {std::time::Duration, thiserror::Error};
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt::Debug, time::Duration},
+    thiserror::Error,
+};
 
 /// Source of all objects of one kind in another system's store, and of their changes.
 pub trait Feed: Clone + Send + Sync + 'static {
     /// Contents of an object.
-    type Item: Send + 'static;
+    type Item: Clone + Debug + PartialEq + Send + Sync + 'static;
 
     /// Reads every object, and the revision at which the list was valid.
     fn list(&self) -> impl Future<Output = Result<Listing<Self::Item>, FeedError>> + Send;
@@ -26,6 +30,8 @@
     pub items: Vec<Change<T>>,
     /// Revision at which the list was valid.
     pub revision: u64,
+    /// Who returned the list.
+    pub origin: FeedOrigin,
 }
 
 /// Changes of objects up to a revision.
@@ -35,10 +41,24 @@
     pub changes: Vec<Change<T>>,
     /// Revision to pass to the next `watch`.
     pub revision: u64,
+    /// Who returned the changes.
+    pub origin: FeedOrigin,
+}
+
+/// Who returned the result of a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FeedOrigin {
+    /// The store itself.
+    Store,
+    /// Another daemon, which reads the store.
+    Peer {
+        /// Time since a call of that daemon to the store last failed; `None` if none did.
+        failed_ago: Option<Duration>,
+    },
 }
 
 /// State of one object; the first field is its name.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Change<T> {
     /// The object exists and has these contents.
     Put(String, T),
@@ -54,6 +74,10 @@
     /// The changes after the requested revision are no longer stored; list again.
     #[error("the changes since the requested revision are no longer stored; list again")]
     HistoryExpired,
+    /// No call to the other system was made: the daemons that read it do not at present, and this one
+    /// has called it a moment ago.
+    #[error("no daemon of the zone reads the store at present")]
+    NoSource,
     /// The other system responded with an error or with something that cannot be used.
     #[error("unusable response from the store: {0}")]
     Refused(String),
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -11,8 +11,10 @@
         CacheEvent, CacheEvents, Chunk, DecodeRequest, Description, Engine, EngineError, KvHandle,
         LoadReport, Order, PrefillRequest, TokenStream,
     },
-    feed::{Change, Changes, Feed, FeedError, Listing},
+    feed::{Change, Changes, Feed, FeedError, FeedOrigin, Listing},
+    feed_read::{FeedItem, FeedKind, FeedObjects, FeedRead, FeedReply},
     grant_queue::GrantQueue,
+    member_entry::MemberEntry,
     mono_clock::MonoClock,
     peer::{Peer, PeerError, PeerHandler},
     peer_call::{
@@ -24,6 +26,7 @@
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
     role_orders::{EngineState, RoleOrder, RoleOrders},
+    roster_entry::RosterEntry,
     service::{Service, ServiceCall, ServiceResponse},
     upstream::{
         CacheHandle, ForwardRequest, Reservation, ResponseBody, ResponseEvent, TokenCounts,
@@ -36,7 +39,9 @@
 mod clock;
 mod engine;
 mod feed;
+mod feed_read;
 mod grant_queue;
+mod member_entry;
 mod mono_clock;
 mod peer;
 mod peer_call;
@@ -44,5 +49,6 @@
 mod platform;
 mod request_log;
 mod role_orders;
+mod roster_entry;
 mod service;
 mod upstream;
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,5 +1,7 @@
 use {
-    super::{ActivePlacement, PlacementEnd, PlacementOutcome, PlacementRequest},
+    super::{
+        ActivePlacement, FeedRead, FeedReply, PlacementEnd, PlacementOutcome, PlacementRequest,
+    },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
@@ -39,6 +41,8 @@
     AdoptPlacements(Vec<ActivePlacement>),
     /// Releases the placement of a stream.
     EndPlacement(PlacementEnd),
+    /// Requests what the receiver has read from a feed of the store; may wait for a change.
+    ReadFeed(FeedRead),
 }
 
 /// Reply to a `PeerCall`.
@@ -62,6 +66,8 @@
     Failed(String),
     /// Outcome of a request for a placement.
     Placement(PlacementOutcome),
+    /// What the receiver has read from a feed.
+    Feed(FeedReply),
 }
 
 /// State and updates that daemons send each other at every heartbeat interval; its size is bounded.
--- a/tests/feed_follower.rs
+++ b/tests/feed_follower.rs
@@ -4,7 +4,7 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         control::{FeedFollower, FeedUpdate},
-        port::{Change, Changes, Feed, FeedError, Listing, MonoClock},
+        port::{Change, Changes, Feed, FeedError, FeedOrigin, Listing, MonoClock},
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{
@@ -51,6 +51,7 @@
             Response::Listing(revision, name) => Ok(Listing {
                 items: vec![put(name)],
                 revision,
+                origin: FeedOrigin::Store,
             }),
             Response::Fails(error) => Err(error),
             Response::Changes(..) => panic!("list requested where the script has changes"),
@@ -62,6 +63,7 @@
             Response::Changes(revision, names) => Ok(Changes {
                 changes: names.into_iter().map(put).collect(),
                 revision,
+                origin: FeedOrigin::Store,
             }),
             Response::Fails(error) => Err(error),
             Response::Listing(..) => panic!("watch requested where the script has a listing"),
--- /dev/null
+++ b/tests/feed_relay.rs
@@ -0,0 +1,478 @@
+//! Daemons read a feed of the store from two readers of their zone. The store gets few calls, and a
+//! change reaches every daemon soon, also when a reader dies, is suspended or is cut off from the
+//! store.
+
+use {
+    crate::listed::listed,
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Arena, FeedLog, Host, HostState, Members, Role, Tick, section},
+        control::{FeedCounters, FeedFollower, FeedLinks, FeedRelay, FeedUpdate, RelayedFeed},
+        decide::feed_sources,
+        key::HostKey,
+        port::{
+            Change, Changes, Clock, Feed, FeedError, FeedOrigin, Listing, Peer, PeerCall,
+            PeerError, PeerReply, RosterEntry,
+        },
+    },
+    prometheus_client::registry::Registry,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        task::JoinHandle,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Longest watch of a daemon that reads the store.
+const WATCH: Duration = Duration::from_secs(4);
+
+/// Clock whose time since boot follows tokio's clock, which the tests pause.
+#[derive(Clone, Copy, Debug)]
+struct TestClock(Instant);
+
+impl Clock for TestClock {
+    fn now(&self) -> Tick {
+        Tick::default() + self.0.elapsed()
+    }
+
+    fn since_boot(&self) -> Duration {
+        self.0.elapsed()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.0.elapsed().as_millis() as u64
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + Send {
+        sleep(duration)
+    }
+}
+
+/// Store of endpoints, with its history.
+#[derive(Debug, Default)]
+struct Store {
+    events: Vec<(u64, Change<RosterEntry>)>,
+    /// Changes up to this revision are no longer kept.
+    forgotten: u64,
+    calls: usize,
+    /// Hosts that the store does not answer.
+    cut: BTreeSet<String>,
+}
+
+impl Store {
+    fn revision(&self) -> u64 {
+        self.events.last().map_or(0, |event| event.0)
+    }
+
+    fn since(&self, revision: u64) -> Vec<Change<RosterEntry>> {
+        let events = self.events.iter().filter(|event| event.0 > revision);
+        events.map(|event| event.1.clone()).collect()
+    }
+}
+
+/// A host's access to the store.
+#[derive(Clone, Debug)]
+struct StoreFeed {
+    host: String,
+    store: Arc<Mutex<Store>>,
+    changed: watch::Receiver<()>,
+}
+
+impl StoreFeed {
+    /// Counts a call; fails if the host is cut off.
+    fn call(&self) -> Result<(), FeedError> {
+        let mut store = self.store.lock().unwrap();
+        store.calls += 1;
+        if store.cut.contains(&self.host) {
+            return Err(FeedError::Unreachable("cut off".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn changes(&self, since: u64) -> Result<Changes<RosterEntry>, FeedError> {
+        let store = self.store.lock().unwrap();
+        if store.cut.contains(&self.host) {
+            return Err(FeedError::Unreachable("cut off".to_owned()));
+        }
+        if since < store.forgotten {
+            return Err(FeedError::HistoryExpired);
+        }
+        Ok(Changes {
+            changes: store.since(since),
+            revision: store.revision(),
+            origin: FeedOrigin::Store,
+        })
+    }
+}
+
+impl Feed for StoreFeed {
+    type Item = RosterEntry;
+
+    async fn list(&self) -> Result<Listing<RosterEntry>, FeedError> {
+        self.call()?;
+        let store = self.store.lock().unwrap();
+        let mut items = BTreeMap::new();
+        for change in store.since(0) {
+            match &change {
+                Change::Put(name, _) | Change::Unreadable(name, _) => {
+                    items.insert(name.clone(), change);
+                }
+                Change::Removed(name) => {
+                    items.remove(name);
+                }
+            }
+        }
+        Ok(Listing {
+            items: items.into_values().collect(),
+            revision: store.revision(),
+            origin: FeedOrigin::Store,
+        })
+    }
+
+    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<RosterEntry>, FeedError> {
+        self.call()?;
+        let mut wakeup = self.changed.clone();
+        let waiting = async {
+            loop {
+                wakeup.borrow_and_update();
+                let changes = self.changes(since)?;
+                if !changes.changes.is_empty() {
+                    return Ok(changes);
+                }
+                if wakeup.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        match timeout(wait, waiting).await {
+            Ok(changes) => changes,
+            Err(_) => self.changes(since),
+        }
+    }
+}
+
+/// Calls between the daemons, by address.
+#[derive(Clone, Debug, Default)]
+struct Peers {
+    relays: Arc<Mutex<HashMap<String, FeedRelay<TestClock>>>>,
+    /// Hosts that accept calls but do not reply.
+    silent: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl Peer for Peers {
+    async fn call(&self, address: &str, call: PeerCall) -> Result<PeerReply, PeerError> {
+        if self.silent.lock().unwrap().contains(address) {
+            sleep(Duration::from_hours(1)).await;
+        }
+        let relay = self.relays.lock().unwrap().get(address).cloned();
+        let relay = relay.ok_or_else(|| PeerError::Unsent("connection refused".to_owned()))?;
+        let PeerCall::ReadFeed(read) = call else {
+            panic!("only feeds are read");
+        };
+        Ok(PeerReply::Feed(relay.handle(read).await))
+    }
+}
+
+/// What a daemon knows: the names of the endpoints.
+type Known = Arc<Mutex<BTreeSet<String>>>;
+
+/// A zone of daemons that follow the feed.
+struct Zone {
+    store: Arc<Mutex<Store>>,
+    changed: watch::Sender<()>,
+    peers: Peers,
+    daemons: BTreeMap<String, (Known, JoinHandle<()>)>,
+    clock: TestClock,
+}
+
+impl Drop for Zone {
+    fn drop(&mut self) {
+        for (_, task) in self.daemons.values() {
+            task.abort();
+        }
+    }
+}
+
+fn host(name: &str, cpu_hundredths: u32) -> Host {
+    Host {
+        name: name.to_owned(),
+        zone: "zone-a".to_owned(),
+        address: name.to_owned(),
+        incarnation: 1,
+        refutations: 0,
+        cpu_hundredths,
+        state: HostState::Alive,
+        changed_at: Tick::default(),
+    }
+}
+
+fn members(names: &[String], own: &str) -> Members {
+    let mut hosts = Arena::<HostKey, Host>::default();
+    for name in names {
+        hosts.insert(name, host(name, 25));
+    }
+    let own = hosts.find(own).unwrap();
+    Members { hosts, own }
+}
+
+impl Zone {
+    /// Starts `count` daemons at once; the store holds one endpoint.
+    async fn start(count: usize) -> Self {
+        let mut zone = Self {
+            store: Arc::default(),
+            changed: watch::channel(()).0,
+            peers: Peers::default(),
+            daemons: BTreeMap::new(),
+            clock: TestClock(Instant::now()),
+        };
+        zone.put("e0");
+        let names: Vec<_> = (0..count).map(|number| format!("host-{number}")).collect();
+        for name in &names {
+            zone.start_daemon(&names, name);
+        }
+        sleep(Duration::from_secs(10)).await;
+        zone
+    }
+
+    fn start_daemon(&mut self, names: &[String], name: &str) {
+        let feed = StoreFeed {
+            host: name.to_owned(),
+            store: Arc::clone(&self.store),
+            changed: self.changed.subscribe(),
+        };
+        let (_, members) = section(members(names, name));
+        let links = FeedLinks {
+            peer: self.peers.clone(),
+            clock: self.clock,
+            members,
+            counters: FeedCounters::new(&mut Registry::default()),
+        };
+        let (endpoints_log, endpoints) = section(FeedLog::default());
+        let relay = FeedRelay {
+            clock: self.clock,
+            routing: section(FeedLog::default()).1,
+            endpoints,
+            members: section(FeedLog::default()).1,
+        };
+        let mut relays = self.peers.relays.lock().unwrap();
+        relays.insert(name.to_owned(), relay);
+        let rng = SmallRng::seed_from_u64(name.len() as u64);
+        let feed = RelayedFeed::new(feed, links);
+        let follower =
+            FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
+        let known = Known::default();
+        let task = tokio::spawn(follow(follower, Arc::clone(&known)));
+        self.daemons.insert(name.to_owned(), (known, task));
+    }
+
+    fn change(&self, change: Change<RosterEntry>) {
+        let mut store = self.store.lock().unwrap();
+        let revision = store.revision() + 1;
+        store.events.push((revision, change));
+        self.changed.send_replace(());
+    }
+
+    fn put(&self, name: &str) {
+        let (listed, description) = listed(name, "ledger", Role::Service);
+        let entry = RosterEntry {
+            listed,
+            description,
+        };
+        self.change(Change::Put(name.to_owned(), entry));
+    }
+
+    /// Readers of the zone by its daemons' own decision, in order of name.
+    fn readers(&self) -> Vec<String> {
+        let names: Vec<_> = self.daemons.keys().cloned().collect();
+        let reads = |name: &&String| feed_sources(&members(&names, name), |_| false).is_empty();
+        names.iter().filter(reads).cloned().collect()
+    }
+
+    /// Ends a daemon: its connections are refused from now on.
+    fn kill(&self, name: &str) {
+        self.daemons[name].1.abort();
+        self.peers.relays.lock().unwrap().remove(name);
+    }
+
+    /// Number of calls to the store in `time`.
+    async fn calls_within(&self, time: Duration) -> usize {
+        let before = self.store.lock().unwrap().calls;
+        sleep(time).await;
+        self.store.lock().unwrap().calls - before
+    }
+
+    /// Puts the endpoint `name`, and returns the milliseconds until every daemon but `without`
+    /// knows it.
+    async fn time_to_spread(&self, name: &str, without: &[String]) -> u128 {
+        let start = Instant::now();
+        self.put(name);
+        let daemons = self.daemons.iter();
+        for (daemon, (known, _)) in daemons.filter(|(daemon, _)| !without.contains(daemon)) {
+            while !known.lock().unwrap().contains(name) {
+                sleep(Duration::from_millis(1)).await;
+                let late = start.elapsed() > Duration::from_mins(1);
+                assert!(
+                    !late,
+                    "{daemon} does not know {name}; readers {:?}, without {without:?}",
+                    self.readers()
+                );
+            }
+        }
+        start.elapsed().as_millis()
+    }
+}
+
+/// Follows the feed and keeps the names of the endpoints in `known`.
+async fn follow<F>(mut follower: FeedFollower<F, TestClock>, known: Known)
+where
+    F: Feed,
+{
+    loop {
+        let update = follower.next().await;
+        let mut known = known.lock().unwrap();
+        let changes = match update {
+            FeedUpdate::Listing(items) => {
+                known.clear();
+                items
+            }
+            FeedUpdate::Changes(changes) => changes,
+            FeedUpdate::Unavailable | FeedUpdate::Unchanged => continue,
+        };
+        for change in changes {
+            match change {
+                Change::Put(name, _) => known.insert(name),
+                Change::Unreadable(name, _) | Change::Removed(name) => known.remove(&name),
+            };
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_to_the_store_at_rest_do_not_grow_with_the_daemons() {
+    let mut calls = Vec::new();
+    for count in [1, 2, 30, 60] {
+        let zone = Zone::start(count).await;
+        let rest = zone.calls_within(Duration::from_mins(1)).await;
+        let spread = zone.time_to_spread("e1", &[]).await;
+        calls.push(format!(
+            "{count} daemons: {rest} calls/min, change known after {spread} ms"
+        ));
+    }
+    assert_yaml_snapshot!(calls);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_reaches_every_daemon_soon_while_readers_fail() {
+    for fault in ["dead", "suspended", "cut off from the store"] {
+        for failing in [1, 2] {
+            let zone = Zone::start(30).await;
+            let readers: Vec<_> = zone.readers().into_iter().take(failing).collect();
+            for reader in &readers {
+                match fault {
+                    "dead" => zone.kill(reader),
+                    "suspended" => {
+                        zone.daemons[reader].1.abort();
+                        zone.peers.silent.lock().unwrap().insert(reader.clone());
+                    }
+                    _ => {
+                        zone.store.lock().unwrap().cut.insert(reader.clone());
+                        zone.changed.send_replace(());
+                    }
+                }
+            }
+            let without = if fault == "cut off from the store" {
+                Vec::new()
+            } else {
+                readers
+            };
+            let spread = zone.time_to_spread("e1", &without).await;
+            let later = zone.time_to_spread("e2", &without).await;
+            assert!(
+                spread < 2_000 && later < 100,
+                "{failing} {fault}: {spread} ms, {later} ms"
+            );
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_the_store_costs_few_calls_and_ends_soon_for_every_daemon() {
+    let mut seen = Vec::new();
+    for count in [2, 30, 60] {
+        let zone = Zone::start(count).await;
+        let hosts: BTreeSet<_> = zone.daemons.keys().cloned().collect();
+        zone.store.lock().unwrap().cut = hosts;
+        zone.changed.send_replace(());
+        let calls = zone.calls_within(Duration::from_secs(20)).await;
+        zone.store.lock().unwrap().cut.clear();
+        let spread = zone.time_to_spread("e1", &[]).await;
+        seen.push(format!("{count} daemons: {calls} calls in 20 s"));
+        assert!(spread < 2_000, "known {spread} ms after the end");
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// A reader that wakes from a suspension has old objects; it must not pass for up to date.
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_was_suspended_does_not_answer_from_before() {
+    let zone = Zone::start(30).await;
+    let readers = zone.readers();
+    for reader in &readers {
+        zone.daemons[reader].1.abort();
+    }
+    // Their relays still reply, but none of their reads vouches for the objects any more.
+    sleep(WATCH * 2).await;
+    assert!(zone.time_to_spread("e1", &readers).await < 2_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn expired_history_and_removals_reach_every_daemon() {
+    let zone = Zone::start(30).await;
+    for number in 1..20 {
+        zone.put(&format!("e{number}"));
+    }
+    zone.change(Change::Removed("e3".to_owned()));
+    let revision = zone.store.lock().unwrap().revision();
+    zone.store.lock().unwrap().forgotten = revision;
+    zone.time_to_spread("last", &[]).await;
+    sleep(Duration::from_secs(5)).await;
+    let expected: BTreeSet<_> = zone.daemons["host-0"].0.lock().unwrap().clone();
+    assert_eq!(expected.len(), 20, "{expected:?}");
+    for (known, _) in zone.daemons.values() {
+        assert_eq!(*known.lock().unwrap(), expected);
+    }
+}
+
+#[test]
+fn readers_are_strong_hosts_of_the_own_zone() {
+    let mut hosts = Arena::<HostKey, Host>::default();
+    for number in 0..12 {
+        let name = format!("host-{number:02}");
+        let mut host = host(&name, if number % 3 == 0 { 50 } else { 12 });
+        if number >= 8 {
+            host.zone = "zone-b".to_owned();
+        }
+        hosts.insert(&name, host);
+    }
+    let names: HashMap<_, _> = hosts
+        .iter()
+        .map(|(key, host)| (key, host.name.clone()))
+        .collect();
+    let mut chosen = Vec::new();
+    for (own, name) in hosts.iter().map(|(key, host)| (key, host.name.clone())) {
+        let members = Members {
+            hosts: hosts.clone(),
+            own,
+        };
+        let sources = feed_sources(&members, |_| false);
+        let sources: Vec<_> = sources.iter().map(|key| names[key].as_str()).collect();
+        chosen.push(format!("{name}: {}", sources.join(", ")));
+    }
+    assert_yaml_snapshot!(chosen);
+}
