Bound the store calls of an outage and of a restart

Cause: in an outage each daemon without a reader called the store at once and then every 4 s, and each restart cost three calls to register.

Change: `may_call_store` decides by a daemon's part: readers go on trying, the next hosts in order try once, others wait 3 s first unless a reader is silent. Registration replaces the version that the conflict names instead of reading it.

--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -155,11 +155,13 @@
 where
     S: ObjectStore,
 {
-    match store.create(name, body.clone()).await {
-        Err(PlatformError::Conflict { .. }) => {}
+    let version = match store.create(name, body.clone()).await {
+        Err(PlatformError::Conflict { current, .. }) if current > 0 => current,
+        Err(PlatformError::Conflict { .. }) => {
+            let before = store.read(name).await?;
+            before.map_or(0, |object| object.version)
+        }
         other => return other,
-    }
-    let before = store.read(name).await?;
-    let version = before.map_or(0, |object| object.version);
+    };
     store.update(name, version, body).await
 }
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -2,7 +2,7 @@
     super::{FeedCounters, avoided_hosts::AvoidedHosts},
     crate::{
         board::{Members, Section, Tick},
-        decide::feed_sources,
+        decide::{ReadingPart, StoreCall, feed_sources, may_call_store},
         key::HostKey,
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
@@ -40,10 +40,6 @@
 /// the delay before the next read, which would otherwise call the store again.
 const STORE_FAILED_TIME: Duration = Duration::from_secs(2);
 
-/// Shortest time between calls to the store of a daemon that is not to read it, while the readers
-/// do not reply. In an outage of the store, calls of every daemon would only add load.
-const CALL_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Most daemons that are asked in one read before the store is.
 const MAX_TRIED_HOSTS: usize = 4;
 
@@ -81,8 +77,25 @@
     source: ArcSwap<Source>,
     /// Greatest revision returned with objects.
     revision: AtomicU64,
-    /// Tick of the last call to the store that was not the readers' task; 0 before the first.
+    /// Tick of the last call to the store as one that is not a reader; 0 before the first.
     called: AtomicU64,
+    /// Tick since which no source has returned a result; 0 while the last one did.
+    searching: AtomicU64,
+}
+
+impl<C> RelayState<C> {
+    /// Returns since when no source has returned a result: `now` if the last one did.
+    fn search_started(&self, now: Tick) -> Tick {
+        let searching =
+            self.searching
+                .compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
+        Tick(searching.err().unwrap_or(now.0))
+    }
+
+    /// Records the revision of objects that were returned.
+    fn known(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::AcqRel);
+    }
 }
 
 /// Who is asked.
@@ -103,6 +116,19 @@
     origin: FeedOrigin,
 }
 
+/// Result of asking other daemons.
+enum PeerRead<T> {
+    /// Another daemon returned objects.
+    Objects(PeerObjects<T>),
+    /// Another daemon has objects that are too large to be passed on; the store has to be read.
+    TooLarge,
+    /// No other daemon returned objects.
+    Nothing {
+        /// Whether one did not reply.
+        silent: bool,
+    },
+}
+
 impl<F, P, C> RelayedFeed<F, P, C>
 where
     F: Feed,
@@ -117,6 +143,7 @@
             source: ArcSwap::from_pointee(Source::Unknown),
             revision: AtomicU64::new(0),
             called: AtomicU64::new(0),
+            searching: AtomicU64::new(0),
         };
         Self {
             feed,
@@ -144,6 +171,7 @@
 
     /// Remembers who returned the last result, and counts it.
     fn record(&self, source: Source) {
+        self.state.searching.store(0, Ordering::Release);
         let before = self.state.source.swap(Arc::new(source));
         let label = match source {
             Source::Store => "store",
@@ -168,15 +196,14 @@
         }
     }
 
-    /// Reads from another daemon; `None` if the store has to be read instead, since none reads the
-    /// store or `max_silent` daemons did not reply.
+    /// Reads from another daemon, unless none reads the store or `max_silent` of them did not reply.
     ///
     /// Fails with `HistoryExpired` if a daemon no longer has the changes since then.
     async fn read_peers(
         &self,
         since: Option<u64>,
         max_silent: usize,
-    ) -> Result<Option<PeerObjects<F::Item>>, FeedError> {
+    ) -> Result<PeerRead<F::Item>, FeedError> {
         let mut silent = 0;
         for _ in 0..MAX_TRIED_HOSTS {
             let Some(host) = self.host() else {
@@ -190,7 +217,7 @@
                 }) => {
                     if let Some(objects) = F::Item::unwrap(objects) {
                         self.record(Source::Host(host));
-                        return Ok(Some(PeerObjects {
+                        return Ok(PeerRead::Objects(PeerObjects {
                             objects,
                             revision,
                             origin: FeedOrigin::Peer { failed_ago },
@@ -199,7 +226,7 @@
                     self.avoid(host, SILENT_TIME, "the reply holds objects of another feed");
                 }
                 Ok(FeedReply::Expired) => return Err(FeedError::HistoryExpired),
-                Ok(FeedReply::TooLarge) => break,
+                Ok(FeedReply::TooLarge) => return Ok(PeerRead::TooLarge),
                 Ok(FeedReply::NotReading) => {
                     self.avoid(host, NOT_READING_TIME, "it does not read the store");
                 }
@@ -212,7 +239,7 @@
                 }
             }
         }
-        Ok(None)
+        Ok(PeerRead::Nothing { silent: silent > 0 })
     }
 
     /// Asks `host`; fails with the cause, and the time for which to avoid the host, if it does not
@@ -245,23 +272,37 @@
         }
     }
 
-    /// Returns whether this daemon may call the store now.
-    ///
-    /// The readers of the zone may at any time, whether they fail or not; the other daemons only
-    /// now and then, in case the store answers them alone.
-    fn may_call_store(&self) -> bool {
-        let members = self.links.members.load();
-        if feed_sources(&members, |_| false).is_empty() {
-            return true;
+    /// Returns the part of this daemon in reading the store.
+    fn part(&self, members: &Members) -> ReadingPart {
+        let state = &self.state;
+        if **state.source.load() == Source::Store || feed_sources(members, |_| false).is_empty() {
+            return ReadingPart::Reader;
+        }
+        if feed_sources(members, |key| state.avoided.contains(key)).is_empty() {
+            return ReadingPart::Next;
         }
-        let reading = **self.state.source.load() == Source::Store;
+        ReadingPart::Other
+    }
+
+    /// Returns whether this daemon may call the store now, after no other daemon returned a result;
+    /// `silent` tells whether one of them did not reply.
+    fn may_call_store(&self, silent: bool) -> bool {
+        let members = self.links.members.load();
+        let state = &self.state;
         let now = self.links.clock.now();
-        let last = self.state.called.swap(now.0, Ordering::AcqRel);
-        if reading || last == 0 || now.since(Tick(last)) >= CALL_INTERVAL {
-            return true;
+        let started = state.search_started(now);
+        let called = Tick(state.called.load(Ordering::Acquire));
+        let call = StoreCall {
+            part: self.part(&members),
+            silent,
+            searching: now.since(started),
+            called_ago: (called > Tick::default()).then(|| now.since(called)),
+        };
+        let may = may_call_store(call);
+        if may && call.part != ReadingPart::Reader {
+            state.called.store(now.0, Ordering::Release);
         }
-        self.state.called.store(last, Ordering::Release);
-        false
+        may
     }
 
     /// Records the outcome of a read of the store; after a failure other daemons are asked first.
@@ -295,47 +336,46 @@
 
     async fn list(&self) -> Result<Listing<Self::Item>, FeedError> {
         let known = self.state.revision.load(Ordering::Acquire);
-        let read = self.read_peers(None, 1).await?;
-        // The daemon may know the same objects under a smaller revision; only the store can tell.
-        if let Some(read) = read.filter(|read| read.revision >= known) {
-            self.state
-                .revision
-                .fetch_max(read.revision, Ordering::AcqRel);
-            return Ok(Listing {
-                items: read.objects,
-                revision: read.revision,
-                origin: read.origin,
-            });
-        }
-        if !self.may_call_store() {
-            return Err(FeedError::NoSource);
+        match self.read_peers(None, 1).await? {
+            // The daemon may know the same objects under a smaller revision; only the store can tell.
+            PeerRead::Objects(read) if read.revision >= known => {
+                self.state.known(read.revision);
+                return Ok(Listing {
+                    items: read.objects,
+                    revision: read.revision,
+                    origin: read.origin,
+                });
+            }
+            PeerRead::Nothing { silent } if !self.may_call_store(silent) => {
+                return Err(FeedError::NoSource);
+            }
+            PeerRead::Objects(_) | PeerRead::TooLarge | PeerRead::Nothing { .. } => {}
         }
         let listing = self.note_store(self.feed.list().await)?;
-        self.state
-            .revision
-            .fetch_max(listing.revision, Ordering::AcqRel);
+        self.state.known(listing.revision);
         Ok(listing)
     }
 
     async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<Self::Item>, FeedError> {
-        if let Some(read) = self.read_peers(Some(since), MAX_SILENT_HOSTS).await? {
-            let revision = read.revision.max(since);
-            self.state.revision.fetch_max(revision, Ordering::AcqRel);
-            return Ok(Changes {
-                changes: read.objects,
-                revision,
-                origin: read.origin,
-            });
-        }
-        if !self.may_call_store() {
-            return Err(FeedError::NoSource);
+        match self.read_peers(Some(since), MAX_SILENT_HOSTS).await? {
+            PeerRead::Objects(read) => {
+                let revision = read.revision.max(since);
+                self.state.known(revision);
+                return Ok(Changes {
+                    changes: read.objects,
+                    revision,
+                    origin: read.origin,
+                });
+            }
+            PeerRead::Nothing { silent } if !self.may_call_store(silent) => {
+                return Err(FeedError::NoSource);
+            }
+            PeerRead::TooLarge | PeerRead::Nothing { .. } => {}
         }
         let wait = self.wait(Source::Store, wait);
         let changes = self.note_store(self.feed.watch(since, wait).await)?;
         if !changes.changes.is_empty() {
-            self.state
-                .revision
-                .fetch_max(changes.revision, Ordering::AcqRel);
+            self.state.known(changes.revision);
         }
         Ok(changes)
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     stage_plan::{StageChange, prefill_goal, stage_changes},
     status_of::status_of,
+    store_call::{ReadingPart, StoreCall, may_call_store},
     strong_hosts::{KeyedHost, split_by_strength},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, record_crash},
     token_bucket::TokenBucket,
@@ -92,6 +93,7 @@
 mod sheet_row;
 mod stage_plan;
 mod status_of;
+mod store_call;
 mod strong_hosts;
 mod suspicion;
 mod token_bucket;
