Let the first list of a feed be some seconds old

Cause: at a start each daemon lists three kinds of objects; 295 daemons make 885 calls at full price.

Change: `Feed::list` takes the freshness that the caller needs. The first list of a process may be some seconds old, which the store sells at a tenth: nothing older is in use yet, and the watch that follows at once returns the rest. Later lists stay exact.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -2,7 +2,7 @@
     crate::{
         board::{FeedLog, Tick, Writer},
         decide::{Backoff, jitter, record_changes, record_listing},
-        port::{Change, Clock, Feed, FeedError, FeedOrigin},
+        port::{Change, Clock, Feed, FeedError, FeedOrigin, Freshness},
     },
     rand::rngs::SmallRng,
     std::time::Duration,
@@ -157,7 +157,13 @@
     }
 
     async fn list(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
-        let listing = timeout(RESPONSE_LIMIT, self.feed.list()).await;
+        // The first list may be old: nothing older is in use, and the watch that follows at once
+        // returns what it lacks.
+        let freshness = match self.revision {
+            0 if self.failed.is_none() => Freshness::Recent,
+            _ => Freshness::Latest,
+        };
+        let listing = timeout(RESPONSE_LIMIT, self.feed.list(freshness)).await;
         let listing = listing.unwrap_or_else(|_| Err(timed_out()))?;
         if listing.revision < self.revision {
             let reason = format!(
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -6,7 +6,7 @@
         key::HostKey,
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
-            Listing, Peer, PeerCall, PeerError, PeerReply,
+            Freshness, Listing, Peer, PeerCall, PeerError, PeerReply,
         },
     },
     arc_swap::ArcSwap,
@@ -334,7 +334,7 @@
 {
     type Item = F::Item;
 
-    async fn list(&self) -> Result<Listing<Self::Item>, FeedError> {
+    async fn list(&self, freshness: Freshness) -> Result<Listing<Self::Item>, FeedError> {
         let known = self.state.revision.load(Ordering::Acquire);
         match self.read_peers(None, 1).await? {
             // The daemon may know the same objects under a smaller revision; only the store can tell.
@@ -351,7 +351,7 @@
             }
             PeerRead::Objects(_) | PeerRead::TooLarge | PeerRead::Nothing { .. } => {}
         }
-        let listing = self.note_store(self.feed.list().await)?;
+        let listing = self.note_store(self.feed.list(freshness).await)?;
         self.state.known(listing.revision);
         Ok(listing)
     }
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -10,7 +10,10 @@
     type Item: Clone + Debug + PartialEq + Send + Sync + 'static;
 
     /// Reads every object, and the revision at which the list was valid.
-    fn list(&self) -> impl Future<Output = Result<Listing<Self::Item>, FeedError>> + Send;
+    fn list(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<Listing<Self::Item>, FeedError>> + Send;
 
     /// Waits up to `wait` for changes after the revision `since`.
     ///
@@ -23,6 +26,15 @@
     ) -> impl Future<Output = Result<Changes<Self::Item>, FeedError>> + Send;
 }
 
+/// How fresh a list must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// It holds every change made before the call.
+    Latest,
+    /// It may be some seconds old, which is cheaper; a watch from its revision returns the rest.
+    Recent,
+}
+
 /// Every object, at one revision.
 #[derive(Clone, Debug)]
 pub struct Listing<T> {
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -11,7 +11,7 @@
         CacheEvent, CacheEvents, Chunk, DecodeRequest, Description, Engine, EngineError, KvHandle,
         LoadReport, Order, PrefillRequest, TokenStream,
     },
-    feed::{Change, Changes, Feed, FeedError, FeedOrigin, Listing},
+    feed::{Change, Changes, Feed, FeedError, FeedOrigin, Freshness, Listing},
     feed_read::{FeedItem, FeedKind, FeedObjects, FeedRead, FeedReply},
     grant_queue::GrantQueue,
     member_entry::MemberEntry,
--- a/tests/feed_follower.rs
+++ b/tests/feed_follower.rs
@@ -4,7 +4,7 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         control::{FeedFollower, FeedUpdate},
-        port::{Change, Changes, Feed, FeedError, FeedOrigin, Listing, MonoClock},
+        port::{Change, Changes, Feed, FeedError, FeedOrigin, Freshness, Listing, MonoClock},
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{
@@ -46,8 +46,8 @@
 impl Feed for Scripted {
     type Item = u64;
 
-    async fn list(&self) -> Result<Listing<u64>, FeedError> {
-        match self.next("list".into()) {
+    async fn list(&self, freshness: Freshness) -> Result<Listing<u64>, FeedError> {
+        match self.next(format!("list {freshness:?}")) {
             Response::Listing(revision, name) => Ok(Listing {
                 items: vec![put(name)],
                 revision,
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -11,8 +11,8 @@
         decide::feed_sources,
         key::HostKey,
         port::{
-            Change, Changes, Clock, Feed, FeedError, FeedOrigin, Listing, Peer, PeerCall,
-            PeerError, PeerReply, RosterEntry,
+            Change, Changes, Clock, Feed, FeedError, FeedOrigin, Freshness, Listing, Peer,
+            PeerCall, PeerError, PeerReply, RosterEntry,
         },
     },
     prometheus_client::registry::Registry,
@@ -118,7 +118,7 @@
 impl Feed for StoreFeed {
     type Item = RosterEntry;
 
-    async fn list(&self) -> Result<Listing<RosterEntry>, FeedError> {
+    async fn list(&self, _: Freshness) -> Result<Listing<RosterEntry>, FeedError> {
         self.call()?;
         let store = self.store.lock().unwrap();
         let mut items = BTreeMap::new();
