Ask only the readers of the zone, and list when the source changes

Change: a daemon that turns to the store lists first. Only the first two hosts are asked; hosts that do not reply are left out by every daemon alike, hosts that merely do not read at present are not. A reader says whether it has failed to read (`Outage`); the others then wait half a second before they try the store, and 4 s between tries. A wait below 1 ms is never sent to the store. A new source and expired history are followed by a short delay, since two readers with different floors kept a daemon busy without end (found by the test of suspended readers).

--- a/soak/store_stand_in.rs
+++ b/soak/store_stand_in.rs
@@ -22,6 +22,9 @@
 /// Objects per page of a list; few, so that lists need several pages.
 const PAGE_ITEMS: usize = 2;
 
+/// Wait of a watch that asks for none, in milliseconds.
+const MAX_WATCH_MS: u64 = 30_000;
+
 /// An in-memory stand-in for the platform's store, served over HTTP: objects, conditional writes
 /// and watches. Clones share one store.
 #[derive(Clone, Debug)]
@@ -181,6 +184,7 @@
                 else {
                     return response(StatusCode::BAD_REQUEST, &Value::Null);
                 };
+                let wait = if wait == 0 { MAX_WATCH_MS } else { wait };
                 self.watch(kind, since, Duration::from_millis(wait)).await
             }
             (Method::GET, None) if name.is_empty() => self.list(kind, query.get("after")),
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -147,8 +147,10 @@
                 self.record_success();
                 update
             }
-            Err(FeedError::HistoryExpired) => {
-                log::info!(kind = self.kind, revision = self.revision; "the store no longer keeps changes since this revision; listing all objects");
+            Err(error @ (FeedError::HistoryExpired | FeedError::SourceChanged)) => {
+                log::info!(kind = self.kind, revision = self.revision; "listing all objects: {error}");
+                // Without a delay, a source that lists but does not watch would keep this task busy.
+                self.clock.sleep(RETRY_DELAY).await;
                 self.listed = false;
                 FeedUpdate::Unchanged
             }
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -2,7 +2,7 @@
     super::{FeedCounters, avoided_hosts::AvoidedHosts},
     crate::{
         board::{Members, Section, Tick},
-        decide::{ReadingPart, StoreCall, feed_sources, may_call_store},
+        decide::{StoreCall, feed_sources, may_call_store},
         key::HostKey,
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
@@ -31,10 +31,7 @@
 const SILENT_TIME: Duration = Duration::from_secs(10);
 
 /// Time for which a daemon that cannot be connected to is not asked again; it may be starting.
-const UNCONNECTED_TIME: Duration = Duration::from_secs(1);
-
-/// Time for which a daemon that does not read the store is not asked again.
-const NOT_READING_TIME: Duration = Duration::from_millis(500);
+const UNCONNECTED_TIME: Duration = Duration::from_secs(5);
 
 /// Time for which other daemons are asked first after a read of the store has failed; longer than
 /// the delay before the next read, which would otherwise call the store again.
@@ -124,8 +121,8 @@
     TooLarge,
     /// No other daemon returned objects.
     Nothing {
-        /// Whether one did not reply.
-        silent: bool,
+        /// Whether one said that it cannot reach the store.
+        outage: bool,
     },
 }
 
@@ -152,18 +149,18 @@
         }
     }
 
-    /// Returns the daemon to ask, or `None` if this one is to read the store itself.
-    fn host(&self) -> Option<HostKey> {
+    /// Returns the daemons to ask, the first choice first; none if this one is to read the store
+    /// itself.
+    fn hosts(&self) -> Vec<HostKey> {
         let members = self.links.members.load();
-        let sources = feed_sources(&members, |key| self.state.avoided.contains(key));
-        sources.first().copied()
+        feed_sources(&members, |key| self.state.avoided.contains(key))
     }
 
-    /// Returns the wait of a read from `source`: none for the first one, which shows whether the
-    /// source replies at all.
-    fn wait(&self, source: Source, wait: Duration) -> Duration {
-        if **self.state.source.load() == source {
-            wait
+    /// Returns the wait of a read from `host`: none for the first one, which shows whether the host
+    /// replies at all.
+    fn wait(&self, host: HostKey) -> Duration {
+        if **self.state.source.load() == Source::Host(host) {
+            PEER_WAIT
         } else {
             Duration::ZERO
         }
@@ -204,11 +201,15 @@
         since: Option<u64>,
         max_silent: usize,
     ) -> Result<PeerRead<F::Item>, FeedError> {
+        let mut asked = Vec::new();
         let mut silent = 0;
-        for _ in 0..MAX_TRIED_HOSTS {
-            let Some(host) = self.host() else {
+        let mut outage = false;
+        while asked.len() < MAX_TRIED_HOSTS && silent < max_silent {
+            let mut hosts = self.hosts().into_iter();
+            let Some(host) = hosts.find(|host| !asked.contains(host)) else {
                 break;
             };
+            asked.push(host);
             match self.ask(host, since).await {
                 Ok(FeedReply::Objects {
                     objects,
@@ -227,19 +228,15 @@
                 }
                 Ok(FeedReply::Expired) => return Err(FeedError::HistoryExpired),
                 Ok(FeedReply::TooLarge) => return Ok(PeerRead::TooLarge),
-                Ok(FeedReply::NotReading) => {
-                    self.avoid(host, NOT_READING_TIME, "it does not read the store");
-                }
+                Ok(FeedReply::NotReading) => {}
+                Ok(FeedReply::Outage) => outage = true,
                 Err((time, cause)) => {
                     self.avoid(host, time, &cause);
                     silent += 1;
-                    if silent == max_silent {
-                        break;
-                    }
                 }
             }
         }
-        Ok(PeerRead::Nothing { silent: silent > 0 })
+        Ok(PeerRead::Nothing { outage })
     }
 
     /// Asks `host`; fails with the cause, and the time for which to avoid the host, if it does not
@@ -253,7 +250,7 @@
         let Some(member) = members.hosts.get(host) else {
             return Ok(FeedReply::NotReading);
         };
-        let wait = self.wait(Source::Host(host), PEER_WAIT);
+        let wait = self.wait(host);
         let read = FeedRead {
             kind: F::Item::KIND,
             since,
@@ -272,34 +269,25 @@
         }
     }
 
-    /// Returns the part of this daemon in reading the store.
-    fn part(&self, members: &Members) -> ReadingPart {
-        let state = &self.state;
-        if **state.source.load() == Source::Store || feed_sources(members, |_| false).is_empty() {
-            return ReadingPart::Reader;
-        }
-        if feed_sources(members, |key| state.avoided.contains(key)).is_empty() {
-            return ReadingPart::Next;
-        }
-        ReadingPart::Other
-    }
-
     /// Returns whether this daemon may call the store now, after no other daemon returned a result;
-    /// `silent` tells whether one of them did not reply.
-    fn may_call_store(&self, silent: bool) -> bool {
+    /// `outage` tells whether one said that it cannot reach the store.
+    fn may_call_store(&self, outage: bool) -> bool {
         let members = self.links.members.load();
         let state = &self.state;
         let now = self.links.clock.now();
         let started = state.search_started(now);
         let called = Tick(state.called.load(Ordering::Acquire));
+        let reading = **state.source.load() == Source::Store;
         let call = StoreCall {
-            part: self.part(&members),
-            silent,
+            reader: reading
+                || feed_sources(&members, |_| false).is_empty()
+                || self.hosts().is_empty(),
+            outage,
             searching: now.since(started),
             called_ago: (called > Tick::default()).then(|| now.since(called)),
         };
         let may = may_call_store(call);
-        if may && call.part != ReadingPart::Reader {
+        if may && !call.reader {
             state.called.store(now.0, Ordering::Release);
         }
         may
@@ -346,7 +334,7 @@
                     origin: read.origin,
                 });
             }
-            PeerRead::Nothing { silent } if !self.may_call_store(silent) => {
+            PeerRead::Nothing { outage } if !self.may_call_store(outage) => {
                 return Err(FeedError::NoSource);
             }
             PeerRead::Objects(_) | PeerRead::TooLarge | PeerRead::Nothing { .. } => {}
@@ -367,12 +355,12 @@
                     origin: read.origin,
                 });
             }
-            PeerRead::Nothing { silent } if !self.may_call_store(silent) => {
-                return Err(FeedError::NoSource);
-            }
             PeerRead::TooLarge | PeerRead::Nothing { .. } => {}
         }
-        let wait = self.wait(Source::Store, wait);
+        // The store may leave a watch from an old revision without a response; a list is answered.
+        if **self.state.source.load() != Source::Store {
+            return Err(FeedError::SourceChanged);
+        }
         let changes = self.note_store(self.feed.watch(since, wait).await)?;
         if !changes.changes.is_empty() {
             self.state.known(changes.revision);
--- a/src/decide/feed_reply.rs
+++ b/src/decide/feed_reply.rs
@@ -11,6 +11,9 @@
 /// store, whose link is wider than that of a host with dozens of readers.
 const MAX_REPLY_BYTES: usize = 128 << 10;
 
+/// Time after a failed read of the store for which an outage is reported.
+const OUTAGE_TIME: Duration = Duration::from_secs(4);
+
 /// What another daemon asked for, and when.
 #[derive(Clone, Copy, Debug)]
 pub struct FeedQuestion {
@@ -35,7 +38,12 @@
     T: FeedItem,
 {
     if !log.direct || question.now >= log.valid_until {
-        return Some(FeedReply::NotReading);
+        let failed = question.failed_ago.is_some_and(|ago| ago < OUTAGE_TIME);
+        return Some(if failed {
+            FeedReply::Outage
+        } else {
+            FeedReply::NotReading
+        });
     }
     let Some(objects) = changes_since(log, question.since) else {
         return Some(FeedReply::Expired);
--- a/src/decide/feed_sources.rs
+++ b/src/decide/feed_sources.rs
@@ -17,9 +17,9 @@
 ///
 /// The hosts that read the store are the first of each zone in rendezvous order, strong ones before
 /// weak ones; every daemon computes them from its own list of members. `avoid` tells which hosts
-/// have failed lately, the own one among them if it cannot reach the store: the next ones then read
-/// the store. Without an agreed list two daemons may both rely on the other; neither then answers
-/// for the store, and both read it.
+/// do not reply: the next ones then take their place, since they ask the same hosts and see the
+/// same. It also holds for the own host if that cannot reach the store. Without an agreed list two
+/// daemons may both rely on the other; neither then answers for the store, and both read it.
 pub fn feed_sources<A>(members: &Members, avoid: A) -> Vec<HostKey>
 where
     A: Fn(HostKey) -> bool,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,7 +42,7 @@
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     stage_plan::{StageChange, prefill_goal, stage_changes},
     status_of::status_of,
-    store_call::{ReadingPart, StoreCall, may_call_store},
+    store_call::{StoreCall, may_call_store},
     strong_hosts::{KeyedHost, split_by_strength},
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, record_crash},
     token_bucket::TokenBucket,
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -86,6 +86,9 @@
     /// The changes after the requested revision are no longer stored; list again.
     #[error("the changes since the requested revision are no longer stored; list again")]
     HistoryExpired,
+    /// The changes so far came from another source; list again.
+    #[error("the feed is read from another source now; list again")]
+    SourceChanged,
     /// No call to the other system was made: the daemons that read it do not at present, and this one
     /// has called it a moment ago.
     #[error("no daemon of the zone reads the store at present")]
--- a/src/port/feed_read.rs
+++ b/src/port/feed_read.rs
@@ -45,6 +45,8 @@
     TooLarge,
     /// The sender does not read the store itself at present.
     NotReading,
+    /// The sender has lately failed to read the store.
+    Outage,
 }
 
 /// Objects of one of the feeds.
