--- a/src/board/section.rs
+++ b/src/board/section.rs
@@ -34,6 +34,11 @@
         self.current.load_full()
     }
 
+    /// Returns whether the writer still exists, so that the snapshot may be current.
+    pub fn is_open(&self) -> bool {
+        self.version_rx.has_changed().is_ok()
+    }
+
     /// Waits until a snapshot newer than the last one seen by this handle is published.
     ///
     /// Returns `false` if the writer has been dropped, so that no further snapshot follows.
--- a/src/control/feed_relay.rs
+++ b/src/control/feed_relay.rs
@@ -41,7 +41,8 @@
         T: FeedItem,
     {
         let deadline = self.clock.now() + read.wait.min(MAX_WAIT);
-        loop {
+        // The last snapshot of a controller that has ended would be read for ever.
+        while log.is_open() {
             let now = self.clock.now();
             let current = log.snapshot();
             let question = FeedQuestion {
@@ -54,13 +55,10 @@
                 return reply;
             }
             tokio::select! {
-                open = log.changed() => {
-                    if !open {
-                        return FeedReply::NotReading;
-                    }
-                }
+                _ = log.changed() => {}
                 () = self.clock.sleep(deadline - now) => {}
             }
         }
+        FeedReply::NotReading
     }
 }
--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -76,15 +76,18 @@
         });
     }
 
+    /// Applies changes and logs their number: a line for each of hundreds of daemons would crowd out
+    /// the decisions on requests.
     fn apply(&mut self, changes: Vec<Change<MemberEntry>>) {
         let revision = self.follower.revision();
         let own = self.own.name.clone();
-        self.writer.update(|members| {
+        let (mut listed, mut removed) = (0, 0);
+        let members = self.writer.update(|members| {
             for change in changes {
                 match change {
                     Change::Put(_, entry) if entry.name == own => {}
-                    Change::Put(name, entry) => {
-                        log::info!(member = name.as_str(), revision; "daemon listed");
+                    Change::Put(_, entry) => {
+                        listed += 1;
                         put(members, entry);
                     }
                     Change::Unreadable(name, reason) => {
@@ -92,13 +95,15 @@
                         members.hosts.remove(&name);
                     }
                     Change::Removed(name) if name != own => {
-                        log::info!(member = name.as_str(), revision; "daemon removed from the list");
+                        removed += 1;
                         members.hosts.remove(&name);
                     }
                     Change::Removed(_) => {}
                 }
             }
+            members.hosts.len()
         });
+        log::info!(listed, removed, members, revision; "list of daemons updated");
     }
 }
 
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -23,7 +23,7 @@
         time::Duration,
     },
     tokio::{
-        sync::watch,
+        sync::{Notify, watch},
         task::JoinHandle,
         time::{Instant, sleep, timeout},
     },
@@ -186,19 +186,27 @@
 /// What a daemon knows: the names of the endpoints.
 type Known = Arc<Mutex<BTreeSet<String>>>;
 
+/// A running daemon.
+struct Daemon {
+    known: Known,
+    task: JoinHandle<()>,
+    /// Notified to suspend it: it keeps what it has read.
+    suspend: Arc<Notify>,
+}
+
 /// A zone of daemons that follow the feed.
 struct Zone {
     store: Arc<Mutex<Store>>,
     changed: watch::Sender<()>,
     peers: Peers,
-    daemons: BTreeMap<String, (Known, JoinHandle<()>)>,
+    daemons: BTreeMap<String, Daemon>,
     clock: TestClock,
 }
 
 impl Drop for Zone {
     fn drop(&mut self) {
-        for (_, task) in self.daemons.values() {
-            task.abort();
+        for daemon in self.daemons.values() {
+            daemon.task.abort();
         }
     }
 }
@@ -271,8 +279,14 @@
         let follower =
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
-        let task = tokio::spawn(follow(follower, Arc::clone(&known)));
-        self.daemons.insert(name.to_owned(), (known, task));
+        let suspend = Arc::new(Notify::new());
+        let running = follow(follower, Arc::clone(&known), Arc::clone(&suspend));
+        let daemon = Daemon {
+            known,
+            task: tokio::spawn(running),
+            suspend,
+        };
+        self.daemons.insert(name.to_owned(), daemon);
     }
 
     fn change(&self, change: Change<RosterEntry>) {
@@ -300,7 +314,7 @@
 
     /// Ends a daemon: its connections are refused from now on.
     fn kill(&self, name: &str) {
-        self.daemons[name].1.abort();
+        self.daemons[name].task.abort();
         self.peers.relays.lock().unwrap().remove(name);
     }
 
@@ -317,8 +331,8 @@
         let start = Instant::now();
         self.put(name);
         let daemons = self.daemons.iter();
-        for (daemon, (known, _)) in daemons.filter(|(daemon, _)| !without.contains(daemon)) {
-            while !known.lock().unwrap().contains(name) {
+        for (daemon, state) in daemons.filter(|(daemon, _)| !without.contains(daemon)) {
+            while !state.known.lock().unwrap().contains(name) {
                 sleep(Duration::from_millis(1)).await;
                 let late = start.elapsed() > Duration::from_mins(1);
                 assert!(
@@ -333,12 +347,15 @@
 }
 
 /// Follows the feed and keeps the names of the endpoints in `known`.
-async fn follow<F>(mut follower: FeedFollower<F, TestClock>, known: Known)
+async fn follow<F>(mut follower: FeedFollower<F, TestClock>, known: Known, suspend: Arc<Notify>)
 where
     F: Feed,
 {
     loop {
-        let update = follower.next().await;
+        let update = tokio::select! {
+            update = follower.next() => update,
+            () = suspend.notified() => std::future::pending().await,
+        };
         let mut known = known.lock().unwrap();
         let changes = match update {
             FeedUpdate::Listing(items) => {
@@ -381,7 +398,7 @@
                 match fault {
                     "dead" => zone.kill(reader),
                     "suspended" => {
-                        zone.daemons[reader].1.abort();
+                        zone.daemons[reader].suspend.notify_one();
                         zone.peers.silent.lock().unwrap().insert(reader.clone());
                     }
                     _ => {
@@ -426,7 +443,7 @@
     let zone = Zone::start(30).await;
     let readers = zone.readers();
     for reader in &readers {
-        zone.daemons[reader].1.abort();
+        zone.daemons[reader].suspend.notify_one();
     }
     // Their relays still reply, but none of their reads vouches for the objects any more.
     sleep(WATCH * 2).await;
@@ -444,10 +461,10 @@
     zone.store.lock().unwrap().forgotten = revision;
     zone.time_to_spread("last", &[]).await;
     sleep(Duration::from_secs(5)).await;
-    let expected: BTreeSet<_> = zone.daemons["host-0"].0.lock().unwrap().clone();
+    let expected: BTreeSet<_> = zone.daemons["host-0"].known.lock().unwrap().clone();
     assert_eq!(expected.len(), 20, "{expected:?}");
-    for (known, _) in zone.daemons.values() {
-        assert_eq!(*known.lock().unwrap(), expected);
+    for daemon in zone.daemons.values() {
+        assert_eq!(*daemon.known.lock().unwrap(), expected);
     }
 }
 
