Keep the ports of stand-ins that are down, and tell sites apart

Change: a stand-in holds its address with a bound socket that does not listen; the peer key of an emulated site names the site, so that a daemon of another one refuses its calls.

--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -16,6 +16,9 @@
     tokio::time::{Instant, sleep},
 };
 
+/// Key that operators present to the daemons.
+const OPERATOR_KEY: &str = "operator-key";
+
 /// Availability zones of an emulated site; hosts are assigned to them in turn.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -164,7 +167,10 @@
             .iter()
             .flatten()
             .map(|daemon| daemon.addresses().peers);
-        let builder = builder.seeds(peers.collect());
+        // The port of a daemon that crashed may go to a daemon of another site, which must not answer
+        // the calls meant for the first one.
+        let peer_key = format!("peers of the site at {platform}");
+        let builder = builder.keys(OPERATOR_KEY, &peer_key).seeds(peers.collect());
         let builder = branches.fold(builder, |builder, branch| {
             builder.branch(branch, &Self::branch_key(branch))
         });
--- a/src/fake/endpoint_server.rs
+++ b/src/fake/endpoint_server.rs
@@ -1,35 +1,16 @@
 use {
+    super::held_address::HeldAddress,
     crate::border::NodelayAcceptor,
-    poem::{
-        IntoEndpoint, Server,
-        listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
-    },
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::{sync::watch, time::sleep},
+    poem::{IntoEndpoint, Server, listener::TcpAcceptor},
+    std::time::Duration,
+    tokio::sync::watch,
 };
 
-/// Delay between attempts to open the listener again.
-const REBIND_DELAY: Duration = Duration::from_millis(5);
-
-/// Opens a listener on `address` and returns the address that it was bound to.
-///
-/// Fails if the address is not valid or in use.
-pub(super) async fn bind(address: &str) -> io::Result<(SocketAddr, TcpAcceptor)> {
-    let acceptor = TcpListener::bind(address.to_owned())
-        .into_acceptor()
-        .await?;
-    let local = acceptor.local_addr();
-    let address = local.first().and_then(|local| local.as_socket_addr());
-    let address =
-        address.ok_or_else(|| io::Error::other("the listener reports no socket address"))?;
-    Ok((*address, acceptor))
-}
-
 /// Serves `app` until aborted.
 ///
 /// While `down` is true, the listener is closed and no connection is open.
 pub(super) async fn serve<A, E>(
-    address: SocketAddr,
+    address: HeldAddress,
     acceptor: TcpAcceptor,
     mut down: watch::Receiver<bool>,
     app: A,
@@ -42,7 +23,7 @@
     loop {
         let open = match acceptor.take() {
             Some(open) => open,
-            None => reopen(address).await,
+            None => address.reopen().await,
         };
         let mut closed = down.clone();
         let stop = async move {
@@ -58,13 +39,3 @@
         }
     }
 }
-
-/// Opens the listener again; retries until the address is free.
-async fn reopen(address: SocketAddr) -> TcpAcceptor {
-    loop {
-        match TcpListener::bind(address).into_acceptor().await {
-            Ok(acceptor) => return acceptor,
-            Err(_) => sleep(REBIND_DELAY).await,
-        }
-    }
-}
--- a/src/fake/engine.rs
+++ b/src/fake/engine.rs
@@ -1,10 +1,8 @@
 use {
     super::{
-        EngineControl, EngineObserved, EngineSettings,
-        endpoint_server::{bind, serve},
-        engine_batch::run_batches,
-        engine_core::EngineCore,
-        engine_routes::routes,
+        EngineControl, EngineObserved, EngineSettings, endpoint_server::serve,
+        engine_batch::run_batches, engine_core::EngineCore, engine_routes::routes,
+        held_address::HeldAddress,
     },
     crate::{border::http_client, port::Description},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -30,14 +28,15 @@
     ///
     /// Fails if the listener cannot be opened or the HTTP client cannot be built.
     pub async fn start(settings: EngineSettings) -> io::Result<Self> {
-        let (address, acceptor) = bind(&settings.address).await?;
+        let held = HeldAddress::bind(&settings.address).await?;
+        let (address, acceptor) = (held.address(), held.listen()?);
         let client = http_client(CONNECT_TIMEOUT).map_err(io::Error::other)?;
         let interval = settings.scaled_ms(settings.load_ms);
         let core = Arc::new(EngineCore::new(settings, address.to_string(), client));
         let shared = Arc::clone(&core);
         let app = move || routes(Arc::clone(&shared));
         let mut tasks = vec![
-            tokio::spawn(serve(address, acceptor, core.down.subscribe(), app)),
+            tokio::spawn(serve(held, acceptor, core.down.subscribe(), app)),
             tokio::spawn(run_batches(Arc::clone(&core))),
         ];
         if !interval.is_zero() {
--- a/src/fake/mod.rs
+++ b/src/fake/mod.rs
@@ -50,6 +50,7 @@
 mod engine_transfer;
 mod fault;
 mod faulty_peer;
+mod held_address;
 mod link;
 mod memory_platform;
 mod pause;
--- a/src/fake/platform.rs
+++ b/src/fake/platform.rs
@@ -1,30 +1,21 @@
 use {
     super::{
         Outage, PlatformControl, PlatformFaults, PlatformObserved, PlatformSettings,
-        platform_routes::routes, platform_state::PlatformState,
+        held_address::HeldAddress, platform_routes::routes, platform_state::PlatformState,
     },
     crate::port::HostEntry,
-    poem::{
-        Server,
-        listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
-    },
+    poem::{Server, listener::TcpAcceptor},
     std::{
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{
-        sync::watch,
-        task::JoinHandle,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
 };
 
 /// Address to listen on if the settings name none; the system picks the port.
 const DEFAULT_ADDRESS: &str = "127.0.0.1:0";
-/// Timeout of each attempt to open the listener again after an outage, and delay between attempts.
-const REBIND_DELAY: Duration = Duration::from_millis(20);
 
 /// Fake platform: versioned objects and a host list that may lag, over HTTP.
 ///
@@ -54,14 +45,9 @@
         });
         let address = Some(settings.address).filter(|address| !address.is_empty());
         let address = address.unwrap_or_else(|| DEFAULT_ADDRESS.into());
-        let acceptor = TcpListener::bind(address).into_acceptor().await?;
-        let address = acceptor.local_addr().first().and_then(|local| {
-            let address = local.as_socket_addr()?;
-            Some(*address)
-        });
-        let address =
-            address.ok_or_else(|| io::Error::other("the listener reports no socket address"))?;
-        let server = tokio::spawn(serve(Arc::clone(&shared), address, acceptor));
+        let held = HeldAddress::bind(&address).await?;
+        let (address, acceptor) = (held.address(), held.listen()?);
+        let server = tokio::spawn(serve(Arc::clone(&shared), held, acceptor));
         Ok(Self {
             shared,
             address,
@@ -174,13 +160,13 @@
 }
 
 /// Serves until aborted; the listener is closed during an outage of kind `Refuse`.
-async fn serve(shared: Arc<PlatformCore>, address: SocketAddr, acceptor: TcpAcceptor) {
+async fn serve(shared: Arc<PlatformCore>, address: HeldAddress, acceptor: TcpAcceptor) {
     let mut acceptor = Some(acceptor);
     loop {
         shared.wait_outage(Outage::Refuse, false).await;
         let open = match acceptor.take() {
             Some(open) => open,
-            None => reopen(address).await,
+            None => address.reopen().await,
         };
         let server = Server::new_with_acceptor(open);
         let closed = shared.wait_outage(Outage::Refuse, true);
@@ -191,13 +177,3 @@
         }
     }
 }
-
-/// Opens the listener again; retries until the address is free.
-async fn reopen(address: SocketAddr) -> TcpAcceptor {
-    loop {
-        match timeout(REBIND_DELAY, TcpListener::bind(address).into_acceptor()).await {
-            Ok(Ok(acceptor)) => return acceptor,
-            Ok(Err(_)) | Err(_) => sleep(REBIND_DELAY).await,
-        }
-    }
-}
--- a/src/fake/service.rs
+++ b/src/fake/service.rs
@@ -1,9 +1,7 @@
 use {
     super::{
-        ServiceControl, ServiceObserved, ServiceSettings,
-        endpoint_server::{bind, serve},
-        fault::FaultPlan,
-        service_routes::routes,
+        ServiceControl, ServiceObserved, ServiceSettings, endpoint_server::serve, fault::FaultPlan,
+        held_address::HeldAddress, service_routes::routes,
     },
     std::{
         io,
@@ -50,11 +48,12 @@
     ///
     /// Fails if the listener cannot be opened.
     pub async fn start(settings: ServiceSettings) -> io::Result<Self> {
-        let (address, acceptor) = bind(&settings.address).await?;
+        let held = HeldAddress::bind(&settings.address).await?;
+        let (address, acceptor) = (held.address(), held.listen()?);
         let core = Arc::new(ServiceCore::new(settings));
         let shared = Arc::clone(&core);
         let app = move || routes(Arc::clone(&shared));
-        let server = tokio::spawn(serve(address, acceptor, core.down.subscribe(), app));
+        let server = tokio::spawn(serve(held, acceptor, core.down.subscribe(), app));
         Ok(Self {
             core,
             address,
