--- a/src/border/peer_wire.rs
+++ b/src/border/peer_wire.rs
@@ -12,7 +12,9 @@
 
 /// Version of the message encoding, the first byte of every body.
 ///
-/// Increase it whenever the fields or variants of a message in `src/port` change.
+/// Increase it whenever the fields or variants of a message in `src/port` change. A variant that is
+/// added at the end of `PeerCall` or `PeerReply` needs no new version: an earlier release refuses
+/// the call.
 pub const WIRE_VERSION: u8 = 1;
 
 /// Maximum length of one message in bytes: a complete sheet of 1 MB and as much again.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -84,6 +84,7 @@
 mod queue_snapshot;
 mod queue_state;
 mod readiness_controller;
+mod relay_state;
 mod relayed_feed;
 mod roster_controller;
 mod routing_controller;
--- /dev/null
+++ b/src/control/relay_state.rs
@@ -0,0 +1,61 @@
+use {
+    super::avoided_hosts::AvoidedHosts,
+    crate::{board::Tick, key::HostKey, port::Clock},
+    arc_swap::ArcSwap,
+    std::sync::atomic::{AtomicU64, Ordering},
+};
+
+/// State that the clones of a feed share.
+#[derive(Debug)]
+pub(super) struct RelayState<C> {
+    /// Daemons that are not asked for a while.
+    pub(super) avoided: AvoidedHosts<C>,
+    /// Who returned the last result.
+    pub(super) source: ArcSwap<Source>,
+    /// Greatest revision returned with objects.
+    pub(super) revision: AtomicU64,
+    /// Tick of the last call to the store as one that is not a reader; 0 before the first.
+    pub(super) called: AtomicU64,
+    /// Tick since which no source has returned a result; 0 while the last one did.
+    pub(super) searching: AtomicU64,
+}
+
+impl<C> RelayState<C>
+where
+    C: Clock,
+{
+    /// Creates the state of a feed that was not read yet.
+    pub(super) fn new(clock: C) -> Self {
+        Self {
+            avoided: AvoidedHosts::new(clock),
+            source: ArcSwap::from_pointee(Source::Unknown),
+            revision: AtomicU64::new(0),
+            called: AtomicU64::new(0),
+            searching: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns since when no source has returned a result: `now` if the last one did.
+    pub(super) fn search_started(&self, now: Tick) -> Tick {
+        let searching =
+            self.searching
+                .compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
+        Tick(searching.err().unwrap_or(now.0))
+    }
+
+    /// Records the revision of objects that were returned.
+    pub(super) fn known(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::AcqRel);
+    }
+}
+
+/// Who is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Source {
+    /// Nobody yet.
+    Unknown,
+    /// The store.
+    Store,
+    /// Another daemon.
+    Host(HostKey),
+}
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -1,5 +1,8 @@
 use {
-    super::{FeedCounters, avoided_hosts::AvoidedHosts},
+    super::{
+        FeedCounters,
+        relay_state::{RelayState, Source},
+    },
     crate::{
         board::{Members, Section, Tick},
         decide::{StoreCall, feed_sources, may_call_store},
@@ -9,12 +12,8 @@
             Freshness, Listing, Peer, PeerCall, PeerError, PeerReply,
         },
     },
-    arc_swap::ArcSwap,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::time::timeout,
@@ -66,46 +65,6 @@
     pub counters: FeedCounters,
 }
 
-/// State that the clones of a feed share.
-#[derive(Debug)]
-struct RelayState<C> {
-    avoided: AvoidedHosts<C>,
-    /// Who returned the last result.
-    source: ArcSwap<Source>,
-    /// Greatest revision returned with objects.
-    revision: AtomicU64,
-    /// Tick of the last call to the store as one that is not a reader; 0 before the first.
-    called: AtomicU64,
-    /// Tick since which no source has returned a result; 0 while the last one did.
-    searching: AtomicU64,
-}
-
-impl<C> RelayState<C> {
-    /// Returns since when no source has returned a result: `now` if the last one did.
-    fn search_started(&self, now: Tick) -> Tick {
-        let searching =
-            self.searching
-                .compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
-        Tick(searching.err().unwrap_or(now.0))
-    }
-
-    /// Records the revision of objects that were returned.
-    fn known(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::AcqRel);
-    }
-}
-
-/// Who is asked.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
-    /// Nobody yet.
-    Unknown,
-    /// The store.
-    Store,
-    /// Another daemon.
-    Host(HostKey),
-}
-
 /// Objects that another daemon returned, with the revision that it knows.
 struct PeerObjects<T> {
     objects: Vec<Change<T>>,
@@ -135,13 +94,7 @@
 {
     /// Creates a feed that reads `feed` itself when no other daemon of the zone does.
     pub fn new(feed: F, links: FeedLinks<P, C>) -> Self {
-        let state = RelayState {
-            avoided: AvoidedHosts::new(links.clock.clone()),
-            source: ArcSwap::from_pointee(Source::Unknown),
-            revision: AtomicU64::new(0),
-            called: AtomicU64::new(0),
-            searching: AtomicU64::new(0),
-        };
+        let state = RelayState::new(links.clock.clone());
         Self {
             feed,
             links,
