Let the readers of a zone take turns

The store watch of one reader was silent for its whole limit of 4.9 s; the reader told its followers that nothing had changed, so healthy daemons of its zone were late with it.

Change: a daemon asks the two readers in turn, so that a change that either knows arrives within the wait of one read (1 s), at no more calls to the store. The reader with the silent watch itself is as late as each daemon was before readers existed.

--- a/src/control/relay_state.rs
+++ b/src/control/relay_state.rs
@@ -1,8 +1,8 @@
 use {
     super::avoided_hosts::AvoidedHosts,
-    crate::{board::Tick, key::HostKey, port::Clock},
+    crate::{board::Tick, port::Clock},
     arc_swap::ArcSwap,
-    std::sync::atomic::{AtomicU64, Ordering},
+    std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 /// State that the clones of a feed share.
@@ -10,6 +10,10 @@
 pub(super) struct RelayState<C> {
     /// Daemons that are not asked for a while.
     pub(super) avoided: AvoidedHosts<C>,
+    /// Number of reads so far, by which the readers of the zone take turns.
+    pub(super) turn: AtomicUsize,
+    /// Whether another daemon replied to the last read, so that the next one may wait there.
+    pub(super) replied: AtomicBool,
     /// Who returned the last result.
     pub(super) source: ArcSwap<Source>,
     /// Greatest revision returned with objects.
@@ -28,6 +32,8 @@
     pub(super) fn new(clock: C) -> Self {
         Self {
             avoided: AvoidedHosts::new(clock),
+            turn: AtomicUsize::new(0),
+            replied: AtomicBool::new(false),
             source: ArcSwap::from_pointee(Source::Unknown),
             revision: AtomicU64::new(0),
             called: AtomicU64::new(0),
@@ -56,6 +62,6 @@
     Unknown,
     /// The store.
     Store,
-    /// Another daemon.
-    Host(HostKey),
+    /// Other daemons.
+    Daemons,
 }
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -109,10 +109,22 @@
         feed_sources(&members, |key| self.state.avoided.contains(key))
     }
 
-    /// Returns the wait of a read from `host`: none for the first one, which shows whether the host
-    /// replies at all.
-    fn wait(&self, host: HostKey) -> Duration {
-        if **self.state.source.load() == Source::Host(host) {
+    /// Returns the daemons to ask in this read. The readers take turns: one whose own connection to
+    /// the store has gone silent reports no change for seconds, which the other one makes up for.
+    fn next_hosts(&self) -> Vec<HostKey> {
+        let mut hosts = self.hosts();
+        let turn = self.state.turn.fetch_add(1, Ordering::AcqRel);
+        if !hosts.is_empty() {
+            let first = turn % hosts.len();
+            hosts.rotate_left(first);
+        }
+        hosts
+    }
+
+    /// Returns the wait of a read from another daemon: none after a read without a reply, so that it
+    /// soon shows whether a daemon replies at all.
+    fn wait(&self) -> Duration {
+        if self.state.replied.load(Ordering::Acquire) {
             PEER_WAIT
         } else {
             Duration::ZERO
@@ -125,24 +137,11 @@
         let before = self.state.source.swap(Arc::new(source));
         let label = match source {
             Source::Store => "store",
-            Source::Host(_) | Source::Unknown => "daemon",
+            Source::Daemons | Source::Unknown => "daemon",
         };
         self.links.counters.count(F::Item::KIND, label);
         if *before != source {
-            let name = self.name(source);
-            log::info!(kind = F::Item::KIND.as_str(), source = name.as_str(); "feed read from another source");
-        }
-    }
-
-    fn name(&self, source: Source) -> String {
-        let members = self.links.members.load();
-        match source {
-            Source::Unknown => String::new(),
-            Source::Store => "store".to_owned(),
-            Source::Host(key) => members
-                .hosts
-                .get(key)
-                .map_or_else(String::new, |host| host.name.clone()),
+            log::info!(kind = F::Item::KIND.as_str(), source = label; "feed read from another source");
         }
     }
 
@@ -155,11 +154,14 @@
         max_silent: usize,
     ) -> Result<PeerRead<F::Item>, FeedError> {
         let mut asked = Vec::new();
+        let turn = self.next_hosts();
         let mut silent = 0;
         let mut outage = false;
         while asked.len() < MAX_TRIED_HOSTS && silent < max_silent {
-            let mut hosts = self.hosts().into_iter();
-            let Some(host) = hosts.find(|host| !asked.contains(host)) else {
+            // A host that has just failed is replaced by the next in order.
+            let now = self.hosts();
+            let hosts = turn.iter().filter(|host| now.contains(host)).chain(&now);
+            let Some(host) = hosts.copied().find(|host| !asked.contains(host)) else {
                 break;
             };
             asked.push(host);
@@ -170,7 +172,8 @@
                     failed_ago,
                 }) => {
                     if let Some(objects) = F::Item::unwrap(objects) {
-                        self.record(Source::Host(host));
+                        self.record(Source::Daemons);
+                        self.state.replied.store(true, Ordering::Release);
                         return Ok(PeerRead::Objects(PeerObjects {
                             objects,
                             revision,
@@ -184,6 +187,7 @@
                 Ok(FeedReply::NotReading) => {}
                 Ok(FeedReply::Outage) => outage = true,
                 Err((time, cause)) => {
+                    self.state.replied.store(false, Ordering::Release);
                     self.avoid(host, time, &cause);
                     silent += 1;
                 }
@@ -203,7 +207,7 @@
         let Some(member) = members.hosts.get(host) else {
             return Ok(FeedReply::NotReading);
         };
-        let wait = self.wait(host);
+        let wait = self.wait();
         let read = FeedRead {
             kind: F::Item::KIND,
             since,
@@ -261,8 +265,9 @@
 
     fn avoid(&self, host: HostKey, time: Duration, cause: &str) {
         self.state.avoided.avoid(host, time);
-        let name = self.name(Source::Host(host));
-        log::info!(dependency = name.as_str(), kind = F::Item::KIND.as_str(); "feed not read from this daemon for a while: {cause}");
+        let members = self.links.members.load();
+        let name = members.hosts.get(host).map_or("", |host| &host.name);
+        log::info!(dependency = name, kind = F::Item::KIND.as_str(); "feed not read from this daemon for a while: {cause}");
     }
 }
 
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -67,6 +67,8 @@
     calls: usize,
     /// Hosts that the store does not answer.
     cut: BTreeSet<String>,
+    /// Hosts whose watches get no response.
+    silent: BTreeSet<String>,
 }
 
 impl Store {
@@ -141,6 +143,9 @@
 
     async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<RosterEntry>, FeedError> {
         self.call()?;
+        if self.store.lock().unwrap().silent.contains(&self.host) {
+            std::future::pending::<()>().await;
+        }
         let mut wakeup = self.changed.clone();
         let waiting = async {
             loop {
@@ -437,6 +442,25 @@
     assert_yaml_snapshot!(seen);
 }
 
+/// The connection of a reader to the store may go silent: the reader then reports no change until its
+/// watch times out. Requests went to endpoints that had left for longer than the drain period.
+#[tokio::test(start_paused = true)]
+async fn a_reader_whose_watch_is_silent_delays_nobody() {
+    let zone = Zone::start(30).await;
+    for reader in zone.readers() {
+        zone.store.lock().unwrap().silent = BTreeSet::from([reader.clone()]);
+        // The watch that is open returns once; the next one hears nothing.
+        zone.put(&format!("before-{reader}"));
+        sleep(Duration::from_millis(100)).await;
+        let spread = zone
+            .time_to_spread(&format!("after-{reader}"), &[reader])
+            .await;
+        assert!(spread < SPREAD_LIMIT_MS, "{spread} ms");
+        zone.store.lock().unwrap().silent.clear();
+        sleep(Duration::from_secs(10)).await;
+    }
+}
+
 /// A reader that wakes from a suspension has old objects; it must not pass for up to date.
 #[tokio::test(start_paused = true)]
 async fn a_reader_that_was_suspended_does_not_answer_from_before() {
