--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -21,8 +21,9 @@
 /// Delay after a call that found no source.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for which a read vouches for what is passed on, on top of the longest read.
-const VALID_SLACK: Duration = Duration::from_secs(1);
+/// Time for which a read vouches for what is passed on, on top of the wait of the next one. A store
+/// that is slower than this is not waited for: the other daemons then read it themselves.
+const VALID_SLACK: Duration = Duration::from_millis(600);
 
 /// Follows a feed: lists its objects, then watches for changes, never returning to an older
 /// revision.
@@ -166,7 +167,7 @@
             _ => Freshness::Latest,
         };
         let listing = timeout(RESPONSE_LIMIT, self.feed.list(freshness)).await;
-        let listing = listing.unwrap_or_else(|_| Err(timed_out()))?;
+        let listing = listing.unwrap_or_else(|_| Err(FeedError::timed_out()))?;
         if listing.revision < self.revision {
             let reason = format!(
                 "it returned revision {}, older than the known revision {}",
@@ -184,9 +185,10 @@
     }
 
     async fn watch(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
-        let watch = self.feed.watch(self.revision, self.wait);
+        let wait = self.feed.watch_wait(self.wait);
+        let watch = self.feed.watch(self.revision, wait);
         let changes = timeout(self.wait + RESPONSE_LIMIT, watch).await;
-        let changes = changes.unwrap_or_else(|_| Err(timed_out()))?;
+        let changes = changes.unwrap_or_else(|_| Err(FeedError::timed_out()))?;
         if changes.revision < self.revision {
             let reason = format!(
                 "it returned revision {}, older than the known revision {}",
@@ -239,7 +241,7 @@
         let Some(log) = &mut self.log else {
             return;
         };
-        let valid = self.wait + RESPONSE_LIMIT + VALID_SLACK + self.pause;
+        let valid = self.feed.watch_wait(self.wait) + VALID_SLACK + self.pause;
         let valid_until = self.clock.since_boot() + valid;
         let failed = self.failed;
         log.update(|log| {
@@ -287,7 +289,3 @@
         }
     }
 }
-
-fn timed_out() -> FeedError {
-    FeedError::Unreachable("no response within the time limit".to_owned())
-}
--- a/src/control/feed_relay.rs
+++ b/src/control/feed_relay.rs
@@ -54,9 +54,10 @@
             if let Some(reply) = feed_reply(&current, question) {
                 return reply;
             }
+            let left = current.valid_until.saturating_sub(question.now);
             tokio::select! {
                 _ = log.changed() => {}
-                () = self.clock.sleep(deadline - now) => {}
+                () = self.clock.sleep(left.min(deadline - now)) => {}
             }
         }
         FeedReply::NotReading
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         board::{Members, Section, Tick},
-        decide::{StoreCall, feed_sources, may_call_store},
+        decide::{StoreCall, feed_sources, has_followers, may_call_store},
         key::HostKey,
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
@@ -36,6 +36,17 @@
 /// the delay before the next read, which would otherwise call the store again.
 const STORE_FAILED_TIME: Duration = Duration::from_secs(2);
 
+/// Time limit of a response of the store to a watch, on top of the wait.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+
+/// Part of the time within which every daemon has to know a change that passes after the wait of a
+/// reader's watch until the others have listed the objects at a store that no longer answers their
+/// readers.
+const SPREAD_MARGIN: Duration = Duration::from_millis(1_300);
+
+/// Shortest wait of a reader's watch.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(300);
+
 /// Most daemons that are asked in one read before the store is.
 const MAX_TRIED_HOSTS: usize = 4;
 
@@ -50,6 +61,8 @@
     feed: F,
     links: FeedLinks<P, C>,
     state: Arc<RelayState<C>>,
+    /// Longest watch while other daemons read from this one.
+    shared_wait: Duration,
 }
 
 /// What the feeds of a daemon need to read from other daemons.
@@ -99,6 +112,18 @@
             feed,
             links,
             state: Arc::new(state),
+            shared_wait: Duration::MAX,
+        }
+    }
+
+    /// Sets the time within which every daemon of the zone has to know a change, also when the store
+    /// stops answering the readers of the zone.
+    #[must_use]
+    pub fn with_spread_limit(self, limit: Duration) -> Self {
+        let shared_wait = limit.saturating_sub(SPREAD_MARGIN).max(MIN_WATCH_WAIT);
+        Self {
+            shared_wait,
+            ..self
         }
     }
 
@@ -319,10 +344,19 @@
         if **self.state.source.load() != Source::Store {
             return Err(FeedError::SourceChanged);
         }
-        let changes = self.note_store(self.feed.watch(since, wait).await)?;
+        let changes = timeout(wait + STORE_LIMIT, self.feed.watch(since, wait)).await;
+        let changes = self.note_store(changes.unwrap_or_else(|_| Err(FeedError::timed_out())))?;
         if !changes.changes.is_empty() {
             self.state.known(changes.revision);
         }
         Ok(changes)
     }
+
+    fn watch_wait(&self, longest: Duration) -> Duration {
+        if has_followers(&self.links.members.load()) {
+            longest.min(self.shared_wait)
+        } else {
+            longest
+        }
+    }
 }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -48,6 +48,8 @@
     /// Longest duration of one watch call at the store; this bounds the age of the routes and
     /// endpoints in use.
     pub watch: Duration,
+    /// Time within which every daemon has to know a change of routes or endpoints.
+    pub spread_limit: Duration,
     /// Percentage of the engines that are to prefill prompts.
     pub prefill_percent: usize,
     /// Processor share of this daemon in hundredths of a core; daemons with at least half the
@@ -183,12 +185,14 @@
             members: members_log,
         };
         let routing = rng("routing");
-        let feed = RelayedFeed::new(ports.routing, links.clone());
+        let feed =
+            RelayedFeed::new(ports.routing, links.clone()).with_spread_limit(settings.spread_limit);
         let follower = FeedFollower::new(feed, clock, "routing", settings.watch, routing)
             .with_log(routing_writer);
         tasks.spawn(RoutingController::new(follower, writers.routing).run());
         let roster = rng("endpoints");
-        let feed = RelayedFeed::new(ports.endpoints, links.clone());
+        let feed = RelayedFeed::new(ports.endpoints, links.clone())
+            .with_spread_limit(settings.spread_limit);
         let follower = FeedFollower::new(feed, clock, "endpoints", settings.watch, roster)
             .with_pause(ENDPOINT_PAUSE)
             .with_log(endpoints_writer);
--- a/src/decide/feed_sources.rs
+++ b/src/decide/feed_sources.rs
@@ -52,6 +52,17 @@
     rank(&own.name, &readers)
 }
 
+/// Returns whether the zone of the own host has more hosts than read the store, so that some read
+/// from others.
+pub fn has_followers(members: &Members) -> bool {
+    let Some(own) = members.hosts.get(members.own) else {
+        return false;
+    };
+    let hosts = members.hosts.iter();
+    let zone = hosts.filter(|(_, host)| host.zone == own.zone && host.state == HostState::Alive);
+    zone.count() > READERS_PER_ZONE
+}
+
 fn candidates(hosts: &[KeyedHost<'_>]) -> Vec<Candidate> {
     let candidates = hosts.iter();
     candidates
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,7 +13,7 @@
     fair_share::{FairShare, HALF_LIFE},
     feed_changes::{changes_since, record_changes, record_listing},
     feed_reply::{FeedQuestion, feed_reply},
-    feed_sources::feed_sources,
+    feed_sources::{feed_sources, has_followers},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
     grant_option::{
         GrantNeed, GrantOption, choose_decode, choose_prefill, choose_service, prefill_end,
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -24,6 +24,12 @@
         since: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<Self::Item>, FeedError>> + Send;
+
+    /// Returns the wait of the next watch, at most `longest`. Until it has passed, a source that
+    /// went silent looks like one without changes.
+    fn watch_wait(&self, longest: Duration) -> Duration {
+        longest
+    }
 }
 
 /// How fresh a list must be.
@@ -100,3 +106,10 @@
     #[error("the store does not respond: {0}")]
     Unreachable(String),
 }
+
+impl FeedError {
+    /// Returns the error of a call without a response in time.
+    pub fn timed_out() -> Self {
+        Self::Unreachable("no response within the time limit".to_owned())
+    }
+}
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -176,15 +176,24 @@
 
 impl Peer for Peers {
     async fn call(&self, address: &str, call: PeerCall) -> Result<PeerReply, PeerError> {
-        if self.silent.lock().unwrap().contains(address) {
-            sleep(Duration::from_hours(1)).await;
-        }
+        self.wait_while_silent(address).await;
         let relay = self.relays.lock().unwrap().get(address).cloned();
         let relay = relay.ok_or_else(|| PeerError::Unsent("connection refused".to_owned()))?;
         let PeerCall::ReadFeed(read) = call else {
             panic!("only feeds are read");
         };
-        Ok(PeerReply::Feed(relay.handle(read).await))
+        let reply = relay.handle(read).await;
+        // A host that was suspended during the call does not reply either.
+        self.wait_while_silent(address).await;
+        Ok(PeerReply::Feed(reply))
+    }
+}
+
+impl Peers {
+    async fn wait_while_silent(&self, address: &str) {
+        if self.silent.lock().unwrap().contains(address) {
+            sleep(Duration::from_hours(1)).await;
+        }
     }
 }
 
@@ -280,7 +289,8 @@
         let mut relays = self.peers.relays.lock().unwrap();
         relays.insert(name.to_owned(), relay);
         let rng = SmallRng::seed_from_u64(name.len() as u64);
-        let feed = RelayedFeed::new(feed, links);
+        let limit = Duration::from_millis(SPREAD_LIMIT_MS as u64);
+        let feed = RelayedFeed::new(feed, links).with_spread_limit(limit);
         let follower =
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
@@ -395,9 +405,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_change_reaches_every_daemon_soon_while_readers_fail() {
-    for fault in ["dead", "suspended", "cut off from the store"] {
-        for failing in [1, 2] {
+    let faults = ["dead", "suspended", "cut off from the store"];
+    let cases = faults.map(|fault| [(fault, 1), (fault, 2)]).concat();
+    for (fault, failing) in cases {
+        // The daemons' reads are at different points when the readers fail.
+        for delay_ms in [0, 250, 500, 750] {
             let zone = Zone::start(30).await;
+            sleep(Duration::from_millis(delay_ms)).await;
             let readers: Vec<_> = zone.readers().into_iter().take(failing).collect();
             for reader in &readers {
                 match fault {
@@ -420,7 +434,10 @@
             let spread = zone.time_to_spread("e1", &without).await;
             let later = zone.time_to_spread("e2", &without).await;
             let slowest = spread.max(later);
-            assert!(slowest < SPREAD_LIMIT_MS, "{failing} {fault}: {slowest} ms");
+            assert!(
+                slowest < SPREAD_LIMIT_MS,
+                "{failing} {fault} after {delay_ms} ms: {slowest} ms"
+            );
         }
     }
 }
@@ -461,6 +478,26 @@
     }
 }
 
+/// The store stops answering both readers of the zone, so no daemon learned that an endpoint leaves.
+#[tokio::test(start_paused = true)]
+async fn a_zone_whose_readers_all_have_silent_watches_still_learns_of_changes() {
+    let zone = Zone::start(30).await;
+    let readers = zone.readers();
+    for delay_ms in [0, 100, 700, 1_500, 3_900] {
+        sleep(Duration::from_millis(delay_ms)).await;
+        zone.store.lock().unwrap().silent = readers.iter().cloned().collect();
+        // The watches that are open return once; the next ones hear nothing.
+        zone.put(&format!("before-{delay_ms}"));
+        sleep(Duration::from_millis(100)).await;
+        let spread = zone
+            .time_to_spread(&format!("after-{delay_ms}"), &readers)
+            .await;
+        assert!(spread < SPREAD_LIMIT_MS, "{spread} ms");
+        zone.store.lock().unwrap().silent.clear();
+        sleep(Duration::from_secs(10)).await;
+    }
+}
+
 /// A reader that wakes from a suspension has old objects; it must not pass for up to date.
 #[tokio::test(start_paused = true)]
 async fn a_reader_that_was_suspended_does_not_answer_from_before() {
