--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -1,7 +1,7 @@
 use {
     super::Tick,
     std::{
-        sync::atomic::{AtomicU32, AtomicU64, Ordering},
+        sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         time::Duration,
     },
 };
@@ -36,6 +36,10 @@
     refusals: AtomicU32,
     /// Tick in microseconds until which the endpoint is expected to refuse every request.
     refusing_until: AtomicU64,
+    /// Start time of the endpoint by the list, in milliseconds since the Unix epoch.
+    incarnation: AtomicU64,
+    /// Whether a response of the endpoint said that it leaves.
+    leaving: AtomicBool,
 }
 
 /// Load that an endpoint reported with a response.
@@ -160,6 +164,24 @@
         self.refusing_until.store(0, Ordering::Release);
     }
 
+    /// Records that a response of the endpoint said that it leaves; returns whether that is new.
+    pub fn set_leaving(&self) -> bool {
+        !self.leaving.swap(true, Ordering::AcqRel)
+    }
+
+    /// Returns whether the endpoint has said that it leaves since its last start.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Records the start time that the list states; after another start nothing is known of what the
+    /// endpoint said before.
+    pub fn set_incarnation(&self, incarnation: u64) {
+        if self.incarnation.swap(incarnation, Ordering::AcqRel) != incarnation {
+            self.leaving.store(false, Ordering::Release);
+        }
+    }
+
     /// Returns whether the endpoint is avoided at `now`, for either reason.
     pub fn is_avoided(&self, now: Tick) -> bool {
         let until = |tick: &AtomicU64| tick.load(Ordering::Acquire);
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -305,8 +305,10 @@
                 let is_unreachable = unreachable
                     .get(&engine.name)
                     .is_some_and(|until| *until > now);
-                let is_avoided = engine.counters.traffic.is_avoided(now);
-                (engine, !engine.draining && !is_avoided && !is_unreachable)
+                let traffic = &engine.counters.traffic;
+                let leaves = engine.draining || traffic.is_leaving();
+                let usable = !leaves && !traffic.is_avoided(now) && !is_unreachable;
+                (engine, usable)
             });
         let plan = routing.pools.get(pool);
         let memory = plan.map_or(0, |plan| plan.memory_tokens);
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -96,6 +96,7 @@
         // Refusals during the change of role say nothing about the new role.
         counters.traffic.clear_refusals();
     }
+    counters.traffic.set_incarnation(described.incarnation);
     let pool = fleet.pools.find(&listed.pool).unwrap_or_else(|| {
         let pool = Pool {
             name: listed.pool.clone(),
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -29,8 +29,8 @@
     roster_entry::RosterEntry,
     service::{Service, ServiceCall, ServiceResponse},
     upstream::{
-        CacheHandle, ForwardRequest, Reservation, ResponseBody, ResponseEvent, TokenCounts,
-        Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+        CacheHandle, EndpointNotice, ForwardRequest, Noticed, Reservation, ResponseBody,
+        ResponseEvent, TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
     },
 };
 
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -29,7 +29,7 @@
     pub waited: Duration,
     /// Whether the prompt is to be computed by a prefill engine rather than locally.
     pub remote_prefill: bool,
-    /// Names of the engines to avoid, such as those at which the request failed.
+    /// Names of the engines to avoid: those at which the request failed, and those that leave.
     pub avoid: Vec<String>,
     /// Names of the engines that the requester cannot reach or that do not respond.
     pub unreachable: Vec<String>,
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -24,7 +24,7 @@
     fn prefill(
         &self,
         request: UpstreamRequest,
-    ) -> impl Future<Output = Result<CacheHandle, UpstreamError>> + Send;
+    ) -> impl Future<Output = Result<Noticed<CacheHandle>, UpstreamError>> + Send;
 
     /// Reserves a slot and memory for `tokens`, for a request that follows within `lifetime`.
     fn reserve(
@@ -32,7 +32,7 @@
         request: UpstreamRequest,
         tokens: u64,
         lifetime: Duration,
-    ) -> impl Future<Output = Result<Reservation, UpstreamError>> + Send;
+    ) -> impl Future<Output = Result<Noticed<Reservation>, UpstreamError>> + Send;
 
     /// Releases a reservation that no request used.
     fn release(
@@ -168,12 +168,30 @@
     pub status: u16,
     /// Headers to pass on to the caller.
     pub headers: HeaderMap,
-    /// Load that the endpoint reported with the response.
-    pub load: Option<ReportedLoad>,
+    /// What the endpoint said of itself with the response.
+    pub notice: EndpointNotice,
     /// Body of the response.
     pub body: B,
 }
 
+/// What an endpoint says of itself with a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointNotice {
+    /// Load of the endpoint, if it reports it.
+    pub load: Option<ReportedLoad>,
+    /// Whether the endpoint leaves: it is to get no further requests.
+    pub leaving: bool,
+}
+
+/// Content of a response, with what the endpoint said of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Noticed<T> {
+    /// Content of the response.
+    pub value: T,
+    /// What the endpoint said of itself.
+    pub notice: EndpointNotice,
+}
+
 /// The error of an attempt without a usable response.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum UpstreamError {
@@ -185,8 +203,8 @@
     Refused {
         /// HTTP status code.
         status: u16,
-        /// Load that the endpoint reported with the response.
-        load: Option<ReportedLoad>,
+        /// What the endpoint said of itself with the response.
+        notice: EndpointNotice,
     },
     /// Another endpoint now has the address; it did not run the attempt.
     #[error("another endpoint now has the address")]
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -1,10 +1,10 @@
 use {
     super::{ForwardParts, ForwardShared},
     crate::{
-        board::{EndpointCounters, ReportedLoad, Role, Tick},
+        board::{EndpointCounters, Role, Tick},
         decide::{EndpointOption, choose_endpoint},
         key::EndpointKey,
-        port::UpstreamError,
+        port::{EndpointNotice, UpstreamError},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -122,10 +122,14 @@
         self.counters.traffic.running()
     }
 
-    /// Records the load that the endpoint reported.
-    pub fn record_load(&self, load: Option<ReportedLoad>, now: Tick) {
-        if let Some(load) = load {
-            self.counters.traffic.record_load(load, now);
+    /// Records what the endpoint said of itself with a response.
+    pub fn record_notice(&self, notice: EndpointNotice, now: Tick) {
+        let traffic = &self.counters.traffic;
+        if let Some(load) = notice.load {
+            traffic.record_load(load, now);
+        }
+        if notice.leaving && traffic.set_leaving() {
+            log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
     }
 
@@ -157,8 +161,8 @@
         let now = shared.now();
         let traffic = &self.counters.traffic;
         match error {
-            UpstreamError::Refused { load, .. } => {
-                self.record_load(*load, now);
+            UpstreamError::Refused { notice, .. } => {
+                self.record_notice(*notice, now);
                 traffic.record_attempt(true);
                 if self.role != Role::Service {
                     self.record_refusal(now);
@@ -218,7 +222,9 @@
     };
     let members = pool.members.iter();
     let found = members.filter_map(|key| Some((*key, fleet.endpoints.get(*key)?)));
-    let usable = found.filter(|(_, endpoint)| endpoint.role == need.role && !endpoint.draining);
+    let usable = found.filter(|(_, endpoint)| {
+        endpoint.role == need.role && !endpoint.draining && !endpoint.counters.traffic.is_leaving()
+    });
     let options = usable.map(|(key, endpoint)| {
         let traffic = &endpoint.counters.traffic;
         let by_tokens = need.tokens > 0 && memory > 0;
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -12,8 +12,8 @@
         board::{Refusal, RetryReason},
         decide::Verdict,
         port::{
-            CacheHandle, Reservation, ResponseBody, ResponseEvent, Upstream, UpstreamError,
-            UpstreamRequest, UpstreamResponse,
+            CacheHandle, Noticed, Reservation, ResponseBody, ResponseEvent, Upstream,
+            UpstreamError, UpstreamRequest, UpstreamResponse,
         },
     },
     bytes::Bytes,
@@ -267,7 +267,7 @@
                     if let Some(cache) = cache {
                         cache.used();
                     }
-                    hold.record_load(response.load, self.shared.now());
+                    hold.record_notice(response.notice, self.shared.now());
                     hold.record_accepted();
                     return Ok(StartedAttempt {
                         status: response.status,
@@ -312,11 +312,12 @@
         let prefill = self.shared.parts().upstream().prefill(request);
         let computed = timeout(self.shared.options().prefill_timeout, prefill).await;
         let error = match computed.unwrap_or(Err(UpstreamError::TimedOut)) {
-            Ok(handle) => {
+            Ok(Noticed { value, notice }) => {
+                hold.record_notice(notice, self.shared.now());
                 hold.record_response_time(self.shared.now() - start);
                 hold.record_accepted();
                 hold.record_end(false);
-                return Ok(Some(CacheHold::new(&self.shared, handle)));
+                return Ok(Some(CacheHold::new(&self.shared, value)));
             }
             Err(error) => error,
         };
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -99,7 +99,7 @@
     let request = call.upstream_request(shared, hold);
     let response = async {
         let response = shared.parts().upstream().send(request).await?;
-        hold.record_load(response.load, shared.now());
+        hold.record_notice(response.notice, shared.now());
         let body = response.body.collect().await?;
         Ok(ForwardResponse {
             status: response.status,
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -5,7 +5,9 @@
     },
     crate::{
         board::{Role, Tick},
-        port::{Clock, PlacementOutcome, PlacementRequest, Placer, Upstream, UpstreamError},
+        port::{
+            Clock, Noticed, PlacementOutcome, PlacementRequest, Placer, Upstream, UpstreamError,
+        },
     },
     tokio::time::timeout,
 };
@@ -99,8 +101,9 @@
         let fleet = self.shared.board().fleet.load();
         let tried = self.call.tried.iter();
         let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
-        let endpoints = fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
-        let unreachable = endpoints.filter(|endpoint| endpoint.counters.traffic.is_avoided(now));
+        let endpoints = || fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
+        let leaving = endpoints().filter(|endpoint| endpoint.counters.traffic.is_leaving());
+        let unreachable = endpoints().filter(|endpoint| endpoint.counters.traffic.is_avoided(now));
         PlacementRequest {
             id,
             pool: self.call.pool.clone(),
@@ -110,6 +113,7 @@
             waited: now - self.call.arrived,
             remote_prefill: !local,
             avoid: tried
+                .chain(leaving)
                 .map(|endpoint| &endpoint.name)
                 .chain(unknown)
                 .cloned()
@@ -233,7 +237,10 @@
             let reserve = reserve.reserve(request, tokens, options.reservation_time);
             let reserved = timeout(options.reserve_timeout, reserve).await;
             match reserved.unwrap_or(Err(UpstreamError::TimedOut)) {
-                Ok(handle) => return Ok(Some((hold, ReservationHold::new(self.shared, handle)))),
+                Ok(Noticed { value, notice }) => {
+                    hold.record_notice(notice, self.shared.now());
+                    return Ok(Some((hold, ReservationHold::new(self.shared, value))));
+                }
                 Err(error) => {
                     ForwardLog::new(self.shared, self.call).attempt_failed(
                         &hold,
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -11,9 +11,9 @@
         },
         decide::merge_described,
         port::{
-            CacheHandle, ForwardRequest, MonoClock, PlacementEnd, PlacementOutcome,
-            PlacementRequest, Placer, Reservation, ResponseBody, ResponseEvent, TokenCounts,
-            Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+            CacheHandle, EndpointNotice, ForwardRequest, MonoClock, Noticed, PlacementEnd,
+            PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody, ResponseEvent,
+            TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
         },
         request::{
             ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
@@ -71,6 +71,18 @@
     }
 }
 
+/// What an endpoint says of itself: one request runs.
+fn notice() -> EndpointNotice {
+    EndpointNotice {
+        load: Some(ReportedLoad {
+            running: 1,
+            waiting: 0,
+            slots: 6,
+        }),
+        ..EndpointNotice::default()
+    }
+}
+
 /// Body of a scripted response: the ids of the events left, and whether the stream ends cleanly.
 #[derive(Debug)]
 pub struct Body(VecDeque<u64>, bool);
@@ -114,20 +126,22 @@
         Ok(UpstreamResponse {
             status,
             headers: HeaderMap::new(),
-            load: Some(ReportedLoad {
-                running: 1,
-                waiting: 0,
-                slots: 6,
-            }),
+            notice: notice(),
             body,
         })
     }
 
-    async fn prefill(&self, request: UpstreamRequest) -> Result<CacheHandle, UpstreamError> {
+    async fn prefill(
+        &self,
+        request: UpstreamRequest,
+    ) -> Result<Noticed<CacheHandle>, UpstreamError> {
         self.act("prefill".into()).await?;
-        Ok(CacheHandle {
-            address: request.address,
-            handle: "cache".into(),
+        Ok(Noticed {
+            value: CacheHandle {
+                address: request.address,
+                handle: "cache".into(),
+            },
+            notice: notice(),
         })
     }
 
@@ -136,11 +150,14 @@
         request: UpstreamRequest,
         tokens: u64,
         _: Duration,
-    ) -> Result<Reservation, UpstreamError> {
+    ) -> Result<Noticed<Reservation>, UpstreamError> {
         self.act(format!("reserve {tokens}")).await?;
-        Ok(Reservation {
-            address: request.address,
-            handle: "place".into(),
+        Ok(Noticed {
+            value: Reservation {
+                address: request.address,
+                handle: "place".into(),
+            },
+            notice: notice(),
         })
     }
 
@@ -326,7 +343,7 @@
 pub fn full() -> Act {
     Act::Fail(UpstreamError::Refused {
         status: 503,
-        load: None,
+        notice: EndpointNotice::default(),
     })
 }
 
