--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -1,7 +1,7 @@
 use {
     super::{ForwardParts, ForwardShared},
     crate::{
-        board::{EndpointCounters, Role, Tick},
+        board::{Endpoint, EndpointCounters, Role, Tick},
         decide::{EndpointOption, choose_endpoint},
         key::EndpointKey,
         port::{EndpointNotice, UpstreamError},
@@ -109,6 +109,16 @@
         })
     }
 
+    /// Returns whether the endpoint is still listed and does not leave.
+    pub fn is_current<P>(&self, shared: &ForwardShared<P>) -> bool
+    where
+        P: ForwardParts,
+    {
+        let fleet = shared.board().fleet.load();
+        let endpoint = fleet.endpoints.get(self.key);
+        endpoint.is_some_and(may_get_requests)
+    }
+
     /// Returns the time since the endpoint was chosen.
     pub fn age<P>(&self, shared: &ForwardShared<P>) -> Duration
     where
@@ -204,6 +214,11 @@
     }
 }
 
+/// Returns whether neither the list nor the endpoint itself says that it leaves.
+fn may_get_requests(endpoint: &Endpoint) -> bool {
+    !endpoint.draining && !endpoint.counters.traffic.is_leaving()
+}
+
 /// Returns the figures of every endpoint that may serve `need`; empty if the pool is not known.
 fn options<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Vec<EndpointOption>
 where
@@ -222,9 +237,8 @@
     };
     let members = pool.members.iter();
     let found = members.filter_map(|key| Some((*key, fleet.endpoints.get(*key)?)));
-    let usable = found.filter(|(_, endpoint)| {
-        endpoint.role == need.role && !endpoint.draining && !endpoint.counters.traffic.is_leaving()
-    });
+    let usable =
+        found.filter(|(_, endpoint)| endpoint.role == need.role && may_get_requests(endpoint));
     let options = usable.map(|(key, endpoint)| {
         let traffic = &endpoint.counters.traffic;
         let by_tokens = need.tokens > 0 && memory > 0;
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -256,6 +256,10 @@
                     placement.prefilled(self.shared.now() - start);
                 }
             }
+            if !hold.is_current(&self.shared) {
+                ForwardLog::new(&self.shared, &self.call).left_before_sent(&hold);
+                continue;
+            }
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
             let reserved = reservation.as_ref().and_then(ReservationHold::handle);
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -55,6 +55,16 @@
         );
     }
 
+    /// Logs that the endpoint began to leave before the request was sent to it.
+    pub fn left_before_sent(&self, hold: &EndpointHold) {
+        log::info!(
+            request = self.call.request.id.as_str(),
+            endpoint = hold.name.as_str(),
+            ms = hold.age(self.shared).as_millis() as u64;
+            "endpoint leaves since it was chosen; requesting another placement"
+        );
+    }
+
     /// Logs the endpoint chosen for `purpose`, with the figures behind the choice.
     pub fn chosen(&self, hold: &EndpointHold, purpose: &str) {
         let option = &hold.option;
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -7,7 +7,7 @@
     },
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{Health, Role, Routing, StopPhase, Tick},
+        board::{Fleet, Health, Role, Routing, StopPhase, Tick, section},
         decide::{CrashRecord, merge_described},
         port::PlacementOutcome,
     },
@@ -258,3 +258,32 @@
     seen.push(("no routes known", site.send("/read/").await.0));
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_not_sent_to_an_engine_that_began_to_leave_during_its_prefill() {
+    let mut seen = Vec::new();
+    for cause in ["the list", "the engine"] {
+        let acts = vec![Act::Answer(200, 400), Act::Events(vec![1], true)];
+        let mut site = site(placed(), acts);
+        let mut fleet = std::mem::replace(&mut site.writers.fleet, section(Fleet::default()).0);
+        let leave = async {
+            sleep(Duration::from_millis(300)).await;
+            if cause == "the list" {
+                let (mut leaving, description) = listed("d1", "models", Role::Decode);
+                leaving.draining = true;
+                let other = listed("d2", "models", Role::Decode);
+                let described = [(&leaving, &description), (&other.0, &other.1)];
+                fleet.update(|fleet| merge_described(fleet, &described));
+            } else {
+                let fleet = fleet.load();
+                let key = fleet.endpoints.find("d1").unwrap();
+                let endpoint = fleet.endpoints.get(key).unwrap();
+                endpoint.counters.traffic.set_leaving();
+            }
+        };
+        let ((received, calls, _), ()) = tokio::join!(site.send("/stream/"), leave);
+        let runs = site.script.runs.lock().unwrap().clone();
+        seen.push((cause, received, calls, runs));
+    }
+    assert_yaml_snapshot!(seen);
+}
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -46,6 +46,8 @@
 pub struct Script {
     pub acts: Arc<Mutex<VecDeque<Act>>>,
     pub calls: Arc<Mutex<Vec<String>>>,
+    /// Names of the endpoints that runs were sent to.
+    pub runs: Arc<Mutex<Vec<String>>>,
 }
 
 impl Script {
@@ -111,6 +113,7 @@
         &self,
         request: UpstreamRequest,
     ) -> Result<UpstreamResponse<Body>, UpstreamError> {
+        self.runs.lock().unwrap().push(request.endpoint);
         let cache = request
             .cache
             .map_or(String::new(), |cache| format!(" from {}", cache.handle));
@@ -274,6 +277,7 @@
     let script = Script {
         acts: Arc::new(Mutex::new(acts.into())),
         calls: Arc::default(),
+        runs: Arc::default(),
     };
     let ports = Ports(script.clone(), FixedPlacer(placement), MonoClock::start());
     let counters = Counters::new(&mut Registry::default());
