--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -1,7 +1,7 @@
 use {
     super::Tick,
     std::{
-        sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        sync::atomic::{AtomicU32, AtomicU64, Ordering},
         time::Duration,
     },
 };
@@ -38,8 +38,9 @@
     refusing_until: AtomicU64,
     /// Start time of the endpoint by the list, in milliseconds since the Unix epoch.
     incarnation: AtomicU64,
-    /// Whether a response of the endpoint said that it leaves.
-    leaving: AtomicBool,
+    /// One more than the start time of the process at the endpoint whose response last said that it
+    /// leaves; 0 if none did.
+    leaving: AtomicU64,
 }
 
 /// Load that an endpoint reported with a response.
@@ -164,22 +165,34 @@
         self.refusing_until.store(0, Ordering::Release);
     }
 
-    /// Records that a response of the endpoint said that it leaves; returns whether that is new.
-    pub fn set_leaving(&self) -> bool {
-        !self.leaving.swap(true, Ordering::AcqRel)
+    /// Records that a response of the process that started at `incarnation` said that it leaves;
+    /// returns whether that is new.
+    pub fn set_leaving(&self, incarnation: u64) -> bool {
+        let leaving = incarnation.saturating_add(1);
+        self.leaving.swap(leaving, Ordering::AcqRel) != leaving
+    }
+
+    /// Takes over from the figures of an earlier entry of the endpoint which process said that it
+    /// leaves.
+    pub fn inherit_leaving(&self, earlier: &Self) {
+        let leaving = earlier.leaving.load(Ordering::Acquire);
+        self.leaving.store(leaving, Ordering::Release);
     }
 
     /// Returns whether the endpoint has said that it leaves since its last start.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        let leaving = self.leaving.load(Ordering::Acquire);
+        leaving == self.incarnation().saturating_add(1)
     }
 
-    /// Records the start time that the list states; after another start nothing is known of what the
-    /// endpoint said before.
+    /// Records the start time that the list states, in milliseconds since the Unix epoch.
     pub fn set_incarnation(&self, incarnation: u64) {
-        if self.incarnation.swap(incarnation, Ordering::AcqRel) != incarnation {
-            self.leaving.store(false, Ordering::Release);
-        }
+        self.incarnation.store(incarnation, Ordering::Release);
+    }
+
+    /// Returns the start time of the endpoint by the list, in milliseconds since the Unix epoch.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Acquire)
     }
 
     /// Returns whether the endpoint is avoided at `now`, for either reason.
--- a/src/board/fleet.rs
+++ b/src/board/fleet.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Arena, Endpoint, Pool},
+    super::{Arena, Endpoint, Pool, RemovedEndpoints},
     crate::key::{EndpointKey, PoolKey},
 };
 
@@ -10,4 +10,6 @@
     pub endpoints: Arena<EndpointKey, Endpoint>,
     /// Pools by name.
     pub pools: Arena<PoolKey, Pool>,
+    /// Endpoints that are no longer listed.
+    pub removed: RemovedEndpoints,
 }
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -20,6 +20,7 @@
     owners::{Owners, Ownership},
     pool::Pool,
     refusal::Refusal,
+    removed_endpoints::RemovedEndpoints,
     retry_reason::RetryReason,
     routing::{CallerLimits, PathRoute, PoolConfig, ResponseKind, Routing},
     rule::{Borrow, Repeat, Route, Rule, Target},
@@ -49,6 +50,7 @@
 mod owners;
 mod pool;
 mod refusal;
+mod removed_endpoints;
 mod retry_reason;
 mod routing;
 mod rule;
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -79,7 +79,9 @@
         .map(|(_, old)| old.name.clone())
         .collect();
     for name in &removed {
-        fleet.endpoints.remove(name);
+        if let Some(endpoint) = fleet.endpoints.remove(name) {
+            fleet.removed.push(endpoint);
+        }
     }
     !removed.is_empty()
 }
@@ -88,7 +90,7 @@
     let before = fleet.endpoints.find(&listed.name);
     let before = before.and_then(|key| fleet.endpoints.get(key)).cloned();
     let counters = before.as_ref().map(|old| Arc::clone(&old.counters));
-    let counters = counters.unwrap_or_else(Arc::<EndpointCounters>::default);
+    let counters = counters.unwrap_or_else(|| returning_counters(fleet, listed));
     if before
         .as_ref()
         .is_some_and(|old| old.role != described.role)
@@ -125,6 +127,16 @@
     changed
 }
 
+/// Returns the counters of an endpoint that was not listed; they keep that it has said that it
+/// leaves, as its entry may only have expired.
+fn returning_counters(fleet: &mut Fleet, listed: &ListedEndpoint) -> Arc<EndpointCounters> {
+    let counters = EndpointCounters::default();
+    if let Some(earlier) = fleet.removed.take(&listed.name, &listed.address) {
+        counters.traffic.inherit_leaving(&earlier.traffic);
+    }
+    Arc::new(counters)
+}
+
 /// Whether two endpoints of the same name and address are equal in everything else.
 fn same(old: &Endpoint, next: &Endpoint) -> bool {
     old.zone == next.zone
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -52,6 +52,8 @@
     /// Number of endpoints that it was chosen from.
     pub candidates: usize,
     counters: Arc<EndpointCounters>,
+    /// Start time of the endpoint when it was chosen.
+    incarnation: u64,
     tokens: u64,
     role: Role,
     since: Tick,
@@ -103,6 +105,7 @@
             option: chosen,
             candidates,
             counters: Arc::clone(&endpoint.counters),
+            incarnation: endpoint.counters.traffic.incarnation(),
             tokens: need.tokens,
             role: need.role,
             since: shared.now(),
@@ -138,7 +141,7 @@
         if let Some(load) = notice.load {
             traffic.record_load(load, now);
         }
-        if notice.leaving && traffic.set_leaving() {
+        if notice.leaving && traffic.set_leaving(self.incarnation) {
             log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
     }
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -247,7 +247,10 @@
                         &error,
                         NextStep::TryAnother,
                     );
-                    if !matches!(error, UpstreamError::Refused { .. }) {
+                    // A refused reservation says only that the engine is full.
+                    if let UpstreamError::Refused { notice, .. } = error {
+                        hold.record_notice(notice, self.shared.now());
+                    } else {
                         hold.record_failure(self.shared, &error);
                     }
                 }
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -278,7 +278,7 @@
                 let fleet = fleet.load();
                 let key = fleet.endpoints.find("d1").unwrap();
                 let endpoint = fleet.endpoints.get(key).unwrap();
-                endpoint.counters.traffic.set_leaving();
+                endpoint.counters.traffic.set_leaving(0);
             }
         };
         let ((received, calls, _), ()) = tokio::join!(site.send("/stream/"), leave);
