--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -2,9 +2,10 @@
     crate::{
         board::{Blackboard, Tick},
         decide::{CrashRecord, Ledger, Placement},
+        key::CauseKey,
         port::{
-            ActivePlacement, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
-            PlacementRequest,
+            Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome, PlacementReply,
+            PlacementRequest, PlacerHandover, RunEnd,
         },
     },
     std::{collections::HashMap, time::Duration},
@@ -46,8 +47,8 @@
 /// Message to the controller.
 #[derive(Debug)]
 enum Message {
-    Place(PlacementRequest, oneshot::Sender<PlacementOutcome>),
-    Adopt(Vec<ActivePlacement>),
+    Place(PlacementRequest, oneshot::Sender<PlacementReply>),
+    Adopt(PlacerHandover),
     End(PlacementEnd),
 }
 
@@ -57,7 +58,7 @@
     request: PlacementRequest,
     arrived: Tick,
     until: Tick,
-    reply: oneshot::Sender<PlacementOutcome>,
+    reply: oneshot::Sender<PlacementReply>,
 }
 
 impl AllocationHandle {
@@ -67,8 +68,8 @@
     pub async fn handle(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::Place(request) => PeerReply::Placement(self.place(request).await),
-            PeerCall::AdoptPlacements(placements) => {
-                self.adopt(placements);
+            PeerCall::AdoptPlacements(handover) => {
+                self.adopt(handover);
                 PeerReply::Done
             }
             PeerCall::EndPlacement(end) => {
@@ -82,7 +83,11 @@
     }
 
     /// Requests engines for a stream; `Unavailable` if the controller is overloaded or has stopped.
-    pub async fn place(&self, request: PlacementRequest) -> PlacementOutcome {
+    pub async fn place(&self, request: PlacementRequest) -> PlacementReply {
+        let unavailable = || PlacementReply {
+            outcome: PlacementOutcome::Unavailable,
+            refused: Vec::new(),
+        };
         let (reply, outcome) = oneshot::channel();
         if self
             .mailbox
@@ -90,14 +95,14 @@
             .is_err()
         {
             log::warn!("allocation controller overloaded or stopped; placement request refused");
-            return PlacementOutcome::Unavailable;
+            return unavailable();
         }
-        outcome.await.unwrap_or(PlacementOutcome::Unavailable)
+        outcome.await.unwrap_or_else(|_| unavailable())
     }
 
-    /// Enters into the ledgers the placements that another daemon has made.
-    pub fn adopt(&self, placements: Vec<ActivePlacement>) {
-        if self.mailbox.try_send(Message::Adopt(placements)).is_err() {
+    /// Takes over the placements that another daemon has made, and what it refuses.
+    pub fn adopt(&self, handover: PlacerHandover) {
+        if self.mailbox.try_send(Message::Adopt(handover)).is_err() {
             log::warn!("allocation controller overloaded or stopped; placements not taken over");
         }
     }
@@ -144,39 +149,66 @@
             };
             match message {
                 Some(Message::Place(request, reply)) => self.enqueue(request, reply),
-                Some(Message::Adopt(placements)) => self.adopt(&placements),
-                Some(Message::End(end)) => {
-                    if let Some(fingerprint) = end.crash_fingerprint {
-                        self.crashes.record(fingerprint, self.clock.now());
-                        log::info!(
-                            id = end.id,
-                            print = fingerprint;
-                            "engine broke off before the first event; crash recorded"
-                        );
-                    }
-                    let now = self.clock.now();
-                    if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
-                        ledger.end(&end, now);
-                    }
-                }
+                Some(Message::Adopt(handover)) => self.adopt(&handover),
+                Some(Message::End(end)) => self.end(&end),
                 None => {}
             }
             self.place_waiting();
         }
     }
 
-    /// Enters placements that another daemon has made.
-    fn adopt(&mut self, placements: &[ActivePlacement]) {
+    /// Enters placements that another daemon has made, and refuses what it refuses.
+    fn adopt(&mut self, handover: &PlacerHandover) {
         let now = self.clock.now();
-        for placement in placements {
+        for placement in &handover.placements {
             self.ledger(&placement.request.pool, now)
                 .add_remote(placement, now);
         }
-        log::info!(runs = placements.len(); "placements taken over from another daemon");
+        self.crashes.merge(&handover.refused, now);
+        log::info!(
+            runs = handover.placements.len(),
+            refused = handover.refused.len();
+            "placements taken over from another daemon"
+        );
+    }
+
+    /// Releases a placement and records how its run ended.
+    fn end(&mut self, end: &PlacementEnd) {
+        let now = self.clock.now();
+        match end.run {
+            RunEnd::Unknown => {}
+            RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
+            RunEnd::Crashed => self.record_crash(end, now),
+        }
+        if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
+            ledger.end(end, now);
+        }
+    }
+
+    /// Records a crash, and logs what may have caused it.
+    fn record_crash(&mut self, end: &PlacementEnd, now: Tick) {
+        let keys = |causes: &[CauseKey]| {
+            let keys = causes.iter().map(|cause| cause.0.to_string());
+            keys.collect::<Vec<_>>().join(",")
+        };
+        log::info!(
+            id = end.id,
+            endpoint = end.engine.as_str(),
+            causes = keys(&end.causes);
+            "engine broke off early in a response; crash recorded"
+        );
+        let refused = self.crashes.record_crash(&end.causes, &end.engine, now);
+        if !refused.is_empty() {
+            log::warn!(
+                pool = end.pool.as_str(),
+                causes = keys(&refused);
+                "several engines crashed under the same cause; requests with it are refused"
+            );
+        }
     }
 
     /// Queues a request and marks the engines that its sender cannot reach.
-    fn enqueue(&mut self, request: PlacementRequest, reply: oneshot::Sender<PlacementOutcome>) {
+    fn enqueue(&mut self, request: PlacementRequest, reply: oneshot::Sender<PlacementReply>) {
         let now = self.clock.now();
         for name in &request.unreachable {
             self.unreachable
@@ -200,10 +232,8 @@
         let now = self.clock.now();
         if self.board.health.load().stopping() {
             // The ledgers are lost when this daemon stops, so it makes no further placements.
-            for waiting in self.waiting.drain(..) {
-                if waiting.reply.send(PlacementOutcome::Unavailable).is_err() {
-                    log::debug!(id = waiting.request.id; "requester has left; refusal not sent");
-                }
+            for waiting in std::mem::take(&mut self.waiting) {
+                self.reply(waiting, PlacementOutcome::Unavailable, now);
             }
             return;
         }
@@ -213,6 +243,11 @@
         let mut blocked = Vec::<String>::new();
         let mut still_waiting = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
+            let refused = self.crashes.refused();
+            if let Some(left) = refused.remaining(&waiting.request.causes, now) {
+                self.reply(waiting, PlacementOutcome::Refused(left), now);
+                continue;
+            }
             let pool = &waiting.request.pool;
             let placed = if blocked.contains(pool) {
                 None
@@ -221,26 +256,22 @@
             };
             match placed {
                 Some(placement) => {
-                    let id = waiting.request.id;
                     Self::log_placement(&waiting, &placement, now);
                     let Placement {
                         decode, prefill, ..
                     } = placement;
-                    let suspect = self.crashes.is_suspect(waiting.request.fingerprint);
+                    let suspect = self.crashes.is_suspect(&waiting.request.causes);
+                    self.crashes.record_placement(&waiting.request.causes, now);
                     let outcome = PlacementOutcome::Placed {
                         decode,
                         prefill,
                         suspect,
                     };
-                    if let Err(outcome) = waiting.reply.send(outcome) {
-                        log::debug!(id; "requester has left; placement not sent: {outcome:?}");
-                    }
+                    self.reply(waiting, outcome, now);
                 }
                 None if waiting.until <= now => {
                     self.log_wait(&waiting, now);
-                    if waiting.reply.send(PlacementOutcome::Wait).is_err() {
-                        log::debug!(id = waiting.request.id; "requester has left; retry not sent");
-                    }
+                    self.reply(waiting, PlacementOutcome::Wait, now);
                 }
                 None => {
                     blocked.push(pool.clone());
@@ -251,6 +282,18 @@
         self.waiting = still_waiting;
     }
 
+    /// Sends the outcome of a request to its requester, with the causes that are refused.
+    fn reply(&self, waiting: WaitingRequest, outcome: PlacementOutcome, now: Tick) {
+        let reply = PlacementReply {
+            outcome,
+            refused: self.crashes.refused().list(now),
+        };
+        if let Err(reply) = waiting.reply.send(reply) {
+            let id = waiting.request.id;
+            log::debug!(id; "requester has left; outcome not sent: {:?}", reply.outcome);
+        }
+    }
+
     /// Logs the state of the pool that keeps a request waiting.
     fn log_wait(&self, waiting: &WaitingRequest, now: Tick) {
         let ledger = self.ledgers.get(&waiting.request.pool);
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -2,11 +2,11 @@
     super::{AllocationHandle, avoided_hosts::AvoidedHosts},
     crate::{
         board::{Members, Section, Tick},
-        decide::placer_order,
-        key::HostKey,
+        decide::{RefusedCauses, placer_order},
+        key::{CauseKey, HostKey},
         port::{
             ActivePlacement, Clock, Peer, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
-            PlacementRequest, Placer,
+            PlacementReply, PlacementRequest, Placer, PlacerHandover,
         },
     },
     arc_swap::ArcSwap,
@@ -48,6 +48,8 @@
     avoided: AvoidedHosts<C>,
     /// Placed requests of this daemon that have not ended, by the id of the placement.
     placed: ArcSwap<HashMap<u64, PlacedRequest>>,
+    /// Causes of crashes whose requests are refused, by the name of the pool.
+    refused: ArcSwap<HashMap<String, RefusedCauses>>,
     /// Daemon and its incarnation that last received the placements of a pool, by the pool's name.
     notified: ArcSwap<HashMap<String, (HostKey, u64)>>,
 }
@@ -70,6 +72,7 @@
         let state = RouterState {
             avoided: AvoidedHosts::new(clock.clone()),
             placed: ArcSwap::default(),
+            refused: ArcSwap::default(),
             notified: ArcSwap::default(),
         };
         Self {
@@ -138,9 +141,15 @@
                 running_for: now - placed.placed_at,
             })
             .collect();
-        if !placements.is_empty() {
-            // Without a reply the daemon is avoided, and the next one receives the placements.
-            self.call(host, PeerCall::AdoptPlacements(placements)).await;
+        let refused = self.state.refused.load();
+        let refused = refused.get(pool).map(|refused| refused.list(now));
+        let handover = PlacerHandover {
+            placements,
+            refused: refused.unwrap_or_default(),
+        };
+        if handover != PlacerHandover::default() {
+            // Without a reply the daemon is avoided, and the next one receives the handover.
+            self.call(host, PeerCall::AdoptPlacements(handover)).await;
         }
     }
 
@@ -152,9 +161,11 @@
         loop {
             self.clock.sleep(CHECK_INTERVAL).await;
             let placed = self.state.placed.load_full();
+            let refused = self.state.refused.load_full();
             let pools: BTreeSet<_> = placed
                 .values()
                 .map(|placed| placed.request.pool.as_str())
+                .chain(refused.keys().map(String::as_str))
                 .collect();
             for pool in pools {
                 if let Some(host) = self.ranked(pool).first() {
@@ -164,6 +175,18 @@
         }
     }
 
+    /// Replaces the refused causes of a pool by those of the daemon that places its requests, which
+    /// took over what this daemon had refused.
+    fn record_refused(&self, pool: &str, refused: &[(CauseKey, Duration)]) {
+        let known = self.state.refused.load();
+        if refused.is_empty() && !known.contains_key(pool) {
+            return;
+        }
+        let mut causes = RefusedCauses::default();
+        causes.merge(refused, self.clock.now());
+        insert_copy(&self.state.refused, &pool.to_owned(), &causes);
+    }
+
     /// Remembers a placement for the daemons that take over the pool.
     fn record_placement(&self, request: &PlacementRequest, decode: &str) {
         let placed = PlacedRequest {
@@ -188,8 +211,12 @@
         {
             self.send_placements(host, &request.pool).await;
             match self.call(host, PeerCall::Place(request.clone())).await {
-                Some(PeerReply::Placement(PlacementOutcome::Unavailable)) => self.avoid(host),
-                Some(PeerReply::Placement(outcome)) => {
+                Some(PeerReply::Placement(PlacementReply {
+                    outcome: PlacementOutcome::Unavailable,
+                    ..
+                })) => self.avoid(host),
+                Some(PeerReply::Placement(PlacementReply { outcome, refused })) => {
+                    self.record_refused(&request.pool, &refused);
                     if let PlacementOutcome::Placed { decode, .. } = &outcome {
                         self.record_placement(&request, decode);
                     }
@@ -207,14 +234,23 @@
             next.remove(&end.id);
             next
         });
-        let Some(host) = self.ranked(&end.pool).first().copied() else {
-            return;
-        };
+        let hosts = self.ranked(&end.pool).into_iter().take(MAX_TRIED_DAEMONS);
+        let hosts: Vec<_> = hosts.collect();
         let router = self.clone();
         tokio::spawn(async move {
-            router.call(host, PeerCall::EndPlacement(end)).await;
+            for host in hosts {
+                let call = router.call(host, PeerCall::EndPlacement(end.clone()));
+                if call.await.is_some() {
+                    return;
+                }
+            }
         });
     }
+
+    fn refused(&self, pool: &str, causes: &[CauseKey]) -> Option<Duration> {
+        let refused = self.state.refused.load();
+        refused.get(pool)?.remaining(causes, self.clock.now())
+    }
 }
 
 /// Replaces a map by a copy that holds `value` under `key`.
--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -1,30 +1,198 @@
 use {
-    super::CRASH_LIMIT,
-    crate::board::Tick,
+    super::{CRASH_LIMIT, RecentAnswers, RefusedCauses},
+    crate::{board::Tick, key::CauseKey},
     std::{collections::HashMap, time::Duration},
 };
 
-/// Time after the last crash of a request at which its crashes are forgotten.
+/// Crashes under a cause, with no answer in between, from which on requests with it are refused.
+/// One more than `CRASH_LIMIT`, as requests that ran beside the cause are cut off with it.
+const REFUSE_LIMIT: usize = 3;
+
+/// The same for a cause under which requests were answered lately.
+const ANSWERED_REFUSE_LIMIT: usize = 5;
+
+/// Crashes of a cause within this time count as one: engines or connections that fail together are
+/// not brought down by a prompt.
+const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a further crash of the same engine counts, as it has started again meanwhile.
+const RESTART_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which a cause is refused before one request with it is let through as a probe.
+const REFUSE_TIME: Duration = Duration::from_secs(20);
+
+/// The same for a cause under which requests were answered lately.
+const ANSWERED_REFUSE_TIME: Duration = Duration::from_secs(2);
+
+/// Factor by which the time grows with each probe.
+const REFUSE_TIME_FACTOR: u32 = 3;
+
+/// Longest time between two probes.
+const MAX_REFUSE_TIME: Duration = Duration::from_mins(20);
+
+/// Time after the last crash of a cause at which its crashes are forgotten.
 const RETENTION: Duration = Duration::from_mins(2);
 
-/// Counts engine crashes by the fingerprint of the request that the engine had begun to run.
+/// The same for a cause that was refused.
+const REFUSED_RETENTION: Duration = Duration::from_hours(1);
+
+/// Most causes that are remembered.
+const MAX_CAUSES: usize = 10_000;
+
+/// Counts crashes of engines by what may have caused them: the request, or a part of its prompt.
+///
+/// A part that crashes engines is in every request that does, and in none that is answered. The
+/// other parts of such requests are shared with sound ones, whose answers clear them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRecord {
-    /// Number of crashes and the time of the last one, by fingerprint.
-    crashes: HashMap<u64, (usize, Tick)>,
+    causes: HashMap<CauseKey, Crashes>,
+    answers: RecentAnswers,
+    refused: RefusedCauses,
+}
+
+/// Crashes under one cause since a request with it was last answered.
+#[derive(Clone, Debug)]
+struct Crashes {
+    /// Engines that crashed.
+    engines: Vec<String>,
+    /// When the last crash was counted.
+    last: Tick,
+    /// Time for which requests with the cause were last refused; `None` if they were not.
+    refuse_time: Option<Duration>,
+}
+
+impl Crashes {
+    fn new(now: Tick) -> Self {
+        Self {
+            engines: Vec::new(),
+            last: now,
+            refuse_time: None,
+        }
+    }
+
+    /// Counts a crash of `engine`, unless it or another one was counted just before.
+    fn count(&mut self, engine: &str, now: Tick) {
+        let known = self.engines.iter().any(|known| known == engine);
+        let interval = if known {
+            RESTART_TIME
+        } else {
+            MIN_CRASH_INTERVAL
+        };
+        let apart = self.engines.is_empty() || now - self.last >= interval;
+        if apart && self.engines.len() < ANSWERED_REFUSE_LIMIT {
+            self.engines.push(engine.to_owned());
+            self.last = now;
+        }
+    }
 }
 
 impl CrashRecord {
-    /// Records that an engine crashed while it ran the request.
-    pub fn record(&mut self, fingerprint: u64, now: Tick) {
-        self.crashes.retain(|_, (_, last)| now - *last < RETENTION);
-        let crash = self.crashes.entry(fingerprint).or_insert((0, now));
-        *crash = (crash.0 + 1, now);
+    /// Records that `engine` broke off early while it ran a request with `causes`.
+    ///
+    /// Returns the causes that are refused from now on and were not before.
+    pub fn record_crash(&mut self, causes: &[CauseKey], engine: &str, now: Tick) -> Vec<CauseKey> {
+        self.forget(now);
+        for cause in causes {
+            if self.causes.contains_key(cause) || self.causes.len() < MAX_CAUSES {
+                let crashes = self.causes.entry(*cause);
+                let crashes = crashes.or_insert_with(|| Crashes::new(now));
+                crashes.count(engine, now);
+            }
+        }
+        let crashed = causes.iter().copied();
+        let crashed: Vec<_> = crashed
+            .filter(|cause| self.is_beyond_limit(*cause))
+            .collect();
+        // Of several causes, the one with fewer answers is in fewer sound requests.
+        let blamed = self.answers.least_answered(&crashed);
+        let mut refused = Vec::new();
+        for cause in crashed.iter().filter(|cause| blamed.contains(cause)) {
+            let answered = self.answers.last(*cause).is_some();
+            if let Some(crashes) = self.causes.get_mut(cause)
+                && crashes.refuse_time.is_none()
+            {
+                let time = if answered {
+                    ANSWERED_REFUSE_TIME
+                } else {
+                    REFUSE_TIME
+                };
+                crashes.refuse_time = Some(time);
+                self.refused.refuse(*cause, time, now);
+                refused.push(*cause);
+            }
+        }
+        refused
+    }
+
+    /// Records that a request with `causes` was answered, so that none of them crashes engines.
+    pub fn record_answer(&mut self, causes: &[CauseKey], now: Tick) {
+        self.answers.record(causes, now);
+        for cause in causes {
+            self.causes.remove(cause);
+            self.refused.clear(*cause);
+        }
+    }
+
+    /// Records that a request with `causes`, which are no longer refused, goes to an engine. Causes
+    /// that were refused are refused again, for longer, until the outcome is known.
+    pub fn record_placement(&mut self, causes: &[CauseKey], now: Tick) {
+        for cause in causes {
+            if let Some(crashes) = self.causes.get_mut(cause)
+                && let Some(time) = crashes.refuse_time
+            {
+                let time = (time * REFUSE_TIME_FACTOR).min(MAX_REFUSE_TIME);
+                crashes.refuse_time = Some(time);
+                self.refused.refuse(*cause, time, now);
+            }
+        }
+    }
+
+    /// Whether engines crashed under one of `causes` so often that the request is not retried.
+    pub fn is_suspect(&self, causes: &[CauseKey]) -> bool {
+        let limit = |cause| match self.answers.last(cause) {
+            Some(_) => ANSWERED_REFUSE_LIMIT,
+            None => CRASH_LIMIT,
+        };
+        let mut causes = causes.iter();
+        causes.any(|cause| self.crashes(*cause) >= limit(*cause))
+    }
+
+    /// Returns the causes that are refused.
+    pub fn refused(&self) -> &RefusedCauses {
+        &self.refused
+    }
+
+    /// Takes over causes that another daemon refuses, each with the time left.
+    pub fn merge(&mut self, refused: &[(CauseKey, Duration)], now: Tick) {
+        for (cause, left) in refused {
+            let crashes = self.causes.entry(*cause);
+            let crashes = crashes.or_insert_with(|| Crashes::new(now));
+            crashes.refuse_time.get_or_insert(REFUSE_TIME.max(*left));
+        }
+        self.refused.merge(refused, now);
+    }
+
+    fn is_beyond_limit(&self, cause: CauseKey) -> bool {
+        let limit = match self.answers.last(cause) {
+            Some(_) => ANSWERED_REFUSE_LIMIT,
+            None => REFUSE_LIMIT,
+        };
+        self.crashes(cause) >= limit
+    }
+
+    /// Returns the number of crashes under `cause` since its last answer.
+    fn crashes(&self, cause: CauseKey) -> usize {
+        let crashes = self.causes.get(&cause);
+        crashes.map_or(0, |crashes| crashes.engines.len())
     }
 
-    /// Whether the request has crashed so many engines that it counts as the cause and is not retried.
-    pub fn is_suspect(&self, fingerprint: u64) -> bool {
-        let crash = self.crashes.get(&fingerprint);
-        crash.is_some_and(|(count, _)| *count >= CRASH_LIMIT)
+    fn forget(&mut self, now: Tick) {
+        self.causes.retain(|_, crashes| {
+            let time = match crashes.refuse_time {
+                Some(_) => REFUSED_RETENTION,
+                None => RETENTION,
+            };
+            now - crashes.last < time
+        });
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,8 @@
     prefill_rate::PrefillRate,
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
     queue_order::{AGING_STEP, LATE_GRANT_INTERVAL, Rank, late_rank, rank},
+    recent_answers::RecentAnswers,
+    refused_causes::RefusedCauses,
     retry::{Chance, Failure, Verdict, after_failure},
     retry_budget::RetryBudget,
     rule_choice::{is_open, minute_of_day, routes},
@@ -79,6 +81,8 @@
 mod prefill_rate;
 mod prefix_hash;
 mod queue_order;
+mod recent_answers;
+mod refused_causes;
 pub mod rendezvous;
 mod retry;
 mod retry_budget;
--- /dev/null
+++ b/src/key/cause_key.rs
@@ -0,0 +1,15 @@
+use {
+    super::name_hash,
+    serde::{Deserialize, Serialize},
+};
+
+/// Identifier of what may crash engines: a request by its fingerprint, or a part of its prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CauseKey(pub u64);
+
+impl CauseKey {
+    /// Returns the key of the part `name` of a prompt.
+    pub fn of_part(name: &str) -> Self {
+        Self(name_hash(name))
+    }
+}
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -3,6 +3,7 @@
 pub use self::{
     attempt_id::{AttemptId, AttemptIdError},
     branch_key::BranchKey,
+    cause_key::CauseKey,
     endpoint_key::EndpointKey,
     grant_key::GrantKey,
     host_key::HostKey,
@@ -16,6 +17,7 @@
 
 mod attempt_id;
 mod branch_key;
+mod cause_key;
 mod endpoint_key;
 mod grant_key;
 mod host_key;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -22,7 +22,10 @@
         GrantEnd, GrantRelease, GrantRequest, Heartbeat, MemberUpdate, PeerCall, PeerReply,
         SheetChange, SuspectUpdate,
     },
-    placer::{ActivePlacement, PlacementEnd, PlacementOutcome, PlacementRequest, Placer},
+    placer::{
+        ActivePlacement, PlacementEnd, PlacementOutcome, PlacementReply, PlacementRequest, Placer,
+        PlacerHandover, RunEnd,
+    },
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
     role_orders::{EngineState, RoleOrder, RoleOrders},
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,5 @@
 use {
-    super::{
-        ActivePlacement, FeedRead, FeedReply, PlacementEnd, PlacementOutcome, PlacementRequest,
-    },
+    super::{FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest, PlacerHandover},
     crate::{
         board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
@@ -37,8 +35,8 @@
     Status,
     /// Requests the placement of a forwarded stream; may wait for some tenths of a second.
     Place(PlacementRequest),
-    /// Reports streams that were placed by another daemon.
-    AdoptPlacements(Vec<ActivePlacement>),
+    /// Hands over to a daemon that begins to place the streams of a pool.
+    AdoptPlacements(PlacerHandover),
     /// Releases the placement of a stream.
     EndPlacement(PlacementEnd),
     /// Requests what the receiver has read from a feed of the store; may wait for a change.
@@ -65,7 +63,7 @@
     /// The call could not be handled; the text says why.
     Failed(String),
     /// Outcome of a request for a placement.
-    Placement(PlacementOutcome),
+    Placement(PlacementReply),
     /// What the receiver has read from a feed.
     Feed(FeedReply),
 }
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -1,4 +1,5 @@
 use {
+    crate::key::CauseKey,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -8,8 +9,12 @@
     /// Requests a placement; the outcome may take some tenths of a second.
     fn place(&self, request: PlacementRequest) -> impl Future<Output = PlacementOutcome> + Send;
 
-    /// Reports that a request no longer uses its placement, and what it used.
+    /// Reports that a request no longer uses its placement, what it used and how it ended.
     fn end(&self, end: PlacementEnd);
+
+    /// Returns the time for which requests to `pool` with one of `causes` are still refused, as they
+    /// crash engines; `None` if they are not.
+    fn refused(&self, pool: &str, causes: &[CauseKey]) -> Option<Duration>;
 }
 
 /// Request for a placement: an engine to decode and, unless it prefills locally, one to prefill.
@@ -33,8 +38,26 @@
     pub avoid: Vec<String>,
     /// Names of the engines that the requester cannot reach or that do not respond.
     pub unreachable: Vec<String>,
-    /// Fingerprint of host name, path and body: equal for a request that is sent again.
-    pub fingerprint: u64,
+    /// What may crash engines: the request itself and the parts of its prompt.
+    pub causes: Vec<CauseKey>,
+}
+
+/// Reply to a request for a placement.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlacementReply {
+    /// Outcome of the request.
+    pub outcome: PlacementOutcome,
+    /// Causes of crashes whose requests are refused at present, each with the time left.
+    pub refused: Vec<(CauseKey, Duration)>,
+}
+
+/// What a daemon that begins to choose the placements of a pool takes over from another one.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlacerHandover {
+    /// Requests of the other daemon that are placed.
+    pub placements: Vec<ActivePlacement>,
+    /// Causes of crashes whose requests the other daemon refuses, each with the time left.
+    pub refused: Vec<(CauseKey, Duration)>,
 }
 
 /// Outcome of a request for a placement.
@@ -52,10 +75,23 @@
     },
     /// No engine is free yet; request the placement again at once.
     Wait,
+    /// Requests like this one crash engines, and are refused for this long.
+    Refused(Duration),
     /// The receiver does not choose placements, or cannot be reached.
     Unavailable,
 }
 
+/// How the run of a request ended at its engine, as far as it tells what crashes engines.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RunEnd {
+    /// It says nothing: the request was not run, was cancelled, or its response did not arrive.
+    Unknown,
+    /// The engine broke off early, which counts as a crash.
+    Crashed,
+    /// The engine generated an answer.
+    Answered,
+}
+
 /// A placed request, reported to the daemon that chooses the placements from now on.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ActivePlacement {
@@ -74,9 +110,12 @@
     pub id: u64,
     /// Name of the pool.
     pub pool: String,
-    /// Fingerprint of the request if the response broke off before the first event, which counts as
-    /// a crash of the engine.
-    pub crash_fingerprint: Option<u64>,
+    /// Name of the engine that decodes.
+    pub engine: String,
+    /// What may crash engines: the request itself and the parts of its prompt.
+    pub causes: Vec<CauseKey>,
+    /// How the run ended.
+    pub run: RunEnd,
     /// Number of tokens generated.
     pub generated_tokens: u64,
     /// Time from the first event to the last one.
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -85,6 +85,8 @@
     pub body: Bytes,
     /// Size of the prompt and of the output; `None` for plain services.
     pub token_counts: Option<TokenCounts>,
+    /// Parts of the prompt that it may share with other prompts, in order.
+    pub shared_parts: Vec<String>,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
 }
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -157,8 +157,8 @@
                 return Err(UpstreamError::Broken(detail));
             }
         }
-        if let Some(placement) = self.run.as_mut().and_then(|run| run.placement.as_mut()) {
-            placement.generated(self.event_tokens);
+        if let Some(run) = &mut self.run {
+            run.placement.generated(self.event_tokens);
         }
         self.last_id = event.id.or(self.last_id);
         self.events += 1;
@@ -169,7 +169,8 @@
     /// Records and logs the regular end of the stream.
     fn finish(&mut self) {
         self.open = false;
-        if let Some(run) = self.run.take() {
+        if let Some(mut run) = self.run.take() {
+            run.placement.answered();
             run.hold.record_end(false);
             let log = ForwardLog::new(&self.shared, &self.call);
             log.answered(&run.hold.name, 200, self.events);
@@ -188,9 +189,7 @@
         // Closes the connection first: the old attempt ends before another one continues.
         drop(run.body);
         let mut placement = run.placement;
-        if let (Some(placement), true) = (&mut placement, run.awaits_first && self.events == 0) {
-            placement.crashed(self.call.fingerprint);
-        }
+        placement.failed(error);
         drop(placement);
         self.after_failure(&hold, error)?;
         drop(hold);
@@ -252,7 +251,7 @@
                 prefills += 1;
                 let start = self.shared.now();
                 cache = self.prefill(prefill).await?;
-                if let (Some(placement), Some(_)) = (&mut placement, &cache) {
+                if cache.is_some() {
                     placement.prefilled(self.shared.now() - start);
                 }
             }
@@ -282,10 +281,7 @@
                     });
                 }
                 Err(error) => {
-                    let crashed = matches!(error, UpstreamError::Broken(_));
-                    if let (Some(placement), true) = (&mut placement, crashed && self.events == 0) {
-                        placement.crashed(self.call.fingerprint);
-                    }
+                    placement.failed(&error);
                     // Reports the crash before the next placement request.
                     drop(placement);
                     self.after_failure(&hold, &error)?;
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -3,7 +3,7 @@
     crate::{
         board::{PathRoute, Repeat, Tick},
         decide::{AttemptState, Chance, Failure, RetryBudget, Verdict, after_failure},
-        key::EndpointKey,
+        key::{CauseKey, EndpointKey},
         port::{ForwardRequest, UpstreamError, UpstreamRequest},
     },
     std::{sync::Arc, time::Duration},
@@ -26,8 +26,9 @@
     pub deadline: Tick,
     /// Whether so much of the caller's time has passed that the response cannot meet its target.
     pub late: bool,
-    /// Hash of host, target and body: the same for a request that is sent again.
-    pub fingerprint: u64,
+    /// What may crash engines: the request by the hash of host, target and body, which is the same
+    /// when it is sent again, and the parts of its prompt.
+    pub causes: Vec<CauseKey>,
     /// Whether so many engines broke off while they ran the request that it is not retried.
     pub suspect: bool,
     /// Endpoints that attempts were sent to.
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -6,6 +6,7 @@
     },
     crate::{
         board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase},
+        key::CauseKey,
         port::ForwardRequest,
     },
     http::HeaderMap,
@@ -139,7 +140,7 @@
             arrived,
             deadline: arrived + timeout,
             late,
-            fingerprint: fingerprint(request),
+            causes: causes(request),
             suspect: false,
             tried: Vec::new(),
             ran: 0,
@@ -185,11 +186,18 @@
     }
 }
 
+/// Returns what of a request may crash engines.
+fn causes(request: &ForwardRequest) -> Vec<CauseKey> {
+    let parts = request.shared_parts.iter();
+    let parts = parts.map(|part| CauseKey::of_part(part));
+    std::iter::once(fingerprint(request)).chain(parts).collect()
+}
+
 /// Hash of host, target and body: the same for a request that is sent again under another id.
-fn fingerprint(request: &ForwardRequest) -> u64 {
+fn fingerprint(request: &ForwardRequest) -> CauseKey {
     let mut hasher = DefaultHasher::new();
     (&request.host, &request.target, &request.body).hash(&mut hasher);
-    hasher.finish()
+    CauseKey(hasher.finish())
 }
 
 /// Logs that the caller disconnected if it is dropped while `open`.
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -3,6 +3,7 @@
 use {
     super::{ForwardCall, ForwardParts, ForwardShared, Ran, Refused, deadline_passed},
     crate::{board::Refusal, decide::Verdict, port::UpstreamError},
+    std::time::Duration,
 };
 
 /// Refuses a request whose pool has no known endpoint.
@@ -27,6 +28,15 @@
     refused(shared, call, Refusal::EndpointRefused, detail)
 }
 
+/// Refuses a stream whose prompt, or a part of it, crashes engines, for as long as that is assumed.
+pub fn crash_suspect(call: &ForwardCall, left: Duration) -> Refused {
+    let detail = "requests like this one crash endpoints; change the prompt";
+    match ran(call) {
+        Ran::No => Refused::not_run(Refusal::CrashSuspect, detail).after(left),
+        Ran::Unknown => Refused::unknown(Refusal::CrashSuspect, detail),
+    }
+}
+
 /// Refuses a stream that found every endpoint of the pool full.
 pub fn full<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
 where
--- a/src/request/placement_hold.rs
+++ b/src/request/placement_hold.rs
@@ -1,13 +1,18 @@
 use {
-    super::{ForwardParts, ForwardShared},
+    super::{ForwardCall, ForwardParts, ForwardShared},
     crate::{
         board::Tick,
-        port::{PlacementEnd, Placer},
+        port::{PlacementEnd, Placer, RunEnd, UpstreamError},
     },
     std::time::Duration,
 };
 
-/// A placement that the placing daemon keeps for a stream; dropping it reports its end there.
+/// Number of events from which on a response counts as an answer. An engine that a prompt crashes may
+/// still write the first ones.
+const ANSWER_EVENTS: u64 = 8;
+
+/// A placement that the placing daemon keeps for a stream; dropping it reports its end there, and how
+/// the run ended, which also matters if this daemon placed the stream alone.
 #[derive(Debug)]
 pub struct PlacementHold<P>
 where
@@ -16,25 +21,29 @@
     shared: ForwardShared<P>,
     end: PlacementEnd,
     first: Option<Tick>,
+    events: u64,
 }
 
 impl<P> PlacementHold<P>
 where
     P: ForwardParts,
 {
-    /// Takes over placement `id` in `pool`.
-    pub fn new(shared: &ForwardShared<P>, id: u64, pool: &str) -> Self {
+    /// Takes over placement `id` of `call` at `engine`.
+    pub fn new(shared: &ForwardShared<P>, call: &ForwardCall, id: u64, engine: &str) -> Self {
         Self {
             shared: shared.clone(),
             end: PlacementEnd {
                 id,
-                pool: pool.to_owned(),
-                crash_fingerprint: None,
+                pool: call.pool.clone(),
+                engine: engine.to_owned(),
+                causes: call.causes.clone(),
+                run: RunEnd::Unknown,
                 generated_tokens: 0,
                 decode_time: Duration::ZERO,
                 prefill_time: Duration::ZERO,
             },
             first: None,
+            events: 0,
         }
     }
 
@@ -43,14 +52,25 @@
         self.end.prefill_time = took;
     }
 
-    /// Records that the engine broke off before the first event of the request with `fingerprint`.
-    pub fn crashed(&mut self, fingerprint: u64) {
-        self.end.crash_fingerprint = Some(fingerprint);
+    /// Records the error that ended the run; an engine that breaks off early counts as crashed.
+    pub fn failed(&mut self, error: &UpstreamError) {
+        if matches!(error, UpstreamError::Broken(_)) && self.events < ANSWER_EVENTS {
+            self.end.run = RunEnd::Crashed;
+        }
+    }
+
+    /// Records the regular end of the response.
+    pub fn answered(&mut self) {
+        self.end.run = RunEnd::Answered;
     }
 
     /// Records an event for which `tokens` were generated; those of the first are not counted.
     pub fn generated(&mut self, tokens: u64) {
         let now = self.shared.now();
+        self.events += 1;
+        if self.events >= ANSWER_EVENTS {
+            self.end.run = RunEnd::Answered;
+        }
         match self.first {
             None => self.first = Some(now),
             Some(first) => {
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -28,8 +28,8 @@
     pub decode: EndpointHold,
     /// Memory reserved at that endpoint; present only if no daemon placed the request.
     pub reservation: Option<ReservationHold<P>>,
-    /// Placement held at the placing daemon; present only if one placed the request.
-    pub placement: Option<PlacementHold<P>>,
+    /// Placement of the attempt.
+    pub placement: PlacementHold<P>,
     /// Endpoint that computes the prompt; `None` if the decode endpoint prefills locally.
     pub prefill: Option<EndpointHold>,
 }
@@ -65,12 +65,16 @@
         let until = self.shared.now() + self.call.route.target / PLACEMENT_DIVISOR;
         let mut unknown = Vec::new();
         let mut requests = 0;
+        let placer = self.shared.parts().placer();
+        if let Some(left) = placer.refused(&self.call.pool, &self.call.causes) {
+            return Err(forward_refusal::crash_suspect(self.call, left));
+        }
         loop {
             requests += 1;
             // Each placement request has its own id: the end of one must not release the next.
             let id = self.shared.unique();
             let request = self.placement_request(id, local, &unknown);
-            match self.shared.parts().placer().place(request).await {
+            match placer.place(request).await {
                 PlacementOutcome::Placed {
                     decode,
                     prefill,
@@ -83,6 +87,9 @@
                     }
                 }
                 PlacementOutcome::Wait => {}
+                PlacementOutcome::Refused(left) => {
+                    return Err(forward_refusal::crash_suspect(self.call, left));
+                }
                 PlacementOutcome::Unavailable => {
                     return self.place_without_placer(local, until).await;
                 }
@@ -119,7 +126,7 @@
                 .cloned()
                 .collect(),
             unreachable: unreachable.map(|endpoint| endpoint.name.clone()).collect(),
-            fingerprint: self.call.fingerprint,
+            causes: self.call.causes.clone(),
         }
     }
 
@@ -136,7 +143,7 @@
         prefill: Option<&str>,
     ) -> Result<StreamPlacement<P>, String> {
         let size = self.call.request.token_counts.unwrap_or_default();
-        let placement = PlacementHold::new(self.shared, id, &self.call.pool);
+        let placement = PlacementHold::new(self.shared, self.call, id, decode);
         ForwardLog::new(self.shared, self.call).placed(id, decode, prefill);
         let find = |role, tokens: u64, name: &str| {
             let need = EndpointNeed {
@@ -155,7 +162,7 @@
         Ok(StreamPlacement {
             decode,
             reservation: None,
-            placement: Some(placement),
+            placement,
             prefill: prefill.transpose()?,
         })
     }
@@ -174,10 +181,12 @@
             if (local || prefill.is_some() || now >= prefill_until)
                 && let Some((decode, reservation)) = self.reserve_decode().await?
             {
+                let id = self.shared.unique();
+                let placement = PlacementHold::new(self.shared, self.call, id, &decode.name);
                 return Ok(StreamPlacement {
                     decode,
                     reservation: Some(reservation),
-                    placement: None,
+                    placement,
                     prefill,
                 });
             }
--- a/src/request/stream_run.rs
+++ b/src/request/stream_run.rs
@@ -17,8 +17,8 @@
     pub hold: EndpointHold,
     /// Part of the response that is not read yet.
     pub body: BodyOf<P>,
-    /// Placement held at the placing daemon; `None` if this daemon placed the attempt alone.
-    pub placement: Option<PlacementHold<P>>,
+    /// Placement of the attempt.
+    pub placement: PlacementHold<P>,
     /// Whether the first event of the attempt is still to come.
     pub awaits_first: bool,
 }
@@ -37,8 +37,8 @@
     pub body: BodyOf<P>,
     /// Endpoint that runs the attempt.
     pub hold: EndpointHold,
-    /// Placement held at the placing daemon; `None` if this daemon placed the attempt alone.
-    pub placement: Option<PlacementHold<P>>,
+    /// Placement of the attempt.
+    pub placement: PlacementHold<P>,
 }
 
 impl<P> StartedAttempt<P>
--- /dev/null
+++ b/tests/crash_causes.rs
@@ -0,0 +1,239 @@
+//! Engines that crash under requests which share one part of their prompts, and nothing else.
+
+use {
+    crate::listed::listed,
+    insta::assert_yaml_snapshot,
+    lentillead::{
+        board::{Blackboard, CallerLimits, PoolConfig, Role, Routing, Tick, Writers},
+        control::{AllocationController, AllocationHandle},
+        decide::{CrashRecord, merge_described},
+        key::CauseKey,
+        port::{
+            MonoClock, PeerCall, PlacementEnd, PlacementOutcome, PlacementReply, PlacementRequest,
+            PlacerHandover, RunEnd,
+        },
+    },
+    std::{collections::HashMap, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Part that every prompt begins with.
+const FIRST: CauseKey = CauseKey(1);
+
+/// Part that crashes engines.
+const DEADLY: CauseKey = CauseKey(2);
+
+/// A daemon that places the streams of one pool with many decode engines.
+struct Placer {
+    handle: AllocationHandle,
+    next: u64,
+    _writers: Writers,
+}
+
+impl Placer {
+    fn start() -> Self {
+        let (board, mut writers) = Blackboard::new();
+        let names = (0..9).map(|number| format!("d{number}"));
+        let engines: Vec<_> = names
+            .map(|name| listed(&name, "models", Role::Decode))
+            .collect();
+        let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
+        writers
+            .fleet
+            .update(|fleet| merge_described(fleet, &described));
+        let config = PoolConfig {
+            memory_tokens: 100_000,
+            has_engines: true,
+            event_tokens: 1,
+        };
+        let pools = HashMap::from([("models".to_owned(), config)]);
+        let routing = Routing::new(1, Vec::new(), pools, CallerLimits::default());
+        writers.routing.publish(routing);
+        let (controller, handle) = AllocationController::new(board, MonoClock::start());
+        tokio::spawn(controller.run());
+        Self {
+            handle,
+            next: 0,
+            _writers: writers,
+        }
+    }
+
+    /// Requests the placement of a stream with `parts` and a fingerprint of its own.
+    async fn place(&mut self, parts: &[CauseKey]) -> (u64, Vec<CauseKey>, PlacementReply) {
+        self.next += 1;
+        let id = self.next;
+        let mut causes = vec![CauseKey(1_000 + id)];
+        causes.extend(parts);
+        let request = PlacementRequest {
+            id,
+            pool: "models".to_owned(),
+            prompt_tokens: 100,
+            output_tokens: 100,
+            late: false,
+            waited: Duration::ZERO,
+            remote_prefill: false,
+            avoid: Vec::new(),
+            unreachable: Vec::new(),
+            causes: causes.clone(),
+        };
+        let reply = self.handle.place(request).await;
+        (id, causes, reply)
+    }
+
+    /// Runs a stream with `parts` to the end `run`; returns whether it was placed.
+    async fn run(&mut self, parts: &[CauseKey], engine: &str, run: RunEnd) -> &'static str {
+        let (id, causes, reply) = self.place(parts).await;
+        match reply.outcome {
+            PlacementOutcome::Placed { suspect, .. } => {
+                self.handle.end(PlacementEnd {
+                    id,
+                    pool: "models".to_owned(),
+                    engine: engine.to_owned(),
+                    causes,
+                    run,
+                    generated_tokens: 0,
+                    decode_time: Duration::ZERO,
+                    prefill_time: Duration::ZERO,
+                });
+                if suspect { "placed once" } else { "placed" }
+            }
+            PlacementOutcome::Refused(_) => "refused",
+            PlacementOutcome::Wait | PlacementOutcome::Unavailable => "not placed",
+        }
+    }
+}
+
+/// Counts crashes of `engines` under `causes`, one each second from `start` on, and returns the
+/// causes that were refused after each.
+fn crash(
+    record: &mut CrashRecord,
+    causes: &[CauseKey],
+    engines: std::ops::Range<u64>,
+    start: u64,
+) -> Vec<Vec<CauseKey>> {
+    let crash = |(second, number): (u64, u64)| {
+        let now = at(start + second);
+        record.record_crash(causes, &format!("d{number}"), now);
+        let refused = record.refused().list(now).into_iter();
+        refused.map(|(cause, _)| cause).collect()
+    };
+    (0..).zip(engines).map(crash).collect()
+}
+
+fn at(second: u64) -> Tick {
+    Tick::default() + Duration::from_secs(second)
+}
+
+#[tokio::test(start_paused = true)]
+async fn prompts_with_a_part_under_which_three_engines_crashed_are_refused_and_others_are_not() {
+    let mut placer = Placer::start();
+    let mut seen = Vec::new();
+    for number in 0..6 {
+        let engine = format!("d{number}");
+        let subject = CauseKey(10 + number % 2);
+        let deadly = placer
+            .run(&[FIRST, DEADLY, subject], &engine, RunEnd::Crashed)
+            .await;
+        // A sound stream beside it is cut off too; the next one with the same parts is answered.
+        let beside = placer
+            .run(&[FIRST, subject], &engine, RunEnd::Crashed)
+            .await;
+        let sound = placer
+            .run(&[FIRST, subject], &engine, RunEnd::Answered)
+            .await;
+        seen.push((deadly, beside, sound));
+        sleep(Duration::from_secs(1)).await;
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_begins_to_place_streams_refuses_what_the_one_before_it_refused() {
+    let mut first = Placer::start();
+    for engine in ["d1", "d2", "d3"] {
+        first.run(&[FIRST, DEADLY], engine, RunEnd::Crashed).await;
+        first.run(&[FIRST], engine, RunEnd::Answered).await;
+        sleep(Duration::from_secs(1)).await;
+    }
+    let (.., reply) = first.place(&[FIRST]).await;
+    let mut next = Placer::start();
+    let handover = PlacerHandover {
+        placements: Vec::new(),
+        refused: reply.refused,
+    };
+    next.handle
+        .handle(PeerCall::AdoptPlacements(handover))
+        .await;
+    let deadly = next.run(&[FIRST, DEADLY], "d4", RunEnd::Crashed).await;
+    let sound = next.run(&[FIRST], "d4", RunEnd::Answered).await;
+    assert_eq!((deadly, sound), ("refused", "placed"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_a_refused_part_one_request_at_a_time_is_let_through_ever_more_rarely() {
+    let mut placer = Placer::start();
+    let mut times = Vec::new();
+    let start = Instant::now();
+    for number in 0..2_000 {
+        let engine = format!("d{}", number % 9);
+        let outcome = placer.run(&[DEADLY], &engine, RunEnd::Crashed).await;
+        if outcome != "refused" {
+            times.push(start.elapsed().as_secs());
+        }
+        sleep(Duration::from_millis(500)).await;
+    }
+    let probe = placer.run(&[DEADLY], "d1", RunEnd::Answered).await;
+    sleep(Duration::from_mins(30)).await;
+    let answered = placer.run(&[DEADLY], "d1", RunEnd::Answered).await;
+    let after = placer.run(&[DEADLY], "d1", RunEnd::Answered).await;
+    assert_yaml_snapshot!((times, [probe, answered, after]));
+}
+
+#[test]
+fn engines_that_fail_together_are_not_put_down_to_what_their_prompts_share() {
+    let mut record = CrashRecord::default();
+    let mut refused = 0;
+    for outage in 0..4 {
+        for engine in 0..9 {
+            let causes = [FIRST, CauseKey(100 + engine)];
+            let crashed = record.record_crash(&causes, &format!("d{engine}"), at(outage));
+            refused += crashed.len();
+        }
+        record.record_answer(&[FIRST], at(outage));
+    }
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn of_several_parts_without_answers_only_the_one_with_the_oldest_answer_is_refused() {
+    let mut seen = Vec::new();
+    let answers: [(&str, &[(CauseKey, u64)]); 3] = [
+        ("the first part was answered", &[(FIRST, 10)]),
+        (
+            "the deadly part was sound before",
+            &[(DEADLY, 5), (FIRST, 10)],
+        ),
+        ("neither was answered", &[]),
+    ];
+    for (name, answered) in answers {
+        let mut record = CrashRecord::default();
+        for (cause, second) in answered {
+            record.record_answer(&[*cause], at(*second));
+        }
+        let refused = crash(&mut record, &[FIRST, DEADLY], 0..7, 11);
+        seen.push((name, refused));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[test]
+fn crashes_of_an_engine_that_starts_again_each_time_count() {
+    let mut record = CrashRecord::default();
+    let mut seen = Vec::new();
+    for (second, engine) in [(0, "a"), (1, "a"), (2, "b"), (3, "b"), (8, "b")] {
+        record.record_crash(&[DEADLY], engine, at(second));
+        let refused = record.refused().remaining(&[DEADLY], at(second));
+        seen.push((second, engine, refused.map(|left| left.as_secs())));
+    }
+    assert_yaml_snapshot!(seen);
+}
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -9,6 +9,7 @@
     lentillead::{
         board::{Fleet, Health, Role, Routing, StopPhase, Tick, section},
         decide::{CrashRecord, merge_described},
+        key::CauseKey,
         port::PlacementOutcome,
     },
     std::time::Duration,
@@ -131,10 +132,12 @@
     let mut record = CrashRecord::default();
     let mut seen = Vec::new();
     for (second, fingerprint) in [(0, 7), (1, 8), (2, 7), (200, 9)] {
-        record.record(fingerprint, Tick(second * 1_000_000));
+        let engine = format!("engine-{second}");
+        let causes = [CauseKey(fingerprint)];
+        record.record_crash(&causes, &engine, Tick(second * 1_000_000));
         seen.push((
             second,
-            [7, 8, 9].map(|fingerprint| record.is_suspect(fingerprint)),
+            [7, 8, 9].map(|fingerprint| record.is_suspect(&[CauseKey(fingerprint)])),
         ));
     }
     assert_yaml_snapshot!(seen);
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -10,6 +10,7 @@
             ResponseKind, Role, Routing, Writers,
         },
         decide::merge_described,
+        key::CauseKey,
         port::{
             CacheHandle, EndpointNotice, ForwardRequest, MonoClock, Noticed, PlacementEnd,
             PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody, ResponseEvent,
@@ -203,6 +204,10 @@
     }
 
     fn end(&self, _: PlacementEnd) {}
+
+    fn refused(&self, _: &str, _: &[CauseKey]) -> Option<Duration> {
+        None
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -314,6 +319,7 @@
                 max_output: 1_000,
                 output_hint: None,
             }),
+            shared_parts: Vec::new(),
             resume_after: None,
         };
         let received = match self.entry.forward(request, None).await {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod cluster;
 mod command_line;
+mod crash_causes;
 mod emulator;
 mod engine;
 mod engine_fault;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -7,7 +7,7 @@
         board::{Endpoint, EndpointCounters, LoadedModels, Role, Tick},
         decide::{Ledger, Placement},
         key::PoolKey,
-        port::{ActivePlacement, PlacementEnd, PlacementRequest},
+        port::{ActivePlacement, PlacementEnd, PlacementRequest, RunEnd},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -43,7 +43,7 @@
         remote_prefill: true,
         avoid: Vec::new(),
         unreachable: Vec::new(),
-        fingerprint: id,
+        causes: Vec::new(),
     }
 }
 
@@ -137,7 +137,9 @@
     let end = PlacementEnd {
         id: 1,
         pool: "models".to_owned(),
-        crash_fingerprint: None,
+        engine: String::new(),
+        causes: Vec::new(),
+        run: RunEnd::Unknown,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
         prefill_time: Duration::from_millis(100),
@@ -217,7 +219,9 @@
     PlacementEnd {
         id,
         pool: "models".to_owned(),
-        crash_fingerprint: None,
+        engine: String::new(),
+        causes: Vec::new(),
+        run: RunEnd::Unknown,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
         prefill_time,
