--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -36,6 +36,8 @@
     refusals: AtomicU32,
     /// Tick in microseconds until which the endpoint is expected to refuse every request.
     refusing_until: AtomicU64,
+    /// Tick in microseconds until which the endpoint wants no further requests.
+    paused_until: AtomicU64,
     /// Start time of the endpoint by the list, in milliseconds since the Unix epoch.
     incarnation: AtomicU64,
     /// One more than the start time of the process at the endpoint whose response last said that it
@@ -172,11 +174,17 @@
         self.leaving.swap(leaving, Ordering::AcqRel) != leaving
     }
 
-    /// Takes over from the figures of an earlier entry of the endpoint which process said that it
-    /// leaves.
-    pub fn inherit_leaving(&self, earlier: &Self) {
-        let leaving = earlier.leaving.load(Ordering::Acquire);
-        self.leaving.store(leaving, Ordering::Release);
+    /// Takes over what the process with the start time `incarnation` said of itself from the figures
+    /// of an earlier entry of the endpoint.
+    pub fn inherit(&self, earlier: &Self, incarnation: u64) {
+        let copy = |from: &AtomicU64, to: &AtomicU64| {
+            to.store(from.load(Ordering::Acquire), Ordering::Release);
+        };
+        copy(&earlier.leaving, &self.leaving);
+        if earlier.incarnation() == incarnation {
+            copy(&earlier.paused_until, &self.paused_until);
+        }
+        self.incarnation.store(incarnation, Ordering::Release);
     }
 
     /// Returns whether the endpoint has said that it leaves since its last start.
@@ -185,9 +193,23 @@
         leaving == self.incarnation().saturating_add(1)
     }
 
-    /// Records the start time that the list states, in milliseconds since the Unix epoch.
+    /// Records that the endpoint wants no further requests until `until`, or longer if a later end is
+    /// already set.
+    pub fn pause(&self, until: Tick) {
+        self.paused_until.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    /// Returns the time from `now` on for which the endpoint wants no requests; zero if it does.
+    pub fn pause_left(&self, now: Tick) -> Duration {
+        Tick(self.paused_until.load(Ordering::Acquire)) - now
+    }
+
+    /// Records the start time that the list states, in milliseconds since the Unix epoch; a process
+    /// that has started since wants requests.
     pub fn set_incarnation(&self, incarnation: u64) {
-        self.incarnation.store(incarnation, Ordering::Release);
+        if self.incarnation.swap(incarnation, Ordering::AcqRel) != incarnation {
+            self.paused_until.store(0, Ordering::Release);
+        }
     }
 
     /// Returns the start time of the endpoint by the list, in milliseconds since the Unix epoch.
--- a/src/decide/fleet_merge.rs
+++ b/src/decide/fleet_merge.rs
@@ -90,7 +90,8 @@
     let before = fleet.endpoints.find(&listed.name);
     let before = before.and_then(|key| fleet.endpoints.get(key)).cloned();
     let counters = before.as_ref().map(|old| Arc::clone(&old.counters));
-    let counters = counters.unwrap_or_else(|| returning_counters(fleet, listed));
+    let counters =
+        counters.unwrap_or_else(|| returning_counters(fleet, listed, described.incarnation));
     if before
         .as_ref()
         .is_some_and(|old| old.role != described.role)
@@ -127,12 +128,16 @@
     changed
 }
 
-/// Returns the counters of an endpoint that was not listed; they keep that it has said that it
-/// leaves, as its entry may only have expired.
-fn returning_counters(fleet: &mut Fleet, listed: &ListedEndpoint) -> Arc<EndpointCounters> {
+/// Returns the counters of an endpoint that was not listed; they keep what it has said of itself, as
+/// its entry may only have expired.
+fn returning_counters(
+    fleet: &mut Fleet,
+    listed: &ListedEndpoint,
+    incarnation: u64,
+) -> Arc<EndpointCounters> {
     let counters = EndpointCounters::default();
     if let Some(earlier) = fleet.removed.take(&listed.name, &listed.address) {
-        counters.traffic.inherit_leaving(&earlier.traffic);
+        counters.traffic.inherit(&earlier.traffic, incarnation);
     }
     Arc::new(counters)
 }
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -183,6 +183,9 @@
     pub load: Option<ReportedLoad>,
     /// Whether the endpoint leaves: it is to get no further requests.
     pub leaving: bool,
+    /// Time for which the endpoint is to get no further requests, if it turned this one away and
+    /// states one.
+    pub pause: Option<Duration>,
 }
 
 /// Content of a response, with what the endpoint said of itself.
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -22,6 +22,9 @@
 /// Maximum doublings of `REFUSAL_TIME`.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Longest time for which an endpoint gets no requests because it said so.
+const MAX_PAUSE: Duration = Duration::from_hours(1);
+
 /// Tokens assumed for a request of another daemon, where only the number of requests is known.
 const OTHER_TOKENS: f64 = 5_000.0;
 
@@ -112,14 +115,30 @@
         })
     }
 
-    /// Returns whether the endpoint is still listed and does not leave.
+    /// Returns the time until the first endpoint of `pool` with `role` wants requests again; `None` if
+    /// one wants them now, or there is none.
+    pub fn pool_pause<P>(shared: &ForwardShared<P>, pool: &str, role: Role) -> Option<Duration>
+    where
+        P: ForwardParts,
+    {
+        let now = shared.now();
+        let fleet = shared.board().fleet.load();
+        let pool = fleet.pools.get(fleet.pools.find(pool)?)?;
+        let members = pool.members.iter();
+        let endpoints = members.filter_map(|key| fleet.endpoints.get(*key));
+        let staying = endpoints.filter(|endpoint| endpoint.role == role && stays(endpoint));
+        let pauses = staying.map(|endpoint| endpoint.counters.traffic.pause_left(now));
+        pauses.min().filter(|pause| !pause.is_zero())
+    }
+
+    /// Returns whether the endpoint is still listed and may get requests.
     pub fn is_current<P>(&self, shared: &ForwardShared<P>) -> bool
     where
         P: ForwardParts,
     {
         let fleet = shared.board().fleet.load();
         let endpoint = fleet.endpoints.get(self.key);
-        endpoint.is_some_and(may_get_requests)
+        endpoint.is_some_and(|endpoint| may_get_requests(endpoint, shared.now()))
     }
 
     /// Returns the time since the endpoint was chosen.
@@ -144,6 +163,14 @@
         if notice.leaving && traffic.set_leaving(self.incarnation) {
             log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
+        if let Some(pause) = notice.pause
+            && traffic.incarnation() == self.incarnation
+        {
+            let pause = pause.min(MAX_PAUSE);
+            traffic.pause(now + pause);
+            let ms = pause.as_millis() as u64;
+            log::info!(endpoint = self.name.as_str(), ms; "endpoint said to come back later; it gets no requests until then");
+        }
     }
 
     /// Records the response time of the attempt.
@@ -218,10 +245,15 @@
 }
 
 /// Returns whether neither the list nor the endpoint itself says that it leaves.
-fn may_get_requests(endpoint: &Endpoint) -> bool {
+fn stays(endpoint: &Endpoint) -> bool {
     !endpoint.draining && !endpoint.counters.traffic.is_leaving()
 }
 
+/// Returns whether the endpoint stays, and has not said to come back later.
+fn may_get_requests(endpoint: &Endpoint, now: Tick) -> bool {
+    stays(endpoint) && endpoint.counters.traffic.pause_left(now).is_zero()
+}
+
 /// Returns the figures of every endpoint that may serve `need`; empty if the pool is not known.
 fn options<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Vec<EndpointOption>
 where
@@ -241,7 +273,7 @@
     let members = pool.members.iter();
     let found = members.filter_map(|key| Some((*key, fleet.endpoints.get(*key)?)));
     let usable =
-        found.filter(|(_, endpoint)| endpoint.role == need.role && may_get_requests(endpoint));
+        found.filter(|(_, endpoint)| endpoint.role == need.role && may_get_requests(endpoint, now));
     let options = usable.map(|(key, endpoint)| {
         let traffic = &endpoint.counters.traffic;
         let by_tokens = need.tokens > 0 && memory > 0;
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -42,7 +42,8 @@
             tried: &call.tried,
         };
         let Some(hold) = EndpointHold::choose(shared, &need) else {
-            return failure.ok_or_else(|| forward_refusal::no_endpoint(shared, call));
+            return failure
+                .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
         };
         if hold.option.tried {
             return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -1,16 +1,25 @@
 //! Refusals of forwarded requests: what the caller learns, and whether the request may have run.
 
 use {
-    super::{ForwardCall, ForwardParts, ForwardShared, Ran, Refused, deadline_passed},
-    crate::{board::Refusal, decide::Verdict, port::UpstreamError},
+    super::{
+        EndpointHold, ForwardCall, ForwardParts, ForwardShared, Ran, Refused, deadline_passed,
+    },
+    crate::{
+        board::{Refusal, Role},
+        decide::Verdict,
+        port::UpstreamError,
+    },
     std::time::Duration,
 };
 
-/// Refuses a request whose pool has no known endpoint.
-pub fn no_endpoint<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
+/// Refuses a request whose pool has no endpoint with `role` that may get requests.
+pub fn no_endpoint<P>(shared: &ForwardShared<P>, call: &ForwardCall, role: Role) -> Refused
 where
     P: ForwardParts,
 {
+    if let Some(pause) = EndpointHold::pool_pause(shared, &call.pool, role) {
+        return paused(call, pause);
+    }
     refused(
         shared,
         call,
@@ -19,6 +28,12 @@
     )
 }
 
+/// Refuses a request whose pool wants no requests for the time `pause`.
+pub fn paused(call: &ForwardCall, pause: Duration) -> Refused {
+    let detail = "every endpoint of the pool said to come back later";
+    refused_for(call, Refusal::EndpointRefused, detail, pause)
+}
+
 /// Refuses a request that every endpoint of the pool refused.
 pub fn all_refused<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
 where
@@ -31,10 +46,7 @@
 /// Refuses a stream whose prompt, or a part of it, crashes engines, for as long as that is assumed.
 pub fn crash_suspect(call: &ForwardCall, left: Duration) -> Refused {
     let detail = "requests like this one crash endpoints; change the prompt";
-    match ran(call) {
-        Ran::No => Refused::not_run(Refusal::CrashSuspect, detail).after(left),
-        Ran::Unknown => Refused::unknown(Refusal::CrashSuspect, detail),
-    }
+    refused_for(call, Refusal::CrashSuspect, detail, left)
 }
 
 /// Refuses a stream that found every endpoint of the pool full.
@@ -43,11 +55,12 @@
     P: ForwardParts,
 {
     let detail = "every endpoint of the pool is full; send the request again later";
-    let refused = refused(shared, call, Refusal::QueueFull, detail);
-    match refused.ran {
-        Ran::No => refused.after(shared.options().full_after),
-        Ran::Unknown => refused,
-    }
+    refused_for(
+        call,
+        Refusal::QueueFull,
+        detail,
+        shared.options().full_after,
+    )
 }
 
 /// Refuses a request whose remote prefill failed, as the retry budget is spent.
@@ -92,8 +105,13 @@
 where
     P: ForwardParts,
 {
+    refused_for(call, reason, detail, shared.options().retry_after)
+}
+
+/// Refuses a request, which may come back after `wait` if it has not run.
+fn refused_for(call: &ForwardCall, reason: Refusal, detail: &str, wait: Duration) -> Refused {
     match ran(call) {
-        Ran::No => Refused::not_run(reason, detail).after(shared.options().retry_after),
+        Ran::No => Refused::not_run(reason, detail).after(wait),
         Ran::Unknown => Refused::unknown(reason, detail),
     }
 }
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -70,6 +70,10 @@
             return Err(forward_refusal::crash_suspect(self.call, left));
         }
         loop {
+            let pool = &self.call.pool;
+            if let Some(pause) = EndpointHold::pool_pause(self.shared, pool, Role::Decode) {
+                return Err(forward_refusal::paused(self.call, pause));
+            }
             requests += 1;
             // Each placement request has its own id: the end of one must not release the next.
             let id = self.shared.unique();
@@ -109,7 +113,10 @@
         let tried = self.call.tried.iter();
         let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
         let endpoints = || fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
-        let leaving = endpoints().filter(|endpoint| endpoint.counters.traffic.is_leaving());
+        let unwilling = endpoints().filter(|endpoint| {
+            let traffic = &endpoint.counters.traffic;
+            traffic.is_leaving() || !traffic.pause_left(now).is_zero()
+        });
         let unreachable = endpoints().filter(|endpoint| endpoint.counters.traffic.is_avoided(now));
         PlacementRequest {
             id,
@@ -120,7 +127,7 @@
             waited: now - self.call.arrived,
             remote_prefill: !local,
             avoid: tried
-                .chain(leaving)
+                .chain(unwilling)
                 .map(|endpoint| &endpoint.name)
                 .chain(unknown)
                 .cloned()
@@ -234,7 +241,9 @@
                 tried: &tried,
             };
             let hold = EndpointHold::choose(self.shared, &need);
-            let hold = hold.ok_or_else(|| forward_refusal::no_endpoint(self.shared, self.call))?;
+            let hold = hold.ok_or_else(|| {
+                forward_refusal::no_endpoint(self.shared, self.call, Role::Decode)
+            })?;
             if hold.option.tried {
                 return Ok(None);
             }
