--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -68,6 +68,14 @@
     pub bytes: Bytes,
 }
 
+impl ResponseEvent {
+    /// Returns whether it holds no more than a comment.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
+}
+
 /// A forwarded request; only what the routing decisions need is decoded.
 #[derive(Clone, Debug)]
 pub struct ForwardRequest {
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -104,6 +104,9 @@
                     Ok(false) => continue,
                     Err(error) => error,
                 },
+                Ok(None) if run.awaits_first => {
+                    UpstreamError::Broken("the response ended without an event".to_owned())
+                }
                 Ok(None) => {
                     self.finish();
                     return None;
@@ -136,8 +139,16 @@
     ///
     /// # Errors
     ///
-    /// Fails as broken if events are missing before it.
+    /// Fails as broken if events are missing before it, or if it is not one of a resumed stream.
     fn accept(&mut self, event: &ResponseEvent) -> Result<bool, UpstreamError> {
+        let awaits_first = self.run.as_ref().is_some_and(|run| run.awaits_first);
+        if awaits_first && self.last_id.is_some() && event.id.is_none() {
+            if event.is_comment() {
+                return Ok(false);
+            }
+            let detail = "the response does not go on with a numbered event".to_owned();
+            return Err(UpstreamError::Broken(detail));
+        }
         let now = self.shared.now();
         if let Some(run) = &mut self.run
             && run.awaits_first
