--- a/soak/link_proxy.rs
+++ b/soak/link_proxy.rs
@@ -82,6 +82,11 @@
         self.state.send_modify(|state| state.fault = fault);
     }
 
+    /// Returns whether it has a fault now.
+    pub fn is_faulty(&self) -> bool {
+        self.state.borrow().fault != LinkFault::None
+    }
+
     /// Closes every open connection.
     pub fn reset(&self) {
         self.state.send_modify(|state| state.resets += 1);
--- a/soak/recorder.rs
+++ b/soak/recorder.rs
@@ -27,6 +27,8 @@
     pub orders: Vec<RoleOrder>,
     /// When each worker instance registered itself as draining.
     pub drains: HashMap<String, Duration>,
+    /// Times for which a worker instance asked a daemon for no further requests.
+    pub pauses: Vec<Pause>,
     /// Periods in which time bounds did not apply to one daemon or to all of them.
     pub disturbances: Vec<Disturbance>,
 }
@@ -92,10 +94,27 @@
 pub struct Arrival {
     /// Service of the worker.
     pub service: &'static str,
+    /// Instance of the worker.
+    pub worker: String,
     /// Id of the request.
     pub request: String,
     /// When it reached the worker.
     pub at: Duration,
+    /// Whether the link back to the daemon had a fault then.
+    pub faulty_link: bool,
+}
+
+/// A refusal with which a worker asks for no further requests for a while.
+#[derive(Clone, Debug)]
+pub struct Pause {
+    /// Instance of the worker.
+    pub worker: String,
+    /// Id of the refused request.
+    pub request: String,
+    /// When it refused.
+    pub from: Duration,
+    /// When it wants requests again.
+    pub until: Duration,
 }
 
 /// An order to a worker to change its role.
@@ -116,6 +135,8 @@
     pub daemon: Option<String>,
     /// Whether it is planned work, such as a stop.
     pub planned: bool,
+    /// Whether the daemon's process ended or was suspended, so that it may know nothing of before.
+    pub stopped: bool,
     /// When it began.
     pub from: Duration,
     /// When it ended; `Duration::MAX` while it lasts.
@@ -143,13 +164,19 @@
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an attempt of the request `request` reached a worker of `service`.
-    pub fn record_arrival(&self, service: &'static str, request: &str) {
-        let at = self.now();
-        self.history().arrivals.push(Arrival {
-            service,
+    /// Records an attempt that reached a worker.
+    pub fn record_arrival(&self, arrival: Arrival) {
+        self.history().arrivals.push(arrival);
+    }
+
+    /// Records that `worker` asks for no requests for `time`, in a refusal of `request`.
+    pub fn record_pause(&self, worker: &str, request: &str, time: Duration) {
+        let from = self.now();
+        self.history().pauses.push(Pause {
+            worker: worker.to_owned(),
             request: request.to_owned(),
-            at,
+            from,
+            until: from + time,
         });
     }
 
@@ -182,12 +209,18 @@
     }
 
     /// Records a disturbance of `daemon`, or of all daemons, from now until the guard is dropped.
-    pub fn record_disturbance(&self, daemon: Option<String>, planned: bool) -> DisturbanceGuard {
+    pub fn record_disturbance(
+        &self,
+        daemon: Option<String>,
+        planned: bool,
+        stopped: bool,
+    ) -> DisturbanceGuard {
         let from = self.now();
         let mut history = self.history();
         history.disturbances.push(Disturbance {
             daemon,
             planned,
+            stopped,
             from,
             until: Duration::MAX,
         });
--- a/soak/soak_run.rs
+++ b/soak/soak_run.rs
@@ -188,6 +188,7 @@
     /// fault disturbs no daemon.
     fn record_disturbance(&self, fault: &Fault) -> Option<DisturbanceGuard> {
         let planned = matches!(fault.kind, FaultKind::Stop(_));
+        let stopped = planned || matches!(fault.kind, FaultKind::Kill(_) | FaultKind::Freeze(_));
         let daemon = match fault.scope() {
             FaultScope::None => return None,
             FaultScope::All => None,
@@ -196,7 +197,11 @@
                 Some(daemons[number % daemons.len()].name.clone())
             }
         };
-        Some(self.site.recorder.record_disturbance(daemon, planned))
+        Some(
+            self.site
+                .recorder
+                .record_disturbance(daemon, planned, stopped),
+        )
     }
 
     async fn apply(&self, fault: &Fault) -> Result<(), SoakError> {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -5,7 +5,8 @@
     lentillead_soak::{
         finding::Finding,
         recorder::{
-            Arrival, CallerRequest, CallerResponse, Disturbance, History, RoleOrder, RouteKind, Run,
+            Arrival, CallerRequest, CallerResponse, Disturbance, History, Pause, RoleOrder,
+            RouteKind, Run,
         },
     },
     std::time::Duration,
@@ -56,11 +57,22 @@
     Disturbance {
         daemon: Some(daemon.to_owned()),
         planned,
+        stopped: planned,
         from: ms(from),
         until: ms(until),
     }
 }
 
+fn arrival(request: &str, at: u64) -> Arrival {
+    Arrival {
+        service: "ledger",
+        worker: "w1".to_owned(),
+        request: request.to_owned(),
+        at: ms(at),
+        faulty_link: false,
+    }
+}
+
 /// Findings in a history that `change` extends. Its last request is served, so that only what
 /// `change` adds is found.
 fn found(change: impl FnOnce(&mut History)) -> Vec<String> {
@@ -216,11 +228,8 @@
     let arrivals = |count: usize| {
         found(|history| {
             for number in 0..count {
-                history.arrivals.push(Arrival {
-                    service: "ledger",
-                    request: "r1".to_owned(),
-                    at: ms(10_000 + number as u64),
-                });
+                let arrival = arrival("r1", 10_000 + number as u64);
+                history.arrivals.push(arrival);
             }
         })
     };
@@ -257,3 +266,52 @@
     ];
     assert_yaml_snapshot!(cases);
 }
+
+#[test]
+fn what_workers_say_of_themselves() {
+    // A daemon that the store does not reach passes on the response of a worker that leaves.
+    let told = |sent: u64, stopped: bool| {
+        found(|history| {
+            history.drains.insert("w1".to_owned(), ms(10_000));
+            let cut = disturbance("front-1", false, 9_000, 15_000);
+            history.disturbances.push(Disturbance { stopped, ..cut });
+            for (id, sent) in [("r1", 10_100), ("r2", sent)] {
+                let answer = response(sent + 30, Some(200));
+                let request = request(RouteKind::Safe, sent, Some(answer));
+                history.requests.insert(id.to_owned(), request);
+                history.runs.push(run(id, "w1", sent + 10, sent + 20));
+            }
+        })
+    };
+    let paused = |first: u64, faulty_link: bool| {
+        found(|history| {
+            history.pauses.push(Pause {
+                worker: "w1".to_owned(),
+                request: "p0".to_owned(),
+                from: ms(10_000),
+                until: ms(11_500),
+            });
+            for number in 0..4 {
+                let id = format!("p{number}");
+                let at = if number == 0 { 10_000 } else { first + number };
+                let request = request(RouteKind::Safe, at, Some(response(at + 20, Some(200))));
+                history.requests.insert(id.clone(), request);
+                let arrival = arrival(&id, at);
+                history.arrivals.push(Arrival {
+                    faulty_link,
+                    ..arrival
+                });
+            }
+        })
+    };
+    let cases = vec![
+        ("it leaves, told in time", told(12_100, false)),
+        ("it leaves, told too long ago", told(12_200, false)),
+        ("it leaves, told before a restart", told(12_200, true)),
+        ("it wants none, just told", paused(10_400, false)),
+        ("it wants none", paused(10_600, false)),
+        ("it wants none, over a faulty link", paused(10_600, true)),
+        ("it wants some again", paused(11_500, false)),
+    ];
+    assert_yaml_snapshot!(cases);
+}
--- a/soak/worker_stand_in.rs
+++ b/soak/worker_stand_in.rs
@@ -2,7 +2,7 @@
     super::{
         StoreStandIn,
         link_proxy::LinkProxy,
-        recorder::{Recorder, RoleOrder},
+        recorder::{Arrival, Recorder, RoleOrder},
         worker_fault::WorkerFault,
         worker_response::{
             WorkerResponse, events, full_response, header, rejection, stamped_response,
@@ -10,7 +10,7 @@
         },
     },
     bytes::Bytes,
-    http::{HeaderMap, Method, Request},
+    http::{HeaderMap, HeaderValue, Method, Request},
     http_body_util::{BodyExt, StreamBody},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -42,6 +42,9 @@
 /// Time after a worker registered itself as draining within which it may still get requests.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a worker that is full asks for no further requests.
+const PAUSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time after a crash until the worker's entry expires in the store.
 const EXPIRY_TIME: Duration = Duration::from_millis(1_500);
 
@@ -223,7 +226,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Responds to a request; the response echoes its id, and says whether the worker leaves.
     async fn respond(&self, request: Request<Incoming>) -> io::Result<WorkerResponse> {
+        let id = request.headers().get("request-id").cloned();
+        let leaving = self.state().draining;
+        let mut response = self.handle(request).await?;
+        let headers = response.headers_mut();
+        if let Some(id) = id {
+            headers.insert("request-id", id);
+        }
+        if leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        Ok(response)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> io::Result<WorkerResponse> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         let head = &parts.headers;
@@ -250,9 +268,9 @@
     /// Serves a request to a service that is not an engine.
     async fn serve_call(&self, head: &HeaderMap, instance: &str) -> io::Result<WorkerResponse> {
         let id = header(head, "request-id");
-        self.recorder.record_arrival(self.service, &id);
+        self.record_arrival(&id, instance);
         let Some((_slot, fault)) = self.acquire_slot() else {
-            return Ok(rejection(503));
+            return Ok(self.turn_away(&id, instance));
         };
         let _run = self.recorder.record_run(&id, instance);
         sleep(fault.scale(CALL_TIME)).await;
@@ -270,7 +288,7 @@
         let id = header(head, "request-id");
         let is_prefill = header(head, "stage") == "prefill";
         if !is_prefill {
-            self.recorder.record_arrival(self.service, &id);
+            self.record_arrival(&id, instance);
         }
         let has_role = self.state().role == Some(if is_prefill { "prefill" } else { "decode" });
         if !has_role {
@@ -283,7 +301,7 @@
             return Ok(rejection(503));
         }
         let Some((slot, fault)) = self.acquire_slot() else {
-            return Ok(rejection(503));
+            return Ok(self.turn_away(&id, instance));
         };
         if is_prefill {
             sleep(fault.scale(PREFILL_TIME)).await;
@@ -304,6 +322,29 @@
         Ok(stamped_response(200, &stamp, "text/event-stream", body))
     }
 
+    fn record_arrival(&self, id: &str, instance: &str) {
+        self.recorder.record_arrival(Arrival {
+            service: self.service,
+            worker: instance.to_owned(),
+            request: id.to_owned(),
+            at: self.recorder.now(),
+            faulty_link: self.link.is_faulty(),
+        });
+    }
+
+    /// Refuses the request `id`, and asks for no further ones for `PAUSE_TIME`.
+    fn turn_away(&self, id: &str, instance: &str) -> WorkerResponse {
+        if !self.link.is_faulty() {
+            self.recorder.record_pause(instance, id, PAUSE_TIME);
+        }
+        let mut response = rejection(503);
+        let seconds = PAUSE_TIME.as_secs_f64().to_string();
+        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert("retry-after", seconds);
+        }
+        response
+    }
+
     /// Changes the role, unless the worker has stopped or restarted since `instance` got the order;
     /// returns whether it did.
     fn switch_role(&self, instance: &str, role: &'static str) -> bool {
