--- a/soak/finding.rs
+++ b/soak/finding.rs
@@ -38,12 +38,6 @@
 /// Time that a request may take from a daemon to a drained worker.
 const TRANSIT_TIME: Duration = Duration::from_millis(200);
 
-/// Time that a refusal which asks for no further requests takes to be heeded.
-const PAUSE_SLACK: Duration = Duration::from_millis(500);
-
-/// Requests of one daemon that may reach a worker which asked for none.
-const MAX_PAUSED_REQUESTS: usize = 2;
-
 /// A violation of a guarantee.
 #[derive(Clone, Debug)]
 pub struct Finding {
@@ -135,7 +129,13 @@
         self.is_free_of(daemon, from, until, |disturbance| !disturbance.planned)
     }
 
-    fn is_free_of<C>(&self, daemon: &str, from: Duration, until: Duration, counts: C) -> bool
+    pub(super) fn is_free_of<C>(
+        &self,
+        daemon: &str,
+        from: Duration,
+        until: Duration,
+        counts: C,
+    ) -> bool
     where
         C: Fn(&Disturbance) -> bool,
     {
@@ -151,7 +151,7 @@
         })
     }
 
-    fn count_runs(&self) -> HashMap<&str, usize> {
+    pub(super) fn count_runs(&self) -> HashMap<&str, usize> {
         let mut counts = HashMap::new();
         for run in &self.runs {
             *counts.entry(run.request.as_str()).or_default() += 1;
@@ -301,69 +301,6 @@
             .collect()
     }
 
-    /// Reports requests to a worker from a daemon that had passed on its response, by which it said
-    /// that it leaves, for longer than the drain time. Only an end or a suspension excuses the daemon.
-    fn check_notices(&self) -> Vec<Finding> {
-        let counts = self.count_runs();
-        let mut told = HashMap::<(&str, &str), Duration>::new();
-        for run in &self.runs {
-            let drained = self.drains.get(&run.worker);
-            let request = self.requests.get(&run.request);
-            if let (Some(drained), Some(request)) = (drained, request)
-                && let Some(response) = &request.response
-                && response.stamped
-                && run.began > *drained
-                && counts.get(run.request.as_str()) == Some(&1)
-            {
-                let told = told.entry((request.daemon.as_str(), run.worker.as_str()));
-                let told = told.or_insert(response.at);
-                *told = (*told).min(response.at);
-            }
-        }
-        let late = self.runs.iter().filter_map(|run| {
-            let request = self.requests.get(&run.request)?;
-            let told = told.get(&(request.daemon.as_str(), run.worker.as_str()))?;
-            let late = request.sent > *told + DRAIN_TIME
-                && self.is_free_of(&request.daemon, *told, run.began, |d| d.stopped);
-            late.then(|| {
-                let detail = format!(
-                    "{} at {} {:?}, which told {} at {told:?}",
-                    run.request, run.worker, run.began, request.daemon
-                );
-                Finding::new(Guarantee::Drain, detail)
-            })
-        });
-        late.collect()
-    }
-
-    /// Reports workers that got more than two requests (`MAX_PAUSED_REQUESTS`) from a daemon between
-    /// half a second after they asked it for none and the end of the time that they stated.
-    fn check_pauses(&self) -> Vec<Finding> {
-        let mut found = Vec::new();
-        for pause in &self.pauses {
-            let Some(refused) = self.requests.get(&pause.request) else {
-                continue;
-            };
-            let daemon = &refused.daemon;
-            let reached = self.arrivals.iter().filter(|arrival| {
-                let request = self.requests.get(&arrival.request);
-                arrival.worker == pause.worker
-                    && request.is_some_and(|request| request.daemon == *daemon)
-                    && !arrival.faulty_link
-                    && arrival.at > pause.from + PAUSE_SLACK
-                    && arrival.at < pause.until
-            });
-            let reached = reached.count();
-            if reached > MAX_PAUSED_REQUESTS && self.is_undisturbed(daemon, pause.from, pause.until)
-            {
-                let from = pause.from;
-                let detail = format!("{reached} from {daemon} to {} after {from:?}", pause.worker);
-                found.push(Finding::new(Guarantee::Pause, detail));
-            }
-        }
-        found
-    }
-
     fn check_orders(&self) -> Vec<Finding> {
         let pairs = self.orders.windows(2);
         let too_close = pairs.filter(|pair| {
--- a/soak/lib.rs
+++ b/soak/lib.rs
@@ -14,6 +14,7 @@
 mod fault;
 pub mod finding;
 mod link_proxy;
+mod notices;
 mod operator_config;
 pub mod recorder;
 mod site;
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -5,6 +5,7 @@
         forward_log::NextStep,
         forward_refusal,
         forward_response::ForwardResponse,
+        opened_stream::OpenedStream,
         placement_search::{PlacementSearch, StreamPlacement},
         stream_run::{BodyOf, RunningAttempt, StartedAttempt},
     },
@@ -17,7 +18,6 @@
         },
     },
     bytes::Bytes,
-    http::HeaderMap,
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -45,20 +45,6 @@
     open: bool,
 }
 
-/// How the first attempts of a stream ended.
-#[derive(Debug)]
-pub enum OpenedStream<P>
-where
-    P: ForwardParts,
-{
-    /// The endpoint accepted the request: its headers, and the relay that yields the events.
-    Events(HeaderMap, Box<EventRelay<P>>),
-    /// The endpoint responded with a status that is not a success.
-    Failure(ForwardResponse),
-    /// The request was refused without a response of an endpoint.
-    Refused(Refused),
-}
-
 impl<P> EventRelay<P>
 where
     P: ForwardParts,
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
-        event_relay::OpenedStream, forward_buffered, forward_log::log_refused,
-        forward_response::ForwardResponse,
+        forward_buffered, forward_log::log_refused, forward_response::ForwardResponse,
+        opened_stream::OpenedStream,
     },
     crate::{
         board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase},
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -67,6 +67,7 @@
 mod forward_shared;
 mod grant_hold;
 mod model_path;
+mod opened_stream;
 mod owner;
 mod parts;
 mod path_options;
