--- a/src/border/bounded_output.rs
+++ b/src/border/bounded_output.rs
@@ -1,5 +1,6 @@
 use {
     crate::{board::Tick, decide::TokenBucket},
+    jiff::Timestamp,
     logforth::{
         Append, Diagnostic, Error, Layout,
         layout::JsonLayout,
@@ -111,8 +112,9 @@
             last_report = Instant::now();
             let count = dropped.swap(0, Ordering::Relaxed);
             if count > 0 {
+                let now = Timestamp::now();
                 let line = format!(
-                    "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"kvs\":{{\"count\":{count}}}}}\n"
+                    "{{\"timestamp\":\"{now}\",\"level\":\"WARN\",\"message\":\"log lines dropped\",\"kvs\":{{\"count\":{count}}}}}\n"
                 );
                 open = open && output.write_all(line.as_bytes()).is_ok();
             }
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         BenchCommand, CapacityCommand, CommandError, DemoCommand, DrainCommand, ExitStatus,
-        FakeCommand, FaultsCommand, ReplayCommand, ServeCommand, SettingsCommand, SheetCommand,
-        StatusCommand, StoryCommand, TraceCommand,
+        FakeCommand, FaultsCommand, LossesCommand, ReplayCommand, ServeCommand, SettingsCommand,
+        SheetCommand, StatusCommand, StoryCommand, TraceCommand,
     },
     argh::FromArgs,
     std::{env, process::ExitCode},
@@ -33,6 +33,8 @@
     Fake(FakeCommand),
     /// Runs seeded schedules of faults.
     Faults(FaultsCommand),
+    /// Reports what requests lost, by route and cause.
+    Losses(LossesCommand),
     /// Replays recorded traces.
     Replay(ReplayCommand),
     /// Runs a daemon.
@@ -58,6 +60,7 @@
             Self::Drain(command) => command.run().await,
             Self::Fake(command) => command.run().await,
             Self::Faults(command) => command.run().await,
+            Self::Losses(command) => command.run(),
             Self::Replay(command) => command.run().await,
             Self::Serve(command) => command.run().await,
             Self::Settings(command) => command.run().await,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -22,6 +22,7 @@
     fake_service::FakeServiceCommand,
     faults::FaultsCommand,
     format::{Format, print_json, table},
+    losses::LossesCommand,
     operator_client::OperatorClient,
     replay::ReplayCommand,
     serve::ServeCommand,
@@ -68,6 +69,8 @@
 mod fake_service;
 mod faults;
 mod format;
+mod log_files;
+mod losses;
 mod operator_client;
 mod replay;
 mod serve;
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -22,6 +22,9 @@
     tokio::time::timeout,
 };
 
+/// Status code of a stream that began.
+const SUCCESS: u16 = 200;
+
 /// First status code that is not a success.
 const FIRST_NON_SUCCESS: u16 = 300;
 
@@ -157,6 +160,7 @@
         if let Some(run) = &mut self.run {
             run.placement.generated(self.event_tokens);
         }
+        self.call.times.record_event(self.call.arrived, now);
         self.last_id = event.id.or(self.last_id);
         self.events += 1;
         self.shared.counters().tokens.inc();
@@ -170,7 +174,7 @@
             run.placement.answered();
             run.hold.record_end(false);
             let log = ForwardLog::new(&self.shared, &self.call);
-            log.answered(&run.hold.name, 200, self.events);
+            log.stream_answered(&run.hold.name, SUCCESS, self.events);
         }
     }
 
@@ -234,22 +238,28 @@
                 prefills < FREE_PREFILLS || (prefills == FREE_PREFILLS && self.spend_retry());
             let local = cache.is_some() || !remote;
             let searched = self.shared.now();
+            let search = PlacementSearch::new(&self.shared, &mut self.call);
+            let found = search.find(local).await;
+            let waited = self.shared.now() - searched;
+            self.call.times.placement += waited;
             let StreamPlacement {
                 decode: hold,
                 reservation,
                 mut placement,
                 prefill,
-            } = PlacementSearch::new(&self.shared, &mut self.call)
-                .find(local)
-                .await?;
-            let waited = (self.shared.now() - searched).as_secs_f64();
+            } = found?;
+            let waited = waited.as_secs_f64();
             self.shared.counters().placement_time.observe(waited);
             if let Some(prefill) = prefill {
                 prefills += 1;
                 let start = self.shared.now();
-                cache = self.prefill(prefill).await?;
+                let computed = self.prefill(prefill).await;
+                let took = self.shared.now() - start;
+                self.call.times.prefill += took;
+                cache = computed?;
                 if cache.is_some() {
-                    placement.prefilled(self.shared.now() - start);
+                    self.call.times.prefills += 1;
+                    placement.prefilled(took);
                 }
             }
             if !hold.is_current(&self.shared) {
@@ -358,7 +368,7 @@
             Ok(body) => {
                 self.open = false;
                 let log = ForwardLog::new(&self.shared, &self.call);
-                log.answered(&response.hold.name, status, 0);
+                log.stream_answered(&response.hold.name, status, 0);
                 OpenedStream::Failure(ForwardResponse {
                     status,
                     headers: response.headers,
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointHold, ForwardParts, ForwardShared},
+    super::{EndpointHold, ForwardParts, ForwardShared, stream_times::StreamTimes},
     crate::{
         board::{PathRoute, Repeat, Tick},
         decide::{AttemptState, Chance, Failure, RetryBudget, Verdict, after_failure},
@@ -35,6 +35,8 @@
     pub tried: Vec<EndpointKey>,
     /// Number of attempts that ran or may have run.
     pub ran: u16,
+    /// Where the time of a stream went; unused for other requests.
+    pub times: StreamTimes,
 }
 
 impl ForwardCall {
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -2,7 +2,7 @@
     super::{
         EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
         forward_buffered, forward_log::log_refused, forward_response::ForwardResponse,
-        opened_stream::OpenedStream,
+        opened_stream::OpenedStream, stream_times::StreamTimes,
     },
     crate::{
         board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase},
@@ -97,7 +97,7 @@
                     .counters()
                     .response_time
                     .observe(took.as_secs_f64());
-                log.answered("", response.status, 0);
+                log.answered(response.status);
                 ForwardReply::Complete(response)
             }
             Err(refused) => {
@@ -144,6 +144,7 @@
             suspect: false,
             tried: Vec::new(),
             ran: 0,
+            times: StreamTimes::default(),
             request: Arc::clone(request),
         })
     }
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -133,15 +133,39 @@
         );
     }
 
-    /// Logs and counts a response with `status`, or the regular end of a stream after `events`.
-    pub fn answered(&self, endpoint: &str, status: u16, events: u64) {
+    /// Logs and counts a complete response with `status`.
+    pub fn answered(&self, status: u16) {
         self.shared.counters().answered.inc();
         log::info!(
             request = self.call.request.id.as_str(),
+            route = self.call.route.name.as_str(),
+            status,
+            ran = self.call.ran,
+            came_late = self.call.late,
+            target_ms = self.target_ms(),
+            ms = self.elapsed_ms();
+            "answered"
+        );
+    }
+
+    /// Logs and counts the regular end of a stream after `events`, or an error with `status`.
+    pub fn stream_answered(&self, endpoint: &str, status: u16, events: u64) {
+        self.shared.counters().answered.inc();
+        let times = &self.call.times;
+        log::info!(
+            request = self.call.request.id.as_str(),
+            route = self.call.route.name.as_str(),
             endpoint,
             status,
             events,
             ran = self.call.ran,
+            came_late = self.call.late,
+            prefills = times.prefills,
+            place_ms = times.placement.as_millis() as u64,
+            prefill_ms = times.prefill.as_millis() as u64,
+            first_ms = times.first_event.map(|first| first.as_millis() as u64),
+            pause_ms = times.longest_pause.as_millis() as u64,
+            target_ms = self.target_ms(),
             ms = self.elapsed_ms();
             "answered"
         );
@@ -158,6 +182,7 @@
             ran = self.call.ran,
             tried = self.call.tried.len(),
             events,
+            prefills = self.call.times.prefills,
             ms = self.elapsed_ms();
             "refused: {detail}"
         );
@@ -168,12 +193,19 @@
         self.shared.counters().abandoned.inc();
         log::info!(
             request = self.call.request.id.as_str(),
+            route = self.call.route.name.as_str(),
             events,
+            prefills = self.call.times.prefills,
             ms = self.elapsed_ms();
             "caller disconnected before the response was complete"
         );
     }
 
+    /// Milliseconds from its arrival within which the request should be answered.
+    fn target_ms(&self) -> u64 {
+        self.call.route.target.as_millis() as u64
+    }
+
     /// Milliseconds since the request arrived.
     fn elapsed_ms(&self) -> u64 {
         (self.shared.now() - self.call.arrived).as_millis() as u64
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -86,3 +86,4 @@
 mod shared;
 mod sink;
 mod stream_run;
+mod stream_times;
--- a/tests/bounded_output.rs
+++ b/tests/bounded_output.rs
@@ -2,7 +2,7 @@
 
 use {
     insta::assert_yaml_snapshot,
-    lentillead::border::BoundedOutput,
+    lentillead::{border::BoundedOutput, story::LogEntry},
     logforth::{
         Append,
         record::{Level, Record},
@@ -108,6 +108,8 @@
     write(&output, Level::Info, 3);
     write(&output, Level::Warn, 2);
     let (written, report) = read_until_dropped(&lines);
+    let entry = LogEntry::parse("entry-1", &report).unwrap();
+    let report = report.replace(&entry.time.to_string(), "TIME");
     assert_yaml_snapshot!((written, report));
 }
 
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -25,6 +25,7 @@
 mod held_address;
 mod ledger;
 mod listed;
+mod losses;
 mod membership;
 mod model_path;
 mod operations_page;
