--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EnginePlan, PrefillRate, RunPlan},
+    super::{EnginePlan, PrefillRate, RunPlan, WaitBudget},
     crate::{
         board::{Endpoint, Role, Tick},
         port::{ActivePlacement, PlacementEnd, PlacementRequest},
@@ -19,12 +19,10 @@
 /// Weight of the newest sample in the decode rate.
 const SAMPLE_RATIO: f64 = 0.1;
 
-/// Longest wait in the queue of a prefill engine that a placement accepts.
-const MAX_QUEUE_TIME: Duration = Duration::from_millis(350);
-
-/// Memory fill of the least filled decode engine up to which a prompt that finds only long prefill
-/// queues is prefilled locally, on its decode engine.
-const MAX_LOCAL_PREFILL_FILL_RATIO: f64 = 0.55;
+/// Share of a decode engine's memory that may be planned for if prompts are prefilled locally to
+/// avoid a queue. A local prefill delays the generations beside it, which then hold their memory for
+/// longer than planned.
+const MAX_LOCAL_PREFILL_PEAK: f64 = 0.7;
 
 /// Time of a local prefill as a multiple of that on a prefill engine.
 const LOCAL_PREFILL_TIME_RATIO: f64 = 2.0;
@@ -50,7 +48,7 @@
     decode: String,
     prefill: Option<String>,
     /// Tokens queued at the prefill engine before the prompt when it was placed; none if that is not
-    /// known.
+    /// known, or there is no such engine.
     tokens_ahead: Option<f64>,
 }
 
@@ -131,34 +129,30 @@
     /// Places a request; returns `None` if it has to wait.
     pub fn place(&mut self, request: &PlacementRequest, now: Tick) -> Option<Placement> {
         self.expire(now);
-        let prefill_rate = self.prefill_rate.tokens_per_ms();
         let option = request
             .remote_prefill
             .then(|| self.choose_prefill(request, now))
             .flatten();
         let queue_time = option.as_ref().map(|option| option.wait);
         let tokens_ahead = option.as_ref().map(|option| option.tokens_ahead);
-        let fits = queue_time.is_some_and(|wait| wait <= MAX_QUEUE_TIME);
-        let (start, prefill) = match option {
-            Some(option) if fits => (now + option.wait + option.time, Some(option.name)),
-            option => {
-                if option.is_some() && self.min_fill(now) > MAX_LOCAL_PREFILL_FILL_RATIO {
-                    return None;
-                }
-                let seconds = request.prompt_tokens as f64 * LOCAL_PREFILL_TIME_RATIO
-                    / prefill_rate
-                    / 1_000.0;
-                (now + Duration::from_secs_f64(seconds), None)
+        let budget = WaitBudget::of(request.target);
+        let local = self.plan_local_prefill(request, now);
+        let avoids_queue = queue_time.is_some_and(|wait| wait > budget.short_queue);
+        let spare = avoids_queue.then(|| self.spare_decode(&local, request, now));
+        let (run, prefill, (decode, peak)) = match (option, spare.flatten()) {
+            (None, _) => (local, None, self.choose_decode(&local, request, now)?),
+            (Some(_), Some(decode)) => (local, None, decode),
+            (Some(option), None) if option.wait > budget.queue => return None,
+            (Some(option), None) => {
+                let run = RunPlan {
+                    start: now + option.wait + option.time,
+                    local_prefill: false,
+                    ..local
+                };
+                let decode = self.choose_decode(&run, request, now)?;
+                (run, Some(option.name), decode)
             }
         };
-        let run = RunPlan {
-            id: request.id,
-            prompt: request.prompt_tokens as f64,
-            output: request.output_tokens.max(1) as f64,
-            start,
-            local_prefill: prefill.is_none(),
-        };
-        let (decode, peak) = self.choose_decode(&run, request, now)?;
         if let Some(plan) = self.engines.get_mut(&decode) {
             plan.runs.push(run);
         }
@@ -170,14 +164,14 @@
         }
         let placed = PlacedRequest {
             decode: decode.clone(),
+            tokens_ahead: prefill.as_ref().and(tokens_ahead),
             prefill: prefill.clone(),
-            tokens_ahead,
         };
         self.runs.insert(request.id, placed);
         let figures = PlacementFigures {
             queue_time,
             peak,
-            prefill_rate,
+            prefill_rate: self.prefill_rate.tokens_per_ms(),
             decode_rate: self.decode_rate(),
         };
         Some(Placement {
@@ -278,6 +272,19 @@
         self.decode_rate.unwrap_or(INITIAL_DECODE_TOKENS_PER_MS)
     }
 
+    /// Plans the generation of `request` with its prompt prefilled by the decode engine.
+    fn plan_local_prefill(&self, request: &PlacementRequest, now: Tick) -> RunPlan {
+        let prompt = request.prompt_tokens as f64;
+        let millis = prompt * LOCAL_PREFILL_TIME_RATIO / self.prefill_rate.tokens_per_ms();
+        RunPlan {
+            id: request.id,
+            prompt,
+            output: request.output_tokens.max(1) as f64,
+            start: now + Duration::from_secs_f64(millis / 1_000.0),
+            local_prefill: true,
+        }
+    }
+
     /// Returns the prefill engine that is expected to finish the prompt first.
     fn choose_prefill(&self, request: &PlacementRequest, now: Tick) -> Option<PrefillOption> {
         let engines = self.engines.iter();
@@ -323,6 +330,17 @@
         Some((best.0.clone(), best.1))
     }
 
+    /// Returns the same for a local prefill that avoids a queue; none if it leaves too little memory.
+    fn spare_decode(
+        &self,
+        run: &RunPlan,
+        request: &PlacementRequest,
+        now: Tick,
+    ) -> Option<(String, f64)> {
+        let decode = self.choose_decode(run, request, now);
+        decode.filter(|(_, peak)| *peak <= MAX_LOCAL_PREFILL_PEAK)
+    }
+
     /// Returns the lowest share of memory in use among the decode engines; 1 without any.
     fn min_fill(&self, now: Tick) -> f64 {
         let rate = self.decode_rate();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -49,6 +49,7 @@
     suspicion::{CRASH_LIMIT, expire, merge, next_expiry, record_crash},
     token_bucket::TokenBucket,
     update_queue::UpdateQueue,
+    wait_budget::WaitBudget,
     waiting::Waiting,
 };
 
@@ -102,4 +103,5 @@
 mod suspicion;
 mod token_bucket;
 mod update_queue;
+mod wait_budget;
 mod waiting;
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -32,6 +32,8 @@
     pub late: bool,
     /// Time since the request arrived.
     pub waited: Duration,
+    /// Target time from the arrival to the first event.
+    pub target: Duration,
     /// Whether the prompt is to be computed by a prefill engine rather than locally.
     pub remote_prefill: bool,
     /// Names of the engines to avoid: those at which the request failed, and those that leave.
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -5,6 +5,7 @@
     },
     crate::{
         board::{Role, Tick},
+        decide::WaitBudget,
         port::{
             Clock, Noticed, PlacementOutcome, PlacementRequest, Placer, Upstream, UpstreamError,
         },
@@ -15,9 +16,6 @@
 /// Maximum requests of this daemon at one prefill endpoint while no daemon places requests.
 const MAX_OWN_PREFILLS: u32 = 1;
 
-/// Divisor of a stream's target time that gives the longest wait for a placement.
-const PLACEMENT_DIVISOR: u32 = 2;
-
 /// Endpoints at which one attempt of a stream runs, and what it holds there.
 #[derive(Debug)]
 pub struct StreamPlacement<P>
@@ -62,7 +60,7 @@
     ///
     /// Refuses the request if the pool has no decode endpoint or none becomes free in time.
     pub async fn find(self, local: bool) -> Result<StreamPlacement<P>, Refused> {
-        let until = self.shared.now() + self.call.route.target / PLACEMENT_DIVISOR;
+        let until = self.shared.now() + WaitBudget::of(self.call.route.target).placement;
         let mut unknown = Vec::new();
         let mut requests = 0;
         let placer = self.shared.parts().placer();
@@ -125,6 +123,7 @@
             output_tokens: size.expected_memory().saturating_sub(size.prompt),
             late: self.call.late,
             waited: now - self.call.arrived,
+            target: self.call.route.target,
             remote_prefill: !local,
             avoid: tried
                 .chain(unwilling)
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -71,6 +71,7 @@
             output_tokens: 100,
             late: false,
             waited: Duration::ZERO,
+            target: Duration::from_millis(900),
             remote_prefill: false,
             avoid: Vec::new(),
             unreachable: Vec::new(),
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -2,6 +2,7 @@
 
 mod bounded_output;
 mod budget;
+mod burst;
 mod chunk_check;
 mod claim_table;
 mod claims;
