--- a/src/decide/engine_plan.rs
+++ b/src/decide/engine_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PrefillRate, RunPlan},
+    super::{OutputLengths, PrefillRate, RunPlan},
     crate::board::{Role, Tick},
     std::time::Duration,
 };
@@ -7,6 +7,12 @@
 /// Longest total time for which local prefills may delay the generations of one decode engine.
 const MAX_LOCAL_PREFILL: Duration = Duration::from_millis(250);
 
+/// Times at which the memory in use is looked at over the longest time of a generation.
+const PEAK_STEPS: u32 = 12;
+
+/// Standard deviations of the memory in use that are kept free beyond its expected value.
+const MARGIN_DEVIATIONS: f64 = 1.5;
+
 /// Planned load of one engine.
 #[derive(Clone, Debug)]
 pub struct EnginePlan {
@@ -64,17 +70,26 @@
         used / self.memory.max(1.0)
     }
 
-    /// Returns the highest share of the memory in use from `now` on if `run` is added.
+    /// Returns the highest share of the memory in use from `now` on if `run` is added, with a margin
+    /// for generations that turn out longer than most.
     ///
-    /// Memory in use grows until a generation ends, so the peak lies just before one of the ends.
-    pub fn peak_with(&self, run: &RunPlan, rate: f64, now: Tick) -> f64 {
-        let runs = || self.runs.iter().chain([run]);
-        let ends = runs().map(|run| run.end(rate, now));
-        let sums = ends.map(|at| {
-            let alive = runs().filter(|run| run.end(rate, now) >= at);
-            alive.map(|run| run.memory(rate, at)).sum::<f64>()
-        });
-        sums.fold(0.0, f64::max) / self.memory.max(1.0)
+    /// A request that needs more memory than the engine has counts as one that fills it, so that it is
+    /// not kept waiting forever; the engine refuses it.
+    pub fn peak_with(&self, run: &RunPlan, rate: f64, lengths: &OutputLengths, now: Tick) -> f64 {
+        // A local prefill uses the memory at once, another one with its KV cache.
+        let from = if run.local_prefill { now } else { run.start };
+        let until = run.start + run.longest_time(rate);
+        let step = (until - from) / PEAK_STEPS;
+        let reached = |run: &RunPlan| lengths.share(run.progress(rate, now));
+        let runs = self.runs.iter().chain([run]);
+        let runs: Vec<_> = runs.map(|run| (run, reached(run))).collect();
+        let uses = (0..=PEAK_STEPS).map(|i| expected_use(&runs, rate, lengths, from + step * i));
+        let peak = uses.fold(0.0, f64::max) / self.memory.max(1.0);
+        if self.runs.is_empty() {
+            peak.min(1.0)
+        } else {
+            peak
+        }
     }
 
     /// Returns the time until all queued prompts are prefilled at `rate` tokens per millisecond.
@@ -97,3 +112,18 @@
         }
     }
 }
+
+/// Returns the memory that `runs` use at `at`, in tokens, with the margin; each run comes with the
+/// share of generations that got as far as it has.
+///
+/// Each of them either goes on or has ended by then, independently of the others.
+fn expected_use(runs: &[(&RunPlan, f64)], rate: f64, lengths: &OutputLengths, at: Tick) -> f64 {
+    let (mut mean, mut variance) = (0.0, 0.0);
+    for (run, reached) in runs {
+        let memory = run.memory(rate, at);
+        let running = (lengths.share(run.progress(rate, at)) / reached).min(1.0);
+        mean += memory * running;
+        variance += memory * memory * running * (1.0 - running);
+    }
+    mean + variance.sqrt() * MARGIN_DEVIATIONS
+}
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EnginePlan, PrefillRate, RunPlan, WaitBudget},
+    super::{EnginePlan, OutputLengths, PrefillRate, RunPlan, WaitBudget},
     crate::{
         board::{Endpoint, Role, Tick},
         port::{ActivePlacement, PlacementEnd, PlacementRequest},
@@ -40,6 +40,7 @@
     /// Estimated decode rate of one generation in tokens per millisecond; none before the first
     /// sample.
     decode_rate: Option<f64>,
+    lengths: OutputLengths,
 }
 
 /// Engines that hold a placed request.
@@ -226,6 +227,7 @@
     pub fn end(&mut self, end: &PlacementEnd, now: Tick) {
         self.expire(now);
         self.record_prefill(end);
+        self.record_length(end);
         self.remove(end.id, now);
         let decode_rate = end.generated_tokens as f64 / end.decode_time.as_secs_f64() / 1_000.0;
         if decode_rate.is_finite() && end.generated_tokens > 0 {
@@ -234,6 +236,17 @@
         }
     }
 
+    /// Records the length of an output that is complete.
+    fn record_length(&mut self, end: &PlacementEnd) {
+        let placed = self.runs.get(&end.id).filter(|_| end.complete);
+        let plan = placed.and_then(|placed| self.engines.get(&placed.decode));
+        let run = plan.and_then(|plan| plan.runs.iter().find(|run| run.id == end.id));
+        if let Some(run) = run {
+            self.lengths
+                .record(end.generated_tokens as f64 / run.output);
+        }
+    }
+
     /// Updates the prefill rates with the time that the prompt and those queued before it took.
     fn record_prefill(&mut self, end: &PlacementEnd) {
         let Some(placed) = self.runs.get(&end.id) else {
@@ -321,9 +334,8 @@
                 && plan.runs.len() < plan.slots as usize
                 && !(run.local_prefill && plan.delays_decode(run.start - now, now))
         });
-        // A request that needs more memory than an engine has is placed all the same, so that it does
-        // not wait forever; the engine refuses it.
-        let peak = |plan: &EnginePlan| plan.peak_with(&run.within(plan.memory), rate, now);
+        let peak =
+            |plan: &EnginePlan| plan.peak_with(&run.within(plan.memory), rate, &self.lengths, now);
         let peaks = decoders.map(|(name, plan)| (name, peak(plan)));
         let fitting = peaks.filter(|(_, peak)| *peak <= 1.0);
         let best = fitting.min_by(|a, b| a.1.total_cmp(&b.1))?;
@@ -374,7 +386,7 @@
             .engines
             .values()
             .flat_map(|plan| &plan.runs)
-            .filter(|run| run.start + run.time(rate) + EXPIRY_GRACE < now)
+            .filter(|run| run.start + run.longest_time(rate) + EXPIRY_GRACE < now)
             .map(|run| run.id)
             .collect();
         for id in expired {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
     member_timing::MemberTiming,
     order_plan::{is_covered, order_plan},
     outlier::{FIRST_EJECTION, Outlier, Standing},
+    output_lengths::OutputLengths,
     owner_choice::{OwnerOption, order_owners, owners_to_request},
     placer_order::placer_order,
     prefill_rate::PrefillRate,
@@ -76,6 +77,7 @@
 pub mod membership;
 mod order_plan;
 mod outlier;
+mod output_lengths;
 mod owner_choice;
 pub mod ownership;
 mod placer_order;
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -118,6 +118,8 @@
     pub causes: Vec<CauseKey>,
     /// How the run ended.
     pub run: RunEnd,
+    /// Whether the run generated the complete output.
+    pub complete: bool,
     /// Number of tokens generated.
     pub generated_tokens: u64,
     /// Time from the first event to the last one.
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -171,7 +171,7 @@
     fn finish(&mut self) {
         self.open = false;
         if let Some(mut run) = self.run.take() {
-            run.placement.answered();
+            run.placement.answered(self.events);
             run.hold.record_end(false);
             let log = ForwardLog::new(&self.shared, &self.call);
             log.stream_answered(&run.hold.name, SUCCESS, self.events);
--- a/src/request/placement_hold.rs
+++ b/src/request/placement_hold.rs
@@ -38,6 +38,7 @@
                 engine: engine.to_owned(),
                 causes: call.causes.clone(),
                 run: RunEnd::Unknown,
+                complete: false,
                 generated_tokens: 0,
                 decode_time: Duration::ZERO,
                 prefill_time: Duration::ZERO,
@@ -59,9 +60,10 @@
         }
     }
 
-    /// Records the regular end of the response.
-    pub fn answered(&mut self) {
+    /// Records the regular end of a response of `events`, which earlier runs may have begun.
+    pub fn answered(&mut self, events: u64) {
         self.end.run = RunEnd::Answered;
+        self.end.complete = self.events == events;
     }
 
     /// Records an event for which `tokens` were generated; those of the first are not counted.
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -92,6 +92,7 @@
                     engine: engine.to_owned(),
                     causes,
                     run,
+                    complete: false,
                     generated_tokens: 0,
                     decode_time: Duration::ZERO,
                     prefill_time: Duration::ZERO,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -32,6 +32,7 @@
 mod operations_page;
 mod operator_listener;
 mod orders;
+mod output_lengths;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -94,13 +94,17 @@
             describe(ledger.place(&placement_request(2, 5_000, 5_000), at(100))),
         ),
         (
-            "second as the first ends",
+            "second when the first is expected to end",
             describe(ledger.place(&placement_request(2, 5_000, 5_000), at(3_400))),
         ),
         (
-            "short response beside both",
+            "short response beside the first",
             describe(ledger.place(&placement_request(3, 2_000, 100), at(3_401))),
         ),
+        ("second when the first has ended", {
+            ledger.end(&prefilled_in(1, Duration::ZERO), at(3_500));
+            describe(ledger.place(&placement_request(2, 5_000, 5_000), at(3_500)))
+        }),
         (
             "larger than an engine",
             describe(ledger.place(&placement_request(4, 19_000, 5_000), at(60_000))),
@@ -169,6 +173,7 @@
         engine: String::new(),
         causes: Vec::new(),
         run: RunEnd::Unknown,
+        complete: false,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
         prefill_time: Duration::from_millis(100),
@@ -178,6 +183,39 @@
     assert_yaml_snapshot!((waiting, after));
 }
 
+#[test]
+fn memory_is_planned_by_the_lengths_of_earlier_outputs() {
+    let cases = [
+        ("no outputs known", vec![]),
+        ("half of the expected length", vec![0.5]),
+        ("all as expected", vec![1.0]),
+        (
+            "a quarter, at times twice as long",
+            vec![0.25, 0.25, 0.25, 2.0],
+        ),
+    ];
+    let mut seen = Vec::new();
+    for (name, ratios) in cases {
+        let mut ledger = ledger(&[("d1", Role::Decode)]);
+        for (id, ratio) in (1_000..1_200).zip(ratios.iter().cycle()) {
+            ledger.place(&placement_request(id, 100, 4_000), at(id * 10));
+            let end = PlacementEnd {
+                run: RunEnd::Answered,
+                complete: true,
+                generated_tokens: (4_000.0 * ratio) as u64,
+                ..prefilled_in(id, Duration::ZERO)
+            };
+            ledger.end(&end, at(id * 10));
+        }
+        let placed: Vec<_> = (0..3)
+            .filter_map(|id| ledger.place(&placement_request(id, 4_000, 4_000), at(20_000)))
+            .map(|placed| format!("{:.2}", placed.figures.peak))
+            .collect();
+        seen.push((name, placed));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[test]
 fn an_unconfirmed_engine_keeps_its_plan_and_gets_no_request() {
     let engine = engine("d1", Role::Decode);
@@ -241,6 +279,7 @@
         engine: String::new(),
         causes: Vec::new(),
         run: RunEnd::Unknown,
+        complete: false,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
         prefill_time,
