--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -25,6 +25,10 @@
 /// that is slower than this is not waited for: the other daemons then read it themselves.
 const VALID_SLACK: Duration = Duration::from_millis(600);
 
+/// Shortest outage of the store in which entries of live endpoints may expire. They do after several
+/// seconds without a sign of life, of which a daemon notices the last ones.
+const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(1);
+
 /// Follows a feed: lists its objects, then watches for changes, never returning to an older
 /// revision.
 #[derive(Debug)]
@@ -48,14 +52,24 @@
     revision: u64,
     /// Whether the next call is a watch; otherwise it is a list.
     listed: bool,
-    /// When a call last failed; `None` if none did.
-    failed: Option<Tick>,
-    /// Whether the last call failed.
-    disconnected: bool,
+    /// When the last call began.
+    called: Tick,
+    /// Time without a result that has not ended; `None` if the last call succeeded.
+    outage: Option<FeedOutage>,
+    /// When an outage of the store in which entries may have expired ended; `None` if none did.
+    outage_end: Option<Tick>,
     /// Log from which other daemons read, if there is one.
     log: Option<Writer<FeedLog<F::Item>>>,
 }
 
+/// Time without a result.
+#[derive(Clone, Copy, Debug)]
+struct FeedOutage {
+    since: Tick,
+    /// Whether the store itself failed to answer, here or to the daemon that is read from.
+    store: bool,
+}
+
 /// Result of one call to the feed.
 #[derive(Debug)]
 pub enum FeedUpdate<T> {
@@ -89,8 +103,9 @@
             backoff: Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY),
             revision: 0,
             listed: false,
-            failed: None,
-            disconnected: false,
+            called: Tick::default(),
+            outage: None,
+            outage_end: None,
             log: None,
         }
     }
@@ -122,9 +137,10 @@
         }
     }
 
-    /// Returns when a call to the store last failed; `None` if none did.
-    pub fn failed(&self) -> Option<Tick> {
-        self.failed
+    /// Returns when an outage of the store in which entries may have expired last ended; `None` if none
+    /// did.
+    pub fn outage_end(&self) -> Option<Tick> {
+        self.outage_end
     }
 
     /// Returns the revision of the last result; 0 before the first.
@@ -144,10 +160,7 @@
             self.list().await
         };
         match result {
-            Ok(update) => {
-                self.record_success();
-                update
-            }
+            Ok(update) => update,
             Err(error @ (FeedError::HistoryExpired | FeedError::SourceChanged)) => {
                 log::info!(kind = self.kind, revision = self.revision; "listing all objects: {error}");
                 // Without a delay, a source that lists but does not watch would keep this task busy.
@@ -163,11 +176,12 @@
         // The first list may be old: nothing older is in use, and the watch that follows at once
         // returns what it lacks.
         let freshness = match self.revision {
-            0 if self.failed.is_none() => Freshness::Recent,
+            0 if self.outage.is_none() => Freshness::Recent,
             _ => Freshness::Latest,
         };
+        self.called = self.clock.now();
         let listing = timeout(RESPONSE_LIMIT, self.feed.list(freshness)).await;
-        let listing = listing.unwrap_or_else(|_| Err(FeedError::timed_out()))?;
+        let listing = listing.unwrap_or(Err(FeedError::TimedOut))?;
         if listing.revision < self.revision {
             let reason = format!(
                 "it returned revision {}, older than the known revision {}",
@@ -177,7 +191,7 @@
         }
         self.revision = listing.revision;
         self.listed = true;
-        self.record_origin(listing.origin);
+        self.record_success(listing.origin);
         self.update_log(listing.origin, |log| {
             record_listing(log, &listing.items, listing.revision);
         });
@@ -186,9 +200,10 @@
 
     async fn watch(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
         let wait = self.feed.watch_wait(self.wait);
+        self.called = self.clock.now();
         let watch = self.feed.watch(self.revision, wait);
         let changes = timeout(self.wait + RESPONSE_LIMIT, watch).await;
-        let changes = changes.unwrap_or_else(|_| Err(FeedError::timed_out()))?;
+        let changes = changes.unwrap_or(Err(FeedError::TimedOut))?;
         if changes.revision < self.revision {
             let reason = format!(
                 "it returned revision {}, older than the known revision {}",
@@ -196,6 +211,7 @@
             );
             return Err(FeedError::Refused(reason));
         }
+        self.record_success(changes.origin);
         if changes.changes.is_empty() {
             // The store may have withheld changes, so an empty response does not prove that there are
             // none up to its revision. The known revision stays.
@@ -203,7 +219,6 @@
             return Ok(FeedUpdate::Unchanged);
         }
         self.revision = changes.revision;
-        self.record_origin(changes.origin);
         self.update_log(changes.origin, |log| {
             record_changes(log, &changes.changes, changes.revision);
         });
@@ -221,18 +236,6 @@
         }
     }
 
-    /// Takes over when a call to the store last failed from the daemon that returned a result.
-    fn record_origin(&mut self, origin: FeedOrigin) {
-        let FeedOrigin::Peer {
-            failed_ago: Some(failed_ago),
-        } = origin
-        else {
-            return;
-        };
-        let failed = self.clock.now().before(failed_ago);
-        self.failed = self.failed.max(Some(failed));
-    }
-
     /// Changes the log after a successful read, if there is one.
     fn update_log<U>(&mut self, origin: FeedOrigin, change: U)
     where
@@ -243,48 +246,65 @@
         };
         let valid = self.feed.watch_wait(self.wait) + VALID_SLACK + self.pause;
         let valid_until = self.clock.since_boot() + valid;
-        let failed = self.failed;
         log.update(|log| {
             log.direct = origin == FeedOrigin::Store;
             log.valid_until = valid_until;
-            log.failed = failed;
             change(log);
         });
     }
 
-    fn record_success(&mut self) {
+    /// Ends an outage with a result from `origin`.
+    fn record_success(&mut self, origin: FeedOrigin) {
         self.backoff.succeed();
-        if self.disconnected {
-            self.disconnected = false;
-            log::info!(dependency = "store", kind = self.kind, revision = self.revision; "regained");
+        let Some(outage) = self.outage.take() else {
+            return;
+        };
+        let now = self.clock.now();
+        let failed_there = match origin {
+            FeedOrigin::Peer { failed_ago } => failed_ago,
+            FeedOrigin::Store => None,
+        };
+        // A daemon that had results meanwhile knows that the store failed for the other one alone.
+        let store = outage.store || failed_there.is_some_and(|ago| now.before(ago) >= outage.since);
+        if store && now - outage.since >= MIN_EXPIRY_OUTAGE {
+            self.outage_end = Some(now);
         }
+        log::info!(dependency = "store", kind = self.kind, revision = self.revision, store; "regained");
     }
 
     async fn record_failure(&mut self, error: &FeedError) -> FeedUpdate<F::Item> {
-        if !self.disconnected {
-            self.disconnected = true;
+        if self.outage.is_none() {
             log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "lost: {error}");
         }
+        let store = *error != FeedError::NoSource;
+        let since = match error {
+            FeedError::TimedOut => self.called,
+            _ => self.clock.now(),
+        };
+        let outage = self.outage.get_or_insert(FeedOutage { since, store });
+        outage.store |= store;
         // The store may have withheld changes from the watch that failed, so list all objects again.
         self.listed = false;
-        self.record_time_of_failure();
+        self.withdraw_log(store);
         let wait = match error {
             FeedError::NoSource => jitter(NO_SOURCE_DELAY, &mut self.rng),
             _ => self.backoff.fail(&mut self.rng),
         };
         self.clock.sleep(wait).await;
-        self.record_time_of_failure();
+        self.withdraw_log(store);
         FeedUpdate::Unavailable
     }
 
-    /// Records that a call has just failed; other daemons are not to rely on the log meanwhile.
-    fn record_time_of_failure(&mut self) {
-        let failed = Some(self.clock.now());
-        self.failed = failed;
+    /// Records that other daemons are not to rely on the log, and, with `store`, that the store has
+    /// just failed.
+    fn withdraw_log(&mut self, store: bool) {
+        let now = self.clock.now();
         if let Some(log) = &mut self.log {
             log.update(|log| {
                 log.direct = false;
-                log.failed = failed;
+                if store {
+                    log.failed = Some(now);
+                }
             });
         }
     }
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -345,7 +345,7 @@
             return Err(FeedError::SourceChanged);
         }
         let changes = timeout(wait + STORE_LIMIT, self.feed.watch(since, wait)).await;
-        let changes = self.note_store(changes.unwrap_or_else(|_| Err(FeedError::timed_out())))?;
+        let changes = self.note_store(changes.unwrap_or(Err(FeedError::TimedOut)))?;
         if !changes.changes.is_empty() {
             self.state.known(changes.revision);
         }
--- a/src/control/roster_controller.rs
+++ b/src/control/roster_controller.rs
@@ -116,10 +116,8 @@
             Change::Removed(name) => {
                 // Entries expire during an outage of the store although their endpoints are alive.
                 let now = self.clock.now();
-                let until = self
-                    .follower
-                    .failed()
-                    .map(|failed| failed + REREGISTER_TIME);
+                let ended = self.follower.outage_end();
+                let until = ended.map(|ended| ended + REREGISTER_TIME);
                 match until.filter(|until| *until > now) {
                     Some(until) if self.entries.contains_key(&name) => {
                         log::info!(endpoint = name.as_str(), revision; "entry expired in an outage of the store; endpoint kept until it had time to register again");
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -105,11 +105,7 @@
     /// The other system did not respond.
     #[error("the store does not respond: {0}")]
     Unreachable(String),
-}
-
-impl FeedError {
-    /// Returns the error of a call without a response in time.
-    pub fn timed_out() -> Self {
-        Self::Unreachable("no response within the time limit".to_owned())
-    }
+    /// The other system did not respond within the time limit.
+    #[error("the store does not respond: no response within the time limit")]
+    TimedOut,
 }
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -3,7 +3,7 @@
 //! store.
 
 use {
-    crate::feed_zone::{SPREAD_LIMIT_MS, WATCH, Zone, host},
+    crate::feed_zone::{Daemon, SPREAD_LIMIT_MS, WATCH, Zone, host},
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Arena, Host, Members},
@@ -127,6 +127,68 @@
     }
 }
 
+/// Endpoints that leave without a word are removed from the store, and so are those whose entries
+/// expire in an outage; the latter are used on for a while.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_removed_while_only_the_readers_lose_the_store_is_not_taken_for_expired() {
+    let mut seen = Vec::new();
+    for (fault, delay_ms) in [("silent", 0), ("silent", 700), ("cut", 0), ("cut", 700)] {
+        let zone = Zone::start(30).await;
+        sleep(Duration::from_millis(delay_ms)).await;
+        let readers = zone.readers();
+        let lost = readers.iter().cloned().collect();
+        match fault {
+            "silent" => zone.store.lock().unwrap().silent = lost,
+            _ => zone.store.lock().unwrap().cut = lost,
+        }
+        zone.put("last heard");
+        sleep(Duration::from_millis(100)).await;
+        zone.change(Change::Removed("e0".to_owned()));
+        sleep(Duration::from_millis(SPREAD_LIMIT_MS as u64)).await;
+        let others = zone
+            .daemons
+            .iter()
+            .filter(|(name, _)| !readers.contains(name));
+        let count = |holds: fn(&Daemon) -> bool| others.clone().filter(|(_, d)| holds(d)).count();
+        let used = count(|daemon| daemon.known.lock().unwrap().contains("e0"));
+        let expired = count(|daemon| daemon.expired.lock().unwrap().contains("e0"));
+        seen.push(format!(
+            "{fault} after {delay_ms} ms: {used} use it, {expired} take it for expired"
+        ));
+        zone.store.lock().unwrap().silent.clear();
+        zone.store.lock().unwrap().cut.clear();
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_removed_in_an_outage_of_the_store_is_taken_for_expired() {
+    let mut seen = Vec::new();
+    for (count, outage_ms) in [
+        (2, 2_500),
+        (2, 6_000),
+        (30, 2_500),
+        (30, 3_300),
+        (30, 6_000),
+        (30, 20_000),
+    ] {
+        let zone = Zone::start(count).await;
+        zone.store.lock().unwrap().cut = zone.daemons.keys().cloned().collect();
+        zone.changed.send_replace(());
+        sleep(Duration::from_millis(outage_ms)).await;
+        zone.change(Change::Removed("e0".to_owned()));
+        zone.store.lock().unwrap().cut.clear();
+        zone.time_to_spread("e1", &[]).await;
+        let daemons = zone.daemons.values();
+        let expired = daemons.filter(|daemon| daemon.expired.lock().unwrap().contains("e0"));
+        seen.push(format!(
+            "{} of {count} after {outage_ms} ms",
+            expired.count()
+        ));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 /// A reader that wakes from a suspension has old objects; it must not pass for up to date.
 #[tokio::test(start_paused = true)]
 async fn a_reader_that_was_suspended_does_not_answer_from_before() {
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -200,6 +200,8 @@
 /// A running daemon.
 pub struct Daemon {
     pub known: Known,
+    /// Names of the endpoints that it takes for expired in an outage of the store.
+    pub expired: Known,
     pub task: JoinHandle<()>,
     /// Notified to suspend it: it keeps what it has read.
     pub suspend: Arc<Notify>,
@@ -292,9 +294,12 @@
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
         let suspend = Arc::new(Notify::new());
-        let running = follow(follower, Arc::clone(&known), Arc::clone(&suspend));
+        let expired = Known::default();
+        let names = [&known, &expired].map(Arc::clone);
+        let running = follow(follower, names, Arc::clone(&suspend));
         let daemon = Daemon {
             known,
+            expired,
             task: tokio::spawn(running),
             suspend,
         };
@@ -358,9 +363,13 @@
     }
 }
 
-/// Follows the feed and keeps the names of the endpoints in `known`.
-async fn follow<F>(mut follower: FeedFollower<F, TestClock>, known: Known, suspend: Arc<Notify>)
-where
+/// Follows the feed and keeps the names of the endpoints in the first set, and of those that were
+/// removed after an outage of the store in the second one.
+async fn follow<F>(
+    mut follower: FeedFollower<F, TestClock>,
+    [known, expired]: [Known; 2],
+    suspend: Arc<Notify>,
+) where
     F: Feed,
 {
     loop {
@@ -369,6 +378,7 @@
             () = suspend.notified() => std::future::pending().await,
         };
         let mut known = known.lock().unwrap();
+        let before = known.clone();
         let changes = match update {
             FeedUpdate::Listing(items) => {
                 known.clear();
@@ -383,5 +393,11 @@
                 Change::Unreadable(name, _) | Change::Removed(name) => known.remove(&name),
             };
         }
+        if follower.outage_end().is_some() {
+            expired
+                .lock()
+                .unwrap()
+                .extend(before.difference(&known).cloned());
+        }
     }
 }
