--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -10,7 +10,7 @@
         stream_run::{BodyOf, RunningAttempt, StartedAttempt},
     },
     crate::{
-        board::{Refusal, RetryReason},
+        board::{Refusal, RetryReason, Tick},
         decide::Verdict,
         port::{
             CacheHandle, Noticed, Reservation, ResponseBody, ResponseEvent, Upstream,
@@ -45,6 +45,8 @@
     last_id: Option<u64>,
     events: u64,
     event_tokens: u64,
+    /// When the attempt was sent, accepted, or last sent more than a comment.
+    progress: Tick,
     open: bool,
 }
 
@@ -65,6 +67,7 @@
             last_id,
             events: 0,
             event_tokens,
+            progress: shared.now(),
             open: true,
         };
         match relay.start().await {
@@ -109,7 +112,8 @@
         }
     }
 
-    /// Returns the longest wait for the next event: all the time left if no retry may follow.
+    /// Returns the longest wait for the next event: all the time left if no retry may follow. Comments
+    /// do not prolong it.
     fn event_timeout(&self) -> Duration {
         let left = self.shared.left(self.call.deadline);
         let options = self.shared.options();
@@ -117,11 +121,12 @@
             return left;
         }
         let awaits_first = self.run.as_ref().is_none_or(|run| run.awaits_first);
-        left.min(if awaits_first {
+        let limit = if awaits_first {
             options.first_event
         } else {
             options.stall_timeout
-        })
+        };
+        left.min(limit.saturating_sub(self.shared.now() - self.progress))
     }
 
     /// Records `event`; returns whether it goes to the caller, `false` if the caller already has it.
@@ -131,14 +136,18 @@
     /// Fails as broken if events are missing before it, or if it is not one of a resumed stream.
     fn accept(&mut self, event: &ResponseEvent) -> Result<bool, UpstreamError> {
         let awaits_first = self.run.as_ref().is_some_and(|run| run.awaits_first);
-        if awaits_first && self.last_id.is_some() && event.id.is_none() {
+        let resumed = awaits_first && self.last_id.is_some();
+        if event.id.is_none() {
             if event.is_comment() {
-                return Ok(false);
+                return Ok(!resumed);
+            }
+            if resumed {
+                let detail = "the response does not go on with a numbered event".to_owned();
+                return Err(UpstreamError::Broken(detail));
             }
-            let detail = "the response does not go on with a numbered event".to_owned();
-            return Err(UpstreamError::Broken(detail));
         }
         let now = self.shared.now();
+        self.progress = now;
         if let Some(run) = &mut self.run
             && run.awaits_first
         {
@@ -342,7 +351,7 @@
 
     /// Sends the request to `hold` and waits for the head of the response.
     async fn send_to(
-        &self,
+        &mut self,
         hold: &EndpointHold,
         cache: Option<CacheHandle>,
         reservation: Option<Reservation>,
@@ -354,7 +363,9 @@
             ..self.call.upstream_request(&self.shared, hold)
         };
         let send = self.shared.parts().upstream().send(request);
+        self.progress = self.shared.now();
         let response = timeout(self.event_timeout(), send).await;
+        self.progress = self.shared.now();
         response.unwrap_or(Err(UpstreamError::TimedOut))
     }
 
