--- a/src/decide/engine_plan.rs
+++ b/src/decide/engine_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OutputLengths, PrefillRate, RunPlan},
+    super::{OutputRates, PrefillRate, RunPlan, output_lengths::MAX_OUTPUT_RATIO},
     crate::board::{Role, Tick},
     std::time::Duration,
 };
@@ -71,25 +71,35 @@
     }
 
     /// Returns the highest share of the memory in use from `now` on if `run` is added, with a margin
-    /// for generations that turn out longer than most.
+    /// for generations that turn out longer than most; none if it exceeds `limit`.
     ///
     /// A request that needs more memory than the engine has counts as one that fills it, so that it is
     /// not kept waiting forever; the engine refuses it.
-    pub fn peak_with(&self, run: &RunPlan, rate: f64, lengths: &OutputLengths, now: Tick) -> f64 {
+    pub fn peak_with(
+        &self,
+        run: &RunPlan,
+        rates: &OutputRates<'_>,
+        now: Tick,
+        limit: f64,
+    ) -> Option<f64> {
         // A local prefill uses the memory at once, another one with its KV cache.
         let from = if run.local_prefill { now } else { run.start };
-        let until = run.start + run.longest_time(rate);
-        let step = (until - from) / PEAK_STEPS;
-        let reached = |run: &RunPlan| lengths.share(run.progress(rate, now));
+        let until = run.start + run.longest_time(rates.rate);
+        let step = (until - from).as_secs_f64() * 1_000.0 / f64::from(PEAK_STEPS);
         let runs = self.runs.iter().chain([run]);
-        let runs: Vec<_> = runs.map(|run| (run, reached(run))).collect();
-        let uses = (0..=PEAK_STEPS).map(|i| expected_use(&runs, rate, lengths, from + step * i));
-        let peak = uses.fold(0.0, f64::max) / self.memory.max(1.0);
-        if self.runs.is_empty() {
-            peak.min(1.0)
-        } else {
-            peak
+        let courses: Vec<_> = runs.map(|run| Course::new(run, rates, now, from)).collect();
+        let times = (0..=PEAK_STEPS).map(|i| f64::from(i) * step);
+        let memory = self.memory.max(1.0);
+        let alone = self.runs.is_empty();
+        let mut peak = 0.0_f64;
+        for ms in times {
+            let used = expected_use(&courses, rates, ms) / memory;
+            peak = peak.max(if alone { used.min(1.0) } else { used });
+            if peak > limit {
+                return None;
+            }
         }
+        Some(peak)
     }
 
     /// Returns the time until all queued prompts are prefilled at `rate` tokens per millisecond.
@@ -113,15 +123,39 @@
     }
 }
 
-/// Returns the memory that `runs` use at `at`, in tokens, with the margin; each run comes with the
-/// share of generations that got as far as it has.
+/// What the memory of a generation over time follows from.
+struct Course {
+    prompt: f64,
+    output: f64,
+    /// Milliseconds from the first token to the first time that is looked at; negative before it.
+    age: f64,
+    /// Share of generations that got as far as this one has.
+    reached: f64,
+}
+
+impl Course {
+    fn new(run: &RunPlan, rates: &OutputRates<'_>, now: Tick, from: Tick) -> Self {
+        let output = run.output.max(1.0);
+        let generated = run.age(now).max(0.0) * rates.rate;
+        Self {
+            prompt: run.prompt,
+            output,
+            age: run.age(from),
+            reached: rates.lengths.share(generated / output),
+        }
+    }
+}
+
+/// Returns the memory that generations use `ms` milliseconds after the first time that is looked at,
+/// in tokens, with the margin.
 ///
 /// Each of them either goes on or has ended by then, independently of the others.
-fn expected_use(runs: &[(&RunPlan, f64)], rate: f64, lengths: &OutputLengths, at: Tick) -> f64 {
+fn expected_use(courses: &[Course], rates: &OutputRates<'_>, ms: f64) -> f64 {
     let (mut mean, mut variance) = (0.0, 0.0);
-    for (run, reached) in runs {
-        let memory = run.memory(rate, at);
-        let running = (lengths.share(run.progress(rate, at)) / reached).min(1.0);
+    for course in courses {
+        let progress = (course.age + ms).max(0.0) * rates.rate / course.output;
+        let running = (rates.lengths.share(progress) / course.reached).min(1.0);
+        let memory = course.prompt + course.output * progress.min(MAX_OUTPUT_RATIO);
         mean += memory * running;
         variance += memory * memory * running * (1.0 - running);
     }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EnginePlan, OutputLengths, PrefillRate, RunPlan, WaitBudget},
+    super::{EnginePlan, OutputLengths, OutputRates, PrefillRate, RunPlan, WaitBudget},
     crate::{
         board::{Endpoint, Role, Tick},
         port::{ActivePlacement, PlacementEnd, PlacementRequest},
@@ -326,7 +326,6 @@
         request: &PlacementRequest,
         now: Tick,
     ) -> Option<(String, f64)> {
-        let rate = self.decode_rate();
         let engines = self.engines.iter();
         let decoders = engines.filter(|(name, plan)| {
             plan.accepts(Role::Decode)
@@ -334,12 +333,19 @@
                 && plan.runs.len() < plan.slots as usize
                 && !(run.local_prefill && plan.delays_decode(run.start - now, now))
         });
-        let peak =
-            |plan: &EnginePlan| plan.peak_with(&run.within(plan.memory), rate, &self.lengths, now);
-        let peaks = decoders.map(|(name, plan)| (name, peak(plan)));
-        let fitting = peaks.filter(|(_, peak)| *peak <= 1.0);
-        let best = fitting.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some((best.0.clone(), best.1))
+        let rates = OutputRates {
+            rate: self.decode_rate(),
+            lengths: &self.lengths,
+        };
+        let mut best: Option<(&String, f64)> = None;
+        for (name, plan) in decoders {
+            let limit = best.map_or(1.0, |(_, peak)| peak);
+            let peak = plan.peak_with(&run.within(plan.memory), &rates, now, limit);
+            if let Some(peak) = peak.filter(|peak| best.is_none() || *peak < limit) {
+                best = Some((name, peak));
+            }
+        }
+        best.map(|(name, peak)| (name.clone(), peak))
     }
 
     /// Returns the same for a local prefill that avoids a queue; none if it leaves too little memory.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
     order_plan::{is_covered, order_plan},
     outlier::{FIRST_EJECTION, Outlier, Standing},
     output_lengths::OutputLengths,
+    output_rates::OutputRates,
     owner_choice::{OwnerOption, order_owners, owners_to_request},
     placer_order::placer_order,
     prefill_rate::PrefillRate,
@@ -78,6 +79,7 @@
 mod order_plan;
 mod outlier;
 mod output_lengths;
+mod output_rates;
 mod owner_choice;
 pub mod ownership;
 mod placer_order;
