--- a/soak/store_stand_in.rs
+++ b/soak/store_stand_in.rs
@@ -258,16 +258,15 @@
                         .map(|(_, _, event)| event.clone())
                         .collect();
                     if !events.is_empty() {
-                        return Some(events);
+                        return Some((events, state.revision));
                     }
                 }
                 changed.await;
             }
         });
-        let events = events.await.unwrap_or(Some(Vec::new()));
-        let revision = self.state().revision;
+        let events = events.await.unwrap_or(Some((Vec::new(), since)));
         match events {
-            Some(events) => response(
+            Some((events, revision)) => response(
                 StatusCode::OK,
                 &json!({ "events": events, "StoreRevision": revision }),
             ),
