--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -101,7 +101,7 @@
         }
         let crashed = causes.iter().copied();
         let crashed: Vec<_> = crashed
-            .filter(|cause| self.is_beyond_limit(*cause))
+            .filter(|cause| self.reaches(*cause, REFUSE_LIMIT))
             .collect();
         // Of several causes, the one with fewer answers is in fewer sound requests.
         let blamed = self.answers.least_answered(&crashed);
@@ -149,12 +149,8 @@
 
     /// Whether engines crashed under one of `causes` so often that the request is not retried.
     pub fn is_suspect(&self, causes: &[CauseKey]) -> bool {
-        let limit = |cause| match self.answers.last(cause) {
-            Some(_) => ANSWERED_REFUSE_LIMIT,
-            None => CRASH_LIMIT,
-        };
         let mut causes = causes.iter();
-        causes.any(|cause| self.crashes(*cause) >= limit(*cause))
+        causes.any(|cause| self.reaches(*cause, CRASH_LIMIT))
     }
 
     /// Returns the causes that are refused.
@@ -172,10 +168,12 @@
         self.refused.merge(refused, now);
     }
 
-    fn is_beyond_limit(&self, cause: CauseKey) -> bool {
+    /// Returns whether `cause` has `limit` crashes, or `ANSWERED_REFUSE_LIMIT` if it was answered
+    /// lately.
+    fn reaches(&self, cause: CauseKey, limit: usize) -> bool {
         let limit = match self.answers.last(cause) {
             Some(_) => ANSWERED_REFUSE_LIMIT,
-            None => REFUSE_LIMIT,
+            None => limit,
         };
         self.crashes(cause) >= limit
     }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -139,9 +139,10 @@
         let budget = WaitBudget::of(request.target);
         let local = self.plan_local_prefill(request, now);
         let avoids_queue = queue_time.is_some_and(|wait| wait > budget.short_queue);
-        let spare = avoids_queue.then(|| self.spare_decode(&local, request, now));
+        let spare =
+            avoids_queue.then(|| self.choose_decode(&local, request, now, MAX_LOCAL_PREFILL_PEAK));
         let (run, prefill, (decode, peak)) = match (option, spare.flatten()) {
-            (None, _) => (local, None, self.choose_decode(&local, request, now)?),
+            (None, _) => (local, None, self.choose_decode(&local, request, now, 1.0)?),
             (Some(_), Some(decode)) => (local, None, decode),
             (Some(option), None) if option.wait > budget.queue => return None,
             (Some(option), None) => {
@@ -150,7 +151,7 @@
                     local_prefill: false,
                     ..local
                 };
-                let decode = self.choose_decode(&run, request, now)?;
+                let decode = self.choose_decode(&run, request, now, 1.0)?;
                 (run, Some(option.name), decode)
             }
         };
@@ -319,12 +320,13 @@
     }
 
     /// Returns the decode engine that `run` fits into with the lowest memory peak, and that peak as
-    /// a share of its memory.
+    /// a share of its memory; none if all peaks exceed `limit`.
     fn choose_decode(
         &self,
         run: &RunPlan,
         request: &PlacementRequest,
         now: Tick,
+        limit: f64,
     ) -> Option<(String, f64)> {
         let engines = self.engines.iter();
         let decoders = engines.filter(|(name, plan)| {
@@ -339,7 +341,7 @@
         };
         let mut best: Option<(&String, f64)> = None;
         for (name, plan) in decoders {
-            let limit = best.map_or(1.0, |(_, peak)| peak);
+            let limit = best.map_or(limit, |(_, peak)| peak);
             let peak = plan.peak_with(&run.within(plan.memory), &rates, now, limit);
             if let Some(peak) = peak.filter(|peak| best.is_none() || *peak < limit) {
                 best = Some((name, peak));
@@ -348,17 +350,6 @@
         best.map(|(name, peak)| (name.clone(), peak))
     }
 
-    /// Returns the same for a local prefill that avoids a queue; none if it leaves too little memory.
-    fn spare_decode(
-        &self,
-        run: &RunPlan,
-        request: &PlacementRequest,
-        now: Tick,
-    ) -> Option<(String, f64)> {
-        let decode = self.choose_decode(run, request, now);
-        decode.filter(|(_, peak)| *peak <= MAX_LOCAL_PREFILL_PEAK)
-    }
-
     /// Returns the lowest share of memory in use among the decode engines; 1 without any.
     fn min_fill(&self, now: Tick) -> f64 {
         let rate = self.decode_rate();
