--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -1,5 +1,5 @@
 use {
-    super::Tick,
+    super::{EndpointLimit, Tick},
     std::{
         sync::atomic::{AtomicU32, AtomicU64, Ordering},
         time::Duration,
@@ -43,6 +43,8 @@
     /// One more than the start time of the process at the endpoint whose response last said that it
     /// leaves; 0 if none did.
     leaving: AtomicU64,
+    /// Limit on the rate of requests that the endpoint stated.
+    pub limit: EndpointLimit,
 }
 
 /// Load that an endpoint reported with a response.
@@ -183,6 +185,7 @@
         copy(&earlier.leaving, &self.leaving);
         if earlier.incarnation() == incarnation {
             copy(&earlier.paused_until, &self.paused_until);
+            self.limit.inherit(&earlier.limit);
         }
         self.incarnation.store(incarnation, Ordering::Release);
     }
@@ -209,6 +212,7 @@
     pub fn set_incarnation(&self, incarnation: u64) {
         if self.incarnation.swap(incarnation, Ordering::AcqRel) != incarnation {
             self.paused_until.store(0, Ordering::Release);
+            self.limit.clear();
         }
     }
 
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -8,6 +8,7 @@
     digests::{Digest, Digests},
     endpoint::{Endpoint, Role},
     endpoint_counters::EndpointCounters,
+    endpoint_limit::EndpointLimit,
     endpoint_traffic::{EndpointTraffic, ReportedLoad},
     feed_log::{FeedLog, LoggedObject, ObjectState},
     fleet::Fleet,
@@ -21,6 +22,7 @@
     pool::Pool,
     refusal::Refusal,
     removed_endpoints::RemovedEndpoints,
+    request_rate::RequestRate,
     retry_reason::RetryReason,
     routing::{CallerLimits, PathRoute, PoolConfig, ResponseKind, Routing},
     rule::{Borrow, Repeat, Route, Rule, Target},
@@ -38,6 +40,7 @@
 mod digests;
 mod endpoint;
 mod endpoint_counters;
+mod endpoint_limit;
 mod endpoint_traffic;
 mod feed_log;
 mod fleet;
@@ -51,6 +54,7 @@
 mod pool;
 mod refusal;
 mod removed_endpoints;
+mod request_rate;
 mod retry_reason;
 mod routing;
 mod rule;
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -1,5 +1,5 @@
 use {
-    crate::board::ReportedLoad,
+    crate::board::{ReportedLoad, RequestRate},
     bytes::Bytes,
     http::{HeaderMap, Method},
     std::{sync::Arc, time::Duration},
@@ -194,6 +194,8 @@
     /// Time for which the endpoint is to get no further requests, if it turned this one away and
     /// states one.
     pub pause: Option<Duration>,
+    /// Limit on the rate of the requests of all daemons together, if the endpoint states one.
+    pub limit: Option<RequestRate>,
 }
 
 /// Content of a response, with what the endpoint said of itself.
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -163,6 +163,12 @@
         if notice.leaving && traffic.set_leaving(self.incarnation) {
             log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
+        if traffic.incarnation() == self.incarnation
+            && traffic.limit.state(notice.limit, self.since, now)
+        {
+            let limit = notice.limit.map(|rate| rate.milli());
+            log::info!(endpoint = self.name.as_str(), limit_milli = limit; "endpoint stated another limit on the rate of its requests");
+        }
         if let Some(pause) = notice.pause
             && traffic.incarnation() == self.incarnation
         {
