--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -63,9 +63,11 @@
 }
 
 /// Time without a result.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct FeedOutage {
     since: Tick,
+    /// Why the last call failed.
+    cause: FeedError,
     /// Whether the store itself failed to answer, here or to the daemon that is read from.
     store: bool,
 }
@@ -273,16 +275,27 @@
     }
 
     async fn record_failure(&mut self, error: &FeedError) -> FeedUpdate<F::Item> {
-        if self.outage.is_none() {
-            log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "lost: {error}");
+        let before = self.outage.as_ref().map(|outage| &outage.cause);
+        match before {
+            None => {
+                log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "lost: {error}");
+            }
+            Some(before) if before != error => {
+                log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "still lost: {error}");
+            }
+            Some(_) => {}
         }
         let store = *error != FeedError::NoSource;
         let since = match error {
             FeedError::TimedOut => self.called,
             _ => self.clock.now(),
         };
-        let outage = self.outage.get_or_insert(FeedOutage { since, store });
-        outage.store |= store;
+        let before = self.outage.take();
+        self.outage = Some(FeedOutage {
+            since: before.as_ref().map_or(since, |outage| outage.since),
+            cause: error.clone(),
+            store: store || before.is_some_and(|outage| outage.store),
+        });
         // The store may have withheld changes from the watch that failed, so list all objects again.
         self.listed = false;
         self.withdraw_log(store);
