Tell the revisions of a store's histories apart by its era

Cause: followers compared revisions as numbers. After a restoration the store gives smaller ones, so its lists were dropped as old until it had made as many changes as the lost history had. The same numbers were compared between daemons and in watches: a revision that is given out again is not refused with 410, and what changed below it is never told. A daemon of an earlier era answers no reads of a later one.

--- a/soak/lib.rs
+++ b/soak/lib.rs
@@ -5,7 +5,7 @@
     command::SoakArguments,
     operator_config::operator_config,
     soak_error::SoakError,
-    store_stand_in::{StoreFault, StoreStandIn},
+    store_stand_in::{StoreCopy, StoreFault, StoreStandIn},
 };
 
 mod caller;
--- a/soak/store_stand_in.rs
+++ b/soak/store_stand_in.rs
@@ -1,6 +1,6 @@
 use {
     bytes::Bytes,
-    http::{Method, Request, Response, StatusCode},
+    http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Collected, Full},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -19,6 +19,9 @@
     },
 };
 
+/// Header with the number of times that the store has come back from a copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Objects per page of a list; few, so that lists need several pages.
 const PAGE_ITEMS: usize = 2;
 
@@ -48,15 +51,23 @@
     Mute,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What a store holds at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     events: Vec<(String, u64, Value)>,
-    fault: StoreFault,
     compacted_to: u64,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    held: StoreCopy,
+    fault: StoreFault,
+    /// Number of times that the store has come back from a copy.
+    era: u64,
+}
+
 impl StoreStandIn {
     /// Starts an empty store on a free loopback port.
     ///
@@ -98,13 +109,13 @@
     /// Writes an object unconditionally, as the operator or a worker does; returns its revision.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) -> u64 {
         let mut state = self.state();
-        state.revision += 1;
-        let revision = state.revision;
+        state.held.revision += 1;
+        let revision = state.held.revision;
         let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, (revision, spec.clone()));
+        state.held.objects.insert(key, (revision, spec.clone()));
         let object = object(name, revision, spec);
         let event = json!({ "Object": object, "Removed": false });
-        state.events.push((kind.to_owned(), revision, event));
+        state.held.events.push((kind.to_owned(), revision, event));
         self.changed.notify_waiters();
         revision
     }
@@ -113,13 +124,13 @@
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state();
         let key = (kind.to_owned(), name.to_owned());
-        let Some((old, spec)) = state.objects.remove(&key) else {
+        let Some((old, spec)) = state.held.objects.remove(&key) else {
             return;
         };
-        state.revision += 1;
-        let revision = state.revision;
+        state.held.revision += 1;
+        let revision = state.held.revision;
         let event = json!({ "Object": object(name, old, &spec), "Removed": true });
-        state.events.push((kind.to_owned(), revision, event));
+        state.held.events.push((kind.to_owned(), revision, event));
         self.changed.notify_waiters();
     }
 
@@ -132,14 +143,28 @@
     /// Drops all watch events so far; a watch from an earlier revision gets status 410.
     pub fn compact(&self) {
         let mut state = self.state();
-        state.compacted_to = state.revision;
-        state.events.clear();
+        state.held.compacted_to = state.held.revision;
+        state.held.events.clear();
+    }
+
+    /// Returns a copy of what it holds.
+    pub fn copy(&self) -> StoreCopy {
+        self.state().held.clone()
+    }
+
+    /// Comes back from `copy`: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state();
+        state.held = copy;
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     /// Names of the objects of `kind`, sorted.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state();
-        let keys = state.objects.keys().filter(|(other, _)| other == kind);
+        let keys = state.held.objects.keys().filter(|(other, _)| other == kind);
         keys.map(|(_, name)| name.clone()).collect()
     }
 
@@ -152,7 +177,9 @@
             StoreFault::Slow(time) => sleep(time).await,
             StoreFault::None | StoreFault::Mute => {}
         }
-        let response = self.execute(request).await;
+        let mut response = self.execute(request).await;
+        let era = HeaderValue::from(self.state().era);
+        response.headers_mut().insert(STORE_ERA, era);
         if fault == StoreFault::Mute {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
@@ -203,6 +230,7 @@
     fn list(&self, kind: &str, after: Option<&String>) -> Response<Full<Bytes>> {
         let state = self.state();
         let found: Vec<_> = state
+            .held
             .objects
             .iter()
             .filter(|((other, name), _)| other == kind && after.is_none_or(|after| name > after))
@@ -210,13 +238,13 @@
             .collect();
         let more = found.len() > PAGE_ITEMS;
         let items: Vec<_> = found.into_iter().take(PAGE_ITEMS).collect();
-        let page = json!({ "items": items, "HasMore": more, "StoreRevision": state.revision });
+        let page = json!({ "items": items, "HasMore": more, "StoreRevision": state.held.revision });
         response(StatusCode::OK, &page)
     }
 
     fn get(&self, kind: &str, name: &str) -> Response<Full<Bytes>> {
         let state = self.state();
-        match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+        match state.held.objects.get(&(kind.to_owned(), name.to_owned())) {
             Some((revision, spec)) => response(StatusCode::OK, &object(name, *revision, spec)),
             None => response(StatusCode::NOT_FOUND, &Value::Null),
         }
@@ -232,7 +260,7 @@
         spec: &Value,
     ) -> Response<Full<Bytes>> {
         let key = (kind.to_owned(), name.to_owned());
-        let current = self.state().objects.get(&key).cloned();
+        let current = self.state().held.objects.get(&key).cloned();
         if let Some((revision, old)) = current
             && expected != Some(revision)
         {
@@ -248,17 +276,19 @@
                 let changed = self.changed.notified();
                 {
                     let state = self.state();
-                    if state.fault == StoreFault::Down || since < state.compacted_to {
+                    let known = state.held.compacted_to..=state.held.revision;
+                    if state.fault == StoreFault::Down || !known.contains(&since) {
                         return None;
                     }
                     let events: Vec<_> = state
+                        .held
                         .events
                         .iter()
                         .filter(|(other, revision, _)| other == kind && *revision > since)
                         .map(|(_, _, event)| event.clone())
                         .collect();
                     if !events.is_empty() {
-                        return Some((events, state.revision));
+                        return Some((events, state.held.revision));
                     }
                 }
                 changed.await;
--- a/src/board/feed_log.rs
+++ b/src/board/feed_log.rs
@@ -1,5 +1,6 @@
 use {
     super::Tick,
+    crate::key::StoreRevision,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
@@ -7,9 +8,9 @@
 #[derive(Clone, Debug)]
 pub struct FeedLog<T> {
     /// Revision up to which the objects are known; 0 before the first list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Oldest revision since which every change is known.
-    pub floor: u64,
+    pub floor: StoreRevision,
     /// Whether the last read reached the store itself, so that other daemons may rely on the log.
     pub direct: bool,
     /// Time since the boot of the host until which the last read vouches for the log; time in which
@@ -25,7 +26,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoggedObject<T> {
     /// Revision at which the daemon learned of this state; never below that of the change itself.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Contents, or why there are none.
     pub state: ObjectState<T>,
 }
@@ -44,8 +45,8 @@
 impl<T> Default for FeedLog<T> {
     fn default() -> Self {
         Self {
-            revision: 0,
-            floor: 0,
+            revision: StoreRevision::default(),
+            floor: StoreRevision::default(),
             direct: false,
             valid_until: Duration::ZERO,
             failed: None,
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -2,6 +2,7 @@
     crate::{
         board::{FeedLog, Tick, Writer},
         decide::{Backoff, jitter, record_changes, record_listing},
+        key::StoreRevision,
         port::{Change, Clock, Feed, FeedError, FeedOrigin, Freshness},
     },
     rand::rngs::SmallRng,
@@ -49,7 +50,7 @@
     due: Duration,
     rng: SmallRng,
     backoff: Backoff,
-    revision: u64,
+    revision: StoreRevision,
     /// Whether the next call is a watch; otherwise it is a list.
     listed: bool,
     /// When the last call began.
@@ -58,6 +59,8 @@
     outage: Option<FeedOutage>,
     /// When an outage of the store in which entries may have expired ended; `None` if none did.
     outage_end: Option<Tick>,
+    /// When the store was last seen to have come back from a copy; `None` if it never was.
+    restored: Option<Tick>,
     /// Log from which other daemons read, if there is one.
     log: Option<Writer<FeedLog<F::Item>>>,
 }
@@ -103,11 +106,12 @@
             wait,
             rng,
             backoff: Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY),
-            revision: 0,
+            revision: StoreRevision::default(),
             listed: false,
             called: Tick::default(),
             outage: None,
             outage_end: None,
+            restored: None,
             log: None,
         }
     }
@@ -145,8 +149,14 @@
         self.outage_end
     }
 
-    /// Returns the revision of the last result; 0 before the first.
-    pub fn revision(&self) -> u64 {
+    /// Returns when the store was last seen to have come back from a copy of some seconds before; `None`
+    /// if it never was.
+    pub fn restored(&self) -> Option<Tick> {
+        self.restored
+    }
+
+    /// Returns the revision of the last result; 0 of era 0 before the first.
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -164,7 +174,7 @@
         match result {
             Ok(update) => update,
             Err(error @ (FeedError::HistoryExpired | FeedError::SourceChanged)) => {
-                log::info!(kind = self.kind, revision = self.revision; "listing all objects: {error}");
+                log::info!(kind = self.kind, revision = self.revision.number; "listing all objects: {error}");
                 // Without a delay, a source that lists but does not watch would keep this task busy.
                 self.clock.sleep(RETRY_DELAY).await;
                 self.listed = false;
@@ -177,9 +187,11 @@
     async fn list(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
         // The first list may be old: nothing older is in use, and the watch that follows at once
         // returns what it lacks.
-        let freshness = match self.revision {
-            0 if self.outage.is_none() => Freshness::Recent,
-            _ => Freshness::Latest,
+        let first = self.revision == StoreRevision::default();
+        let freshness = if first && self.outage.is_none() {
+            Freshness::Recent
+        } else {
+            Freshness::Latest
         };
         self.called = self.clock.now();
         let listing = timeout(RESPONSE_LIMIT, self.feed.list(freshness)).await;
@@ -191,6 +203,10 @@
             );
             return Err(FeedError::Refused(reason));
         }
+        if !first && listing.revision.era > self.revision.era {
+            log::warn!(kind = self.kind, era = listing.revision.era, revision = listing.revision.number, before = self.revision.number; "the store came back from a copy; what only its lost history held is dropped");
+            self.restored = Some(self.clock.now());
+        }
         self.revision = listing.revision;
         self.listed = true;
         self.record_success(listing.origin);
@@ -271,17 +287,17 @@
         if store && now - outage.since >= MIN_EXPIRY_OUTAGE {
             self.outage_end = Some(now);
         }
-        log::info!(dependency = "store", kind = self.kind, revision = self.revision, store; "regained");
+        log::info!(dependency = "store", kind = self.kind, revision = self.revision.number, store; "regained");
     }
 
     async fn record_failure(&mut self, error: &FeedError) -> FeedUpdate<F::Item> {
         let before = self.outage.as_ref().map(|outage| &outage.cause);
         match before {
             None => {
-                log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "lost: {error}");
+                log::warn!(dependency = "store", kind = self.kind, revision = self.revision.number; "lost: {error}");
             }
             Some(before) if before != error => {
-                log::warn!(dependency = "store", kind = self.kind, revision = self.revision; "still lost: {error}");
+                log::warn!(dependency = "store", kind = self.kind, revision = self.revision.number; "still lost: {error}");
             }
             Some(_) => {}
         }
--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -79,7 +79,7 @@
     /// Applies changes and logs their number: a line for each of hundreds of daemons would crowd out
     /// the decisions on requests.
     fn apply(&mut self, changes: Vec<Change<MemberEntry>>) {
-        let revision = self.follower.revision();
+        let revision = self.follower.revision().number;
         let own = self.own.name.clone();
         let (mut listed, mut removed) = (0, 0);
         let members = self.writer.update(|members| {
--- a/src/control/relay_state.rs
+++ b/src/control/relay_state.rs
@@ -1,6 +1,6 @@
 use {
     super::avoided_hosts::AvoidedHosts,
-    crate::{board::Tick, port::Clock},
+    crate::{board::Tick, key::StoreRevision, port::Clock},
     arc_swap::ArcSwap,
     std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
@@ -17,7 +17,7 @@
     /// Who returned the last result.
     pub(super) source: ArcSwap<Source>,
     /// Greatest revision returned with objects.
-    pub(super) revision: AtomicU64,
+    pub(super) revision: ArcSwap<StoreRevision>,
     /// Tick of the last call to the store as one that is not a reader; 0 before the first.
     pub(super) called: AtomicU64,
     /// Tick since which no source has returned a result; 0 while the last one did.
@@ -35,7 +35,7 @@
             turn: AtomicUsize::new(0),
             replied: AtomicBool::new(false),
             source: ArcSwap::from_pointee(Source::Unknown),
-            revision: AtomicU64::new(0),
+            revision: ArcSwap::default(),
             called: AtomicU64::new(0),
             searching: AtomicU64::new(0),
         }
@@ -50,8 +50,8 @@
     }
 
     /// Records the revision of objects that were returned.
-    pub(super) fn known(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::AcqRel);
+    pub(super) fn known(&self, revision: StoreRevision) {
+        self.revision.rcu(|known| revision.max(**known));
     }
 }
 
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -6,7 +6,7 @@
     crate::{
         board::{Members, Section, Tick},
         decide::{StoreCall, feed_sources, has_followers, may_call_store},
-        key::HostKey,
+        key::{HostKey, StoreRevision},
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
             Freshness, Listing, Peer, PeerCall, PeerError, PeerReply,
@@ -81,7 +81,7 @@
 /// Objects that another daemon returned, with the revision that it knows.
 struct PeerObjects<T> {
     objects: Vec<Change<T>>,
-    revision: u64,
+    revision: StoreRevision,
     origin: FeedOrigin,
 }
 
@@ -175,7 +175,7 @@
     /// Fails with `HistoryExpired` if a daemon no longer has the changes since then.
     async fn read_peers(
         &self,
-        since: Option<u64>,
+        since: Option<StoreRevision>,
         max_silent: usize,
     ) -> Result<PeerRead<F::Item>, FeedError> {
         let mut asked = Vec::new();
@@ -226,7 +226,7 @@
     async fn ask(
         &self,
         host: HostKey,
-        since: Option<u64>,
+        since: Option<StoreRevision>,
     ) -> Result<FeedReply, (Duration, String)> {
         let members = self.links.members.snapshot();
         let Some(member) = members.hosts.get(host) else {
@@ -306,7 +306,7 @@
     type Item = F::Item;
 
     async fn list(&self, freshness: Freshness) -> Result<Listing<Self::Item>, FeedError> {
-        let known = self.state.revision.load(Ordering::Acquire);
+        let known = **self.state.revision.load();
         match self.read_peers(None, 1).await? {
             // The daemon may know the same objects under a smaller revision; only the store can tell.
             PeerRead::Objects(read) if read.revision >= known => {
@@ -327,7 +327,11 @@
         Ok(listing)
     }
 
-    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<Self::Item>, FeedError> {
+    async fn watch(
+        &self,
+        since: StoreRevision,
+        wait: Duration,
+    ) -> Result<Changes<Self::Item>, FeedError> {
         match self.read_peers(Some(since), MAX_SILENT_HOSTS).await? {
             PeerRead::Objects(read) => {
                 let revision = read.revision.max(since);
--- a/src/control/roster_controller.rs
+++ b/src/control/roster_controller.rs
@@ -99,7 +99,7 @@
     }
 
     fn apply(&mut self, change: Change<RosterEntry>) {
-        let revision = self.follower.revision();
+        let revision = self.follower.revision().number;
         match change {
             Change::Put(name, entry) => {
                 self.missing.remove(&name);
@@ -146,7 +146,7 @@
     fn remove(&mut self, name: &str) {
         self.missing.remove(name);
         if self.entries.remove(name).is_some() {
-            log::info!(endpoint = name, revision = self.follower.revision(); "endpoint removed");
+            log::info!(endpoint = name, revision = self.follower.revision().number; "endpoint removed");
         }
     }
 
--- a/src/control/routing_controller.rs
+++ b/src/control/routing_controller.rs
@@ -42,7 +42,7 @@
     /// Publishes the routing if it is newer, and logs what was done.
     fn apply(&mut self, change: Change<Routing>) {
         let current = self.writer.load().version;
-        let revision = self.follower.revision();
+        let revision = self.follower.revision().number;
         match change {
             Change::Put(_, next) if next.version > current => {
                 let routes = next.routes.len();
--- a/src/decide/feed_changes.rs
+++ b/src/decide/feed_changes.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         board::{FeedLog, LoggedObject, ObjectState},
+        key::StoreRevision,
         port::Change,
     },
     std::sync::Arc,
@@ -16,7 +17,7 @@
 ///
 /// Changes before the list are unknown: an object that looks the same may have changed and changed
 /// back meanwhile. So a daemon that has an older revision must read every object.
-pub fn record_listing<T>(log: &mut FeedLog<T>, items: &[Change<T>], revision: u64)
+pub fn record_listing<T>(log: &mut FeedLog<T>, items: &[Change<T>], revision: StoreRevision)
 where
     T: Clone + PartialEq,
 {
@@ -26,7 +27,7 @@
 }
 
 /// Records changes of objects up to `revision`.
-pub fn record_changes<T>(log: &mut FeedLog<T>, changes: &[Change<T>], revision: u64)
+pub fn record_changes<T>(log: &mut FeedLog<T>, changes: &[Change<T>], revision: StoreRevision)
 where
     T: Clone + PartialEq,
 {
@@ -50,7 +51,7 @@
 /// `since` = `None`.
 ///
 /// Returns `None` if the log no longer has all changes since then.
-pub fn changes_since<T>(log: &FeedLog<T>, since: Option<u64>) -> Option<Vec<Change<T>>>
+pub fn changes_since<T>(log: &FeedLog<T>, since: Option<StoreRevision>) -> Option<Vec<Change<T>>>
 where
     T: Clone,
 {
--- a/src/decide/feed_reply.rs
+++ b/src/decide/feed_reply.rs
@@ -2,6 +2,7 @@
     super::changes_since,
     crate::{
         board::FeedLog,
+        key::StoreRevision,
         port::{Change, FeedItem, FeedReply},
     },
     std::time::Duration,
@@ -18,7 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct FeedQuestion {
     /// Revision that it has; `None` if it requests every object.
-    pub since: Option<u64>,
+    pub since: Option<StoreRevision>,
     /// Whether its wait is over.
     pub waited: bool,
     /// Time since the boot of this host.
@@ -32,12 +33,16 @@
 /// Only a daemon whose own reads reach the store answers, and only for as long as one of them
 /// vouches for the log. So no two daemons can rely on each other, and one that was suspended says
 /// nothing from before. Daemons may reach different revisions with the same objects, since the
-/// store's revision also counts other objects; a log with a smaller one is not behind.
+/// store's revision also counts other objects; a log with a smaller one is not behind, unless it is
+/// of an earlier era of the store.
 pub fn feed_reply<T>(log: &FeedLog<T>, question: FeedQuestion) -> Option<FeedReply>
 where
     T: FeedItem,
 {
-    if !log.direct || question.now >= log.valid_until {
+    let lost_history = question
+        .since
+        .is_some_and(|since| since.era > log.revision.era);
+    if !log.direct || question.now >= log.valid_until || lost_history {
         let failed = question.failed_ago.is_some_and(|ago| ago < OUTAGE_TIME);
         return Some(if failed {
             FeedReply::Outage
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -12,6 +12,7 @@
     request_id::RequestId,
     route_key::RouteKey,
     rule_key::RuleKey,
+    store_revision::StoreRevision,
     waiter_key::WaiterKey,
 };
 
@@ -26,4 +27,5 @@
 mod request_id;
 mod route_key;
 mod rule_key;
+mod store_revision;
 mod waiter_key;
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -1,4 +1,5 @@
 use {
+    crate::key::StoreRevision,
     serde::{Deserialize, Serialize},
     std::{fmt::Debug, time::Duration},
     thiserror::Error,
@@ -21,7 +22,7 @@
     /// if the changes after `since` are no longer stored.
     fn watch(
         &self,
-        since: u64,
+        since: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<Self::Item>, FeedError>> + Send;
 
@@ -47,7 +48,7 @@
     /// Objects, each as a `Put` or an `Unreadable`.
     pub items: Vec<Change<T>>,
     /// Revision at which the list was valid.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Who returned the list.
     pub origin: FeedOrigin,
 }
@@ -58,7 +59,7 @@
     /// Changes, oldest first.
     pub changes: Vec<Change<T>>,
     /// Revision to pass to the next `watch`.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Who returned the changes.
     pub origin: FeedOrigin,
 }
@@ -89,7 +90,8 @@
 /// The error of a call to a feed.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum FeedError {
-    /// The changes after the requested revision are no longer stored; list again.
+    /// The changes after the requested revision are no longer stored, or belong to a lost history; list
+    /// again.
     #[error("the changes since the requested revision are no longer stored; list again")]
     HistoryExpired,
     /// The changes so far came from another source; list again.
--- a/src/port/feed_read.rs
+++ b/src/port/feed_read.rs
@@ -1,6 +1,6 @@
 use {
     super::{Change, MemberEntry, RosterEntry},
-    crate::board::Routing,
+    crate::{board::Routing, key::StoreRevision},
     serde::{Deserialize, Serialize},
     std::{fmt::Debug, time::Duration},
 };
@@ -11,7 +11,7 @@
     /// Feed to read.
     pub kind: FeedKind,
     /// Revision that the sender has; `None` requests every object.
-    pub since: Option<u64>,
+    pub since: Option<StoreRevision>,
     /// Longest time to wait for a change after `since`.
     pub wait: Duration,
 }
@@ -35,7 +35,7 @@
         /// Objects; none if the wait passed without a change.
         objects: FeedObjects,
         /// Revision up to which the sender knows the objects.
-        revision: u64,
+        revision: StoreRevision,
         /// Time since a call of the sender to the store last failed; `None` if none did.
         failed_ago: Option<Duration>,
     },
--- a/tests/feed_changes.rs
+++ b/tests/feed_changes.rs
@@ -4,6 +4,7 @@
     lentillead::{
         board::FeedLog,
         decide::{changes_since, record_changes, record_listing},
+        key::StoreRevision,
         port::Change,
     },
     proptest::{collection::vec, prelude::*},
@@ -44,7 +45,7 @@
 }
 
 /// Reads from a log as a daemon does that has `known`, valid at `revision`.
-fn read(log: &FeedLog<u8>, known: &mut Objects, revision: &mut u64) {
+fn read(log: &FeedLog<u8>, known: &mut Objects, revision: &mut StoreRevision) {
     if let Some(changes) = changes_since(log, Some(*revision)) {
         apply(known, &changes);
     } else {
@@ -67,9 +68,9 @@
         let mut store = Objects::new();
         let mut logs = [FeedLog::default(), FeedLog::default()];
         for log in &mut logs {
-            record_listing(log, &[], 1);
+            record_listing(log, &[], 1.into());
         }
-        let (mut known, mut revision) = (Objects::new(), 1);
+        let (mut known, mut revision) = (Objects::new(), StoreRevision::from(1));
         let mut pending: [Vec<Change<u8>>; 2] = Default::default();
         for (number, step) in steps.iter().enumerate() {
             let now = number as u64 + 2;
@@ -79,10 +80,10 @@
                 changes.push(next.clone());
                 let (length, lists, _) = batches[(number + reader * 7) % batches.len()];
                 if lists && reader == 0 && changes.len() > 2 {
-                    record_listing(&mut logs[reader], &list(&store), now);
+                    record_listing(&mut logs[reader], &list(&store), now.into());
                     changes.clear();
                 } else if changes.len() >= length {
-                    record_changes(&mut logs[reader], changes, now);
+                    record_changes(&mut logs[reader], changes, now.into());
                     changes.clear();
                 }
             }
@@ -91,7 +92,7 @@
         }
         let now = steps.len() as u64 + 1;
         for (log, changes) in logs.iter_mut().zip(&pending) {
-            record_changes(log, changes, now);
+            record_changes(log, changes, now.into());
             let (mut last, mut at) = (known.clone(), revision);
             read(log, &mut last, &mut at);
             prop_assert_eq!(&last, &store);
@@ -105,9 +106,9 @@
 fn an_object_that_changed_back_between_two_lists_is_read_again() {
     let put = |value| [Change::Put("a".to_owned(), value)];
     let mut log = FeedLog::default();
-    record_listing(&mut log, &put(1), 1);
-    record_listing(&mut log, &put(1), 3);
-    let (mut known, mut revision) = (Objects::from([("a".to_owned(), 2)]), 2);
+    record_listing(&mut log, &put(1), 1.into());
+    record_listing(&mut log, &put(1), 3.into());
+    let (mut known, mut revision) = (Objects::from([("a".to_owned(), 2)]), 2.into());
     read(&log, &mut known, &mut revision);
     assert_eq!(known["a"], 1);
 }
@@ -115,15 +116,19 @@
 #[test]
 fn removals_that_are_no_longer_kept_lead_to_a_complete_read() {
     let mut log = FeedLog::default();
-    record_listing(&mut log, &[Change::Put("stays".to_owned(), 1)], 1);
+    record_listing(&mut log, &[Change::Put("stays".to_owned(), 1)], 1.into());
     for number in 0..1_500_u64 {
         let name = format!("o{number}");
         let removal = Change::Removed(name.clone());
-        record_changes(&mut log, &[Change::Put(name, 1), removal], number + 2);
+        record_changes(
+            &mut log,
+            &[Change::Put(name, 1), removal],
+            (number + 2).into(),
+        );
     }
-    assert!(changes_since(&log, Some(1)).is_none());
+    assert!(changes_since(&log, Some(1.into())).is_none());
     assert_eq!(
-        changes_since(&log, Some(1_501)).map(|changes| changes.len()),
+        changes_since(&log, Some(1_501.into())).map(|changes| changes.len()),
         Some(0)
     );
     let all = changes_since(&log, None).unwrap();
--- a/tests/feed_follower.rs
+++ b/tests/feed_follower.rs
@@ -4,6 +4,7 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         control::{FeedFollower, FeedUpdate},
+        key::StoreRevision,
         port::{Change, Changes, Feed, FeedError, FeedOrigin, Freshness, Listing, MonoClock},
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -50,7 +51,7 @@
         match self.next(format!("list {freshness:?}")) {
             Response::Listing(revision, name) => Ok(Listing {
                 items: vec![put(name)],
-                revision,
+                revision: revision.into(),
                 origin: FeedOrigin::Store,
             }),
             Response::Fails(error) => Err(error),
@@ -58,11 +59,11 @@
         }
     }
 
-    async fn watch(&self, since: u64, _: Duration) -> Result<Changes<u64>, FeedError> {
-        match self.next(format!("watch from {since}")) {
+    async fn watch(&self, since: StoreRevision, _: Duration) -> Result<Changes<u64>, FeedError> {
+        match self.next(format!("watch from {}", since.number)) {
             Response::Changes(revision, names) => Ok(Changes {
                 changes: names.into_iter().map(put).collect(),
-                revision,
+                revision: revision.into(),
                 origin: FeedOrigin::Store,
             }),
             Response::Fails(error) => Err(error),
@@ -91,7 +92,10 @@
             FeedUpdate::Unchanged => "unchanged".to_owned(),
         };
         let request = feed.requests.lock().unwrap().pop().unwrap();
-        seen.push((request, format!("{update}, at {}", follower.revision())));
+        seen.push((
+            request,
+            format!("{update}, at {}", follower.revision().number),
+        ));
     }
     seen
 }
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -6,7 +6,7 @@
         board::{Arena, FeedLog, Host, HostState, Members, Role, Tick, section},
         control::{FeedCounters, FeedFollower, FeedLinks, FeedRelay, FeedUpdate, RelayedFeed},
         decide::feed_sources,
-        key::HostKey,
+        key::{HostKey, StoreRevision},
         port::{
             Change, Changes, Clock, Feed, FeedError, FeedOrigin, Freshness, Listing, Peer,
             PeerCall, PeerError, PeerReply, RosterEntry,
@@ -59,6 +59,8 @@
 #[derive(Debug, Default)]
 pub struct Store {
     pub events: Vec<(u64, Change<RosterEntry>)>,
+    /// Number of times that it has come back from a copy.
+    pub era: u64,
     /// Changes up to this revision are no longer kept.
     pub forgotten: u64,
     pub calls: usize,
@@ -73,6 +75,20 @@
         self.events.last().map_or(0, |event| event.0)
     }
 
+    fn full_revision(&self) -> StoreRevision {
+        StoreRevision {
+            era: self.era,
+            number: self.revision(),
+        }
+    }
+
+    /// Comes back from a copy that lacks the last `lost` changes.
+    pub fn restore(&mut self, lost: usize) {
+        let kept = self.events.len() - lost;
+        self.events.truncate(kept);
+        self.era += 1;
+    }
+
     fn since(&self, revision: u64) -> Vec<Change<RosterEntry>> {
         let events = self.events.iter().filter(|event| event.0 > revision);
         events.map(|event| event.1.clone()).collect()
@@ -98,17 +114,17 @@
         Ok(())
     }
 
-    fn changes(&self, since: u64) -> Result<Changes<RosterEntry>, FeedError> {
+    fn changes(&self, since: StoreRevision) -> Result<Changes<RosterEntry>, FeedError> {
         let store = self.store.lock().unwrap();
         if store.cut.contains(&self.host) {
             return Err(FeedError::Unreachable("cut off".to_owned()));
         }
-        if since < store.forgotten {
+        if since.number < store.forgotten || since.era != store.era {
             return Err(FeedError::HistoryExpired);
         }
         Ok(Changes {
-            changes: store.since(since),
-            revision: store.revision(),
+            changes: store.since(since.number),
+            revision: store.full_revision(),
             origin: FeedOrigin::Store,
         })
     }
@@ -133,12 +149,16 @@
         }
         Ok(Listing {
             items: items.into_values().collect(),
-            revision: store.revision(),
+            revision: store.full_revision(),
             origin: FeedOrigin::Store,
         })
     }
 
-    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes<RosterEntry>, FeedError> {
+    async fn watch(
+        &self,
+        since: StoreRevision,
+        wait: Duration,
+    ) -> Result<Changes<RosterEntry>, FeedError> {
         self.call()?;
         if self.store.lock().unwrap().silent.contains(&self.host) {
             std::future::pending::<()>().await;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -19,6 +19,7 @@
 mod feed_changes;
 mod feed_follower;
 mod feed_relay;
+mod feed_restored;
 mod feed_zone;
 mod fleet;
 mod forward_path;
