Send nothing to endpoints that left in a history that the store has lost

Callers' requests could reach endpoints that had said that they leave, or whose entries were gone, and lost those that had just registered. Cause: the copy that a store comes back from lists endpoints as they were then. A list was taken as it is: an endpoint that leaves was ready again, and one that was missing was dropped at once, though it writes its entry again within two seconds. Change: RosterEntries, taken out of RosterController. For 5 s after a restoration an entry that says less than this daemon knows of the same process counts as leaving; if it is renewed until then, it is used. What the copy lacks is kept for 2.3 s, as after an outage.

--- a/src/control/roster_controller.rs
+++ b/src/control/roster_controller.rs
@@ -1,17 +1,24 @@
 use {
-    super::{FeedFollower, FeedUpdate},
+    super::{
+        FeedFollower, FeedUpdate,
+        roster_entries::{RosterEntries, RosterRead},
+    },
     crate::{
         board::{Fleet, Tick, Writer},
         decide::merge_described,
-        port::{Change, Clock, Feed, RosterEntry},
+        port::{Clock, Feed, RosterEntry},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::time::Duration,
     tokio::sync::watch,
 };
 
 /// Time after an outage of the store within which a live endpoint registers again.
 const REREGISTER_TIME: Duration = Duration::from_millis(2_300);
 
+/// Time after the store came back from a copy within which the entries of processes that have ended since
+/// the copy expire.
+const OLD_ENTRY_TIME: Duration = Duration::from_secs(5);
+
 /// Writes the `fleet` section from a feed in which endpoints register themselves.
 #[derive(Debug)]
 pub struct RosterController<F, C>
@@ -21,9 +28,7 @@
     follower: FeedFollower<F, C>,
     clock: C,
     writer: Writer<Fleet>,
-    entries: BTreeMap<String, RosterEntry>,
-    /// Endpoints whose entries expired during an outage, and until when they are kept.
-    missing: BTreeMap<String, Tick>,
+    entries: RosterEntries,
     reachable: watch::Sender<bool>,
 }
 
@@ -43,8 +48,7 @@
             follower,
             clock,
             writer,
-            entries: BTreeMap::new(),
-            missing: BTreeMap::new(),
+            entries: RosterEntries::default(),
             reachable,
         }
     }
@@ -52,7 +56,7 @@
     /// Runs until the task is dropped.
     pub async fn run(mut self) {
         loop {
-            let due = self.missing.values().min().copied();
+            let due = self.entries.next_due();
             let wait = due.map_or(Duration::MAX, |due| due - self.clock.now());
             let update = tokio::select! {
                 update = self.follower.next() => update,
@@ -61,102 +65,42 @@
             let reachable = !matches!(update, FeedUpdate::Unavailable);
             self.reachable
                 .send_if_modified(|old| std::mem::replace(old, reachable) != reachable);
+            let read = self.read();
             match update {
-                FeedUpdate::Listing(items) => self.replace(items),
+                FeedUpdate::Listing(items) => self.entries.replace(items, read),
                 FeedUpdate::Changes(changes) => {
                     for change in changes {
-                        self.apply(change);
+                        self.entries.apply(change, read);
                     }
                 }
                 FeedUpdate::Unavailable | FeedUpdate::Unchanged => {}
             }
-            self.remove_overdue();
+            self.entries.expire(read);
             self.publish();
         }
     }
 
-    /// Applies a complete list: endpoints that are not on it are removed.
-    fn replace(&mut self, items: Vec<Change<RosterEntry>>) {
-        let listed: Vec<_> = items
-            .iter()
-            .filter_map(|item| match item {
-                Change::Put(name, _) => Some(name.clone()),
-                Change::Unreadable(..) | Change::Removed(_) => None,
-            })
-            .collect();
-        let removed: Vec<_> = self
-            .entries
-            .keys()
-            .filter(|name| !listed.contains(name))
-            .cloned()
-            .collect();
-        for name in removed {
-            self.apply(Change::Removed(name));
-        }
-        for item in items {
-            self.apply(item);
-        }
-    }
-
-    fn apply(&mut self, change: Change<RosterEntry>) {
-        let revision = self.follower.revision().number;
-        match change {
-            Change::Put(name, entry) => {
-                self.missing.remove(&name);
-                let leaving = entry.listed.draining;
-                let before = self.entries.insert(name.clone(), entry);
-                if before.is_none_or(|before| before.listed.draining != leaving) {
-                    log::info!(endpoint = name.as_str(), revision, leaving; "endpoint listed");
-                }
-            }
-            Change::Unreadable(name, reason) => {
-                log::warn!(endpoint = name.as_str(), revision; "endpoint removed, its entry is not usable: {reason}");
-                self.remove(&name);
-            }
-            Change::Removed(name) => {
-                // Entries expire during an outage of the store although their endpoints are alive.
-                let now = self.clock.now();
-                let ended = self.follower.outage_end();
-                let until = ended.map(|ended| ended + REREGISTER_TIME);
-                match until.filter(|until| *until > now) {
-                    Some(until) if self.entries.contains_key(&name) => {
-                        log::info!(endpoint = name.as_str(), revision; "entry expired in an outage of the store; endpoint kept until it had time to register again");
-                        self.missing.insert(name, until);
-                    }
-                    _ => self.remove(&name),
-                }
-            }
-        }
-    }
-
-    /// Removes the endpoints that have not registered again in time.
-    fn remove_overdue(&mut self) {
+    /// Returns what the last read means for entries that are missing or old.
+    fn read(&self) -> RosterRead {
         let now = self.clock.now();
-        let due: Vec<_> = self
-            .missing
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in due {
-            self.remove(&name);
-        }
-    }
-
-    fn remove(&mut self, name: &str) {
-        self.missing.remove(name);
-        if self.entries.remove(name).is_some() {
-            log::info!(endpoint = name, revision = self.follower.revision().number; "endpoint removed");
+        let later = |since: Option<Tick>, time| {
+            let until = since.map(|since| since + time);
+            until.filter(|until| *until > now)
+        };
+        let restored = self.follower.restored();
+        let ended = self.follower.outage_end().max(restored);
+        RosterRead {
+            now,
+            revision: self.follower.revision().number,
+            keep_until: later(ended, REREGISTER_TIME),
+            doubt_until: later(restored, OLD_ENTRY_TIME),
         }
     }
 
     /// Publishes the fleet if it has changed.
     fn publish(&mut self) {
-        let described: Vec<_> = self
-            .entries
-            .values()
-            .map(|entry| (&entry.listed, &entry.description))
-            .collect();
+        let described = self.entries.described();
+        let described: Vec<_> = described.iter().map(|(l, d)| (l, *d)).collect();
         let mut next = Fleet::clone(&self.writer.load());
         if merge_described(&mut next, &described) {
             self.writer.publish(next);
--- a/tests/feed_restored.rs
+++ b/tests/feed_restored.rs
@@ -8,13 +8,21 @@
     },
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{FeedLog, Role},
+        board::{Blackboard, FeedLog, Fleet, Role, Section},
+        control::{FeedFollower, RosterController},
         decide::{FeedQuestion, feed_reply, record_changes, record_listing},
         key::StoreRevision,
-        port::{Change, FeedReply, RosterEntry},
+        port::{
+            Change, Changes, Feed, FeedError, FeedOrigin, FeedReply, Freshness, Listing, MonoClock,
+            RosterEntry,
+        },
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
     },
-    std::time::Duration,
-    tokio::time::sleep,
+    tokio::{sync::watch, time::sleep},
 };
 
 /// Number of changes that the lost history had and the copy lacks.
@@ -87,6 +95,65 @@
     assert_yaml_snapshot!(seen);
 }
 
+/// Revisions, each with a list or the changes that lead to it.
+type Script<T> = Vec<(StoreRevision, Vec<Change<T>>)>;
+
+/// Feed that responds by a script, and then waits for ever.
+#[derive(Clone, Debug)]
+struct Scripted<T>(Arc<Mutex<Script<T>>>);
+
+impl<T> Scripted<T> {
+    fn new(mut script: Script<T>) -> Self {
+        script.reverse();
+        Self(Arc::new(Mutex::new(script)))
+    }
+}
+
+impl<T> Feed for Scripted<T>
+where
+    T: Clone + std::fmt::Debug + PartialEq + Send + Sync + 'static,
+{
+    type Item = T;
+
+    async fn list(&self, _: Freshness) -> Result<Listing<T>, FeedError> {
+        let next = self.0.lock().unwrap().pop();
+        let Some((revision, items)) = next else {
+            std::future::pending().await
+        };
+        Ok(Listing {
+            items,
+            revision,
+            origin: FeedOrigin::Store,
+        })
+    }
+
+    async fn watch(&self, since: StoreRevision, _: Duration) -> Result<Changes<T>, FeedError> {
+        let next = self.0.lock().unwrap().last().map(|next| next.0.era);
+        let restored = next.is_some_and(|era| era > since.era);
+        if restored {
+            return Err(FeedError::HistoryExpired);
+        }
+        let next = self.0.lock().unwrap().pop();
+        let Some((revision, changes)) = next else {
+            std::future::pending().await
+        };
+        Ok(Changes {
+            changes,
+            revision,
+            origin: FeedOrigin::Store,
+        })
+    }
+}
+
+fn follower<T>(script: Script<T>) -> FeedFollower<Scripted<T>, MonoClock>
+where
+    T: Clone + std::fmt::Debug + PartialEq + Send + Sync + 'static,
+{
+    let rng = SmallRng::seed_from_u64(1);
+    let wait = Duration::from_secs(4);
+    FeedFollower::new(Scripted::new(script), MonoClock::start(), "test", wait, rng)
+}
+
 fn put(name: &str, draining: bool, incarnation: u64) -> Change<RosterEntry> {
     let (mut listed, mut description) = listed(name, "ledger", Role::Service);
     listed.draining = draining;
@@ -99,3 +166,60 @@
         },
     )
 }
+
+/// Names of the endpoints that may get requests.
+fn ready(fleet: &Section<Fleet>) -> Vec<String> {
+    let fleet = fleet.load();
+    let ready = fleet
+        .endpoints
+        .iter()
+        .filter(|(_, endpoint)| !endpoint.draining);
+    let mut names: Vec<_> = ready.map(|(_, endpoint)| endpoint.name.clone()).collect();
+    names.sort();
+    names
+}
+
+/// The copy holds endpoints that have left since as ready, and lacks those that registered since.
+#[tokio::test(start_paused = true)]
+async fn endpoints_that_left_in_the_lost_history_get_no_requests_though_the_copy_lists_them() {
+    let (board, writers) = Blackboard::new();
+    let (reachable, _rx) = watch::channel(false);
+    let follower = follower(vec![
+        (
+            at(0, 10),
+            vec![
+                put("leaves", false, 1),
+                put("gone", false, 1),
+                put("stays", false, 1),
+                put("again", false, 1),
+            ],
+        ),
+        (
+            at(0, 12),
+            vec![
+                put("leaves", true, 1),
+                Change::Removed("gone".to_owned()),
+                put("new", false, 1),
+                put("again", true, 1),
+            ],
+        ),
+        // The copy, in which another process runs at `again` already.
+        (
+            at(1, 10),
+            vec![
+                put("leaves", false, 1),
+                put("gone", false, 1),
+                put("stays", false, 1),
+                put("again", false, 2),
+            ],
+        ),
+    ]);
+    let controller = RosterController::new(follower, MonoClock::start(), writers.fleet, reachable);
+    tokio::spawn(controller.run());
+    let mut seen = Vec::new();
+    for ms in [1_000, 1_500, 4_000] {
+        sleep(Duration::from_millis(ms)).await;
+        seen.push((ms, ready(&board.fleet)));
+    }
+    assert_yaml_snapshot!(seen);
+}
