Register again when a store has lost the entry of a daemon

Daemons that had started shortly before a store came back from a copy were unknown to the others for good: no streams placed there, no feeds read from them, and shares of limits too large. Cause: a daemon wrote its entry once, at its start; and a list without the entry of a daemon removed it at once. Change: Registration writes the entry again when a list or a change shows that it is gone or an earlier one's.

--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -1,19 +1,16 @@
 use {
-    super::{FeedFollower, FeedUpdate},
+    super::{FeedFollower, FeedUpdate, deadlines::Deadlines},
     crate::{
         board::{Host, HostState, Members, Tick, Writer},
         key::HostKey,
-        port::{Change, Clock, Feed, MemberEntry, ObjectStore, PlatformError},
+        port::{Change, Clock, Feed, MemberEntry},
     },
-    bytes::Bytes,
-    std::time::Duration,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    tokio::sync::Notify,
 };
 
-/// Delay before a failed registration is retried.
-const REGISTER_DELAY: Duration = Duration::from_secs(2);
-
-/// Number of attempts to register before giving up.
-const REGISTER_ATTEMPTS: u32 = 30;
+/// Time after the store came back from a copy within which live daemons register again.
+const REREGISTER_TIME: Duration = Duration::from_secs(10);
 
 /// Writes the `members` section from a feed in which daemons register themselves.
 ///
@@ -24,8 +21,24 @@
     F: Feed,
 {
     follower: FeedFollower<F, C>,
-    own: MemberEntry,
-    writer: Writer<Members>,
+    parts: MemberRosterParts<C>,
+    /// Whether the entry of this daemon was listed.
+    own_listed: bool,
+    /// Daemons whose entries the store has lost, and until when they are kept.
+    missing: Deadlines,
+}
+
+/// What a member roster controller works with.
+#[derive(Debug)]
+pub struct MemberRosterParts<C> {
+    /// Source of time and sleep.
+    pub clock: C,
+    /// Entry of this daemon, which stays listed in any case.
+    pub own: MemberEntry,
+    /// Writer of the section.
+    pub writer: Writer<Members>,
+    /// Notified when the entry of this daemon is no longer listed.
+    pub lapsed: Arc<Notify>,
 }
 
 impl<F, C> MemberRosterController<F, C>
@@ -33,23 +46,30 @@
     F: Feed<Item = MemberEntry>,
     C: Clock,
 {
-    /// Creates the controller; `own` is the entry of this daemon, which stays listed in any case.
-    pub fn new(follower: FeedFollower<F, C>, own: MemberEntry, writer: Writer<Members>) -> Self {
+    /// Creates the controller.
+    pub fn new(follower: FeedFollower<F, C>, parts: MemberRosterParts<C>) -> Self {
         Self {
             follower,
-            own,
-            writer,
+            parts,
+            own_listed: false,
+            missing: Deadlines::default(),
         }
     }
 
     /// Runs until the task is dropped.
     pub async fn run(mut self) {
-        let own = self.own.clone();
-        self.writer.update(|members| {
+        let own = self.parts.own.clone();
+        self.parts.writer.update(|members| {
             members.own = put(members, own);
         });
         loop {
-            match self.follower.next().await {
+            let due = self.missing.next();
+            let wait = due.map_or(Duration::MAX, |due| due - self.parts.clock.now());
+            let update = tokio::select! {
+                update = self.follower.next() => update,
+                () = self.parts.clock.sleep(wait) => FeedUpdate::Unchanged,
+            };
+            match update {
                 FeedUpdate::Listing(changes) => {
                     self.retain(&changes);
                     self.apply(changes);
@@ -57,36 +77,87 @@
                 FeedUpdate::Changes(changes) => self.apply(changes),
                 FeedUpdate::Unavailable | FeedUpdate::Unchanged => {}
             }
+            self.expire();
         }
     }
 
-    /// Removes daemons that are no longer listed.
+    /// Removes daemons that are no longer listed; those whose entries the store may have lost, as it
+    /// came back from a copy, get time to register again.
     fn retain(&mut self, listed: &[Change<MemberEntry>]) {
-        let own = self.own.name.clone();
-        let is_listed = |name: &str| {
-            let mut puts = listed.iter();
-            name == own || puts.any(|change| matches!(change, Change::Put(put, _) if put == name))
-        };
-        self.writer.update(|members| {
-            let names = members.hosts.iter().map(|(_, host)| host.name.clone());
-            let removed: Vec<_> = names.filter(|name| !is_listed(name)).collect();
-            for name in removed {
+        let names: BTreeSet<_> = listed
+            .iter()
+            .filter_map(|change| match change {
+                Change::Put(name, _) => Some(name.as_str()),
+                Change::Unreadable(..) | Change::Removed(_) => None,
+            })
+            .collect();
+        let keep_until = self.keep_until();
+        let own = self.parts.own.name.clone();
+        if !names.contains(own.as_str()) {
+            self.own_lapsed();
+        }
+        let missing = &mut self.missing;
+        self.parts.writer.update(|members| {
+            let known = members.hosts.iter().map(|(_, host)| host.name.clone());
+            let gone: Vec<_> = known
+                .filter(|name| *name != own && !names.contains(name.as_str()))
+                .collect();
+            for name in gone {
+                if let Some(until) = keep_until {
+                    missing.set(&name, until);
+                } else {
+                    members.hosts.remove(&name);
+                }
+            }
+        });
+    }
+
+    /// Returns until when daemons are kept whose entries the store may have lost; `None` if it has not
+    /// come back from a copy lately.
+    fn keep_until(&self) -> Option<Tick> {
+        let until = self.follower.restored()? + REREGISTER_TIME;
+        (until > self.parts.clock.now()).then_some(until)
+    }
+
+    /// Has this daemon register again if its entry was listed before, or may be lost.
+    fn own_lapsed(&mut self) {
+        if std::mem::take(&mut self.own_listed) || self.keep_until().is_some() {
+            self.parts.lapsed.notify_one();
+        }
+    }
+
+    /// Removes the daemons that have not registered again in time.
+    fn expire(&mut self) {
+        let due = self.missing.take_due(self.parts.clock.now());
+        if due.is_empty() {
+            return;
+        }
+        let removed = due.len();
+        self.parts.writer.update(|members| {
+            for name in due {
                 members.hosts.remove(&name);
             }
         });
+        log::info!(removed; "daemons removed that did not register again");
     }
 
     /// Applies changes and logs their number: a line for each of hundreds of daemons would crowd out
     /// the decisions on requests.
     fn apply(&mut self, changes: Vec<Change<MemberEntry>>) {
         let revision = self.follower.revision().number;
-        let own = self.own.name.clone();
+        let own = self.parts.own.clone();
         let (mut listed, mut removed) = (0, 0);
-        let members = self.writer.update(|members| {
+        let (mut own_listed, mut own_lapsed) = (false, false);
+        let missing = &mut self.missing;
+        let members = self.parts.writer.update(|members| {
             for change in changes {
                 match change {
-                    Change::Put(_, entry) if entry.name == own => {}
-                    Change::Put(_, entry) => {
+                    Change::Put(_, entry) if entry.name == own.name => {
+                        own_listed = entry.incarnation == own.incarnation;
+                        own_lapsed = !own_listed;
+                    }
+                    Change::Put(name, entry) => {
+                        missing.clear(&name);
                         listed += 1;
                         put(members, entry);
                     }
@@ -94,15 +165,20 @@
                         log::warn!(member = name.as_str(), revision; "daemon removed, its entry is not usable: {reason}");
                         members.hosts.remove(&name);
                     }
-                    Change::Removed(name) if name != own => {
+                    Change::Removed(name) if name != own.name => {
                         removed += 1;
                         members.hosts.remove(&name);
                     }
-                    Change::Removed(_) => {}
+                    Change::Removed(_) => own_lapsed = true,
                 }
             }
             members.hosts.len()
         });
+        if own_listed {
+            self.own_listed = true;
+        } else if own_lapsed {
+            self.own_lapsed();
+        }
         log::info!(listed, removed, members, revision; "list of daemons updated");
     }
 }
@@ -122,51 +198,3 @@
     };
     members.hosts.insert(&name, host)
 }
-
-/// Writes the entry `own` to `store`, replacing that of an earlier incarnation.
-///
-/// Tries up to 30 times, 2 s apart, and logs each failure; after the last one the daemon stays
-/// unregistered.
-pub async fn register<S, C>(store: S, clock: C, own: MemberEntry)
-where
-    S: ObjectStore,
-    C: Clock,
-{
-    let body = match serde_json::to_vec(&own) {
-        Ok(body) => Bytes::from(body),
-        Err(e) => {
-            log::error!(
-                "daemon not registered, other daemons do not list it: its entry cannot be encoded: {e}"
-            );
-            return;
-        }
-    };
-    for _ in 0..REGISTER_ATTEMPTS {
-        match write(&store, &own.name, body.clone()).await {
-            Ok(version) => {
-                log::info!(version; "registered");
-                return;
-            }
-            Err(e) => log::warn!(
-                "attempt to register this daemon failed, {REGISTER_ATTEMPTS} are made in all: {e}"
-            ),
-        }
-        clock.sleep(REGISTER_DELAY).await;
-    }
-}
-
-/// Creates the object `name` or replaces it, and returns its new version.
-async fn write<S>(store: &S, name: &str, body: Bytes) -> Result<u64, PlatformError>
-where
-    S: ObjectStore,
-{
-    let version = match store.create(name, body.clone()).await {
-        Err(PlatformError::Conflict { current, .. }) if current > 0 => current,
-        Err(PlatformError::Conflict { .. }) => {
-            let before = store.read(name).await?;
-            before.map_or(0, |object| object.version)
-        }
-        other => return other,
-    };
-    store.update(name, version, body).await
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,7 +19,7 @@
     load_controller::{LoadController, POLL_INTERVAL},
     member_controller::{MemberController, MemberParts},
     member_handle::MemberHandle,
-    member_roster_controller::{MemberRosterController, register},
+    member_roster_controller::{MemberRosterController, MemberRosterParts},
     order_controller::{OrderController, OrderParts},
     order_error::OrderError,
     order_executor::send_order,
@@ -30,6 +30,7 @@
     queue_controller::QueueController,
     queue_handle::QueueHandle,
     readiness_controller::{ReadinessController, STOP_NOTICE_TIME},
+    registration::Registration,
     relayed_feed::{FeedLinks, RelayedFeed},
     roster_controller::RosterController,
     routing_controller::RoutingController,
@@ -85,6 +86,7 @@
 mod queue_snapshot;
 mod queue_state;
 mod readiness_controller;
+mod registration;
 mod relay_state;
 mod relayed_feed;
 mod roster_controller;
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -4,9 +4,9 @@
         border::PeerClient,
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
-            FeedRelay, HealthHandle, MemberRosterController, PlacementRouter, ReadinessController,
-            RelayedFeed, RosterController, RoutingController, StageController, StageParts,
-            register,
+            FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
+            ReadinessController, Registration, RelayedFeed, RosterController, RoutingController,
+            StageController, StageParts,
         },
         key::name_hash,
         port::{
@@ -221,14 +221,19 @@
             incarnation: clock.unix_ms(),
             strength: settings.strength,
         };
-        tasks.spawn(register(ports.register, clock, own.clone()));
         let members = rng("members");
         let feed = RelayedFeed::new(ports.members, links.clone());
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
             .with_pause(MEMBER_PAUSE)
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
             .with_log(members_writer);
-        tasks.spawn(MemberRosterController::new(follower, own, writers.members).run());
+        let roster = MemberRosterParts {
+            clock,
+            own,
+            writer: writers.members,
+            lapsed: Arc::default(),
+        };
+        spawn_members(&mut tasks, follower, ports.register, roster);
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
         let members = board.members.clone();
@@ -272,3 +277,23 @@
         self.tasks.shutdown().await;
     }
 }
+
+/// Starts the controllers that register this daemon and follow the list of daemons.
+fn spawn_members<F, S>(
+    tasks: &mut JoinSet<()>,
+    follower: FeedFollower<F, MonoClock>,
+    store: S,
+    parts: MemberRosterParts<MonoClock>,
+) where
+    F: Feed<Item = MemberEntry>,
+    S: ObjectStore,
+{
+    let registration = Registration {
+        store,
+        clock: parts.clock,
+        own: parts.own.clone(),
+        lapsed: Arc::clone(&parts.lapsed),
+    };
+    tasks.spawn(registration.run());
+    tasks.spawn(MemberRosterController::new(follower, parts).run());
+}
--- a/tests/feed_restored.rs
+++ b/tests/feed_restored.rs
@@ -9,12 +9,12 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Blackboard, FeedLog, Fleet, Role, Section},
-        control::{FeedFollower, RosterController},
+        control::{FeedFollower, MemberRosterController, MemberRosterParts, RosterController},
         decide::{FeedQuestion, feed_reply, record_changes, record_listing},
         key::StoreRevision,
         port::{
-            Change, Changes, Feed, FeedError, FeedOrigin, FeedReply, Freshness, Listing, MonoClock,
-            RosterEntry,
+            Change, Changes, Feed, FeedError, FeedOrigin, FeedReply, Freshness, Listing,
+            MemberEntry, MonoClock, RosterEntry,
         },
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -22,7 +22,10 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        sync::{Notify, watch},
+        time::{sleep, timeout},
+    },
 };
 
 /// Number of changes that the lost history had and the copy lacks.
@@ -223,3 +226,52 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+fn member(name: &str) -> Change<MemberEntry> {
+    Change::Put(name.to_owned(), member_entry(name))
+}
+
+fn member_entry(name: &str) -> MemberEntry {
+    MemberEntry {
+        name: name.to_owned(),
+        zone: "zone-a".to_owned(),
+        address: "10.0.0.1:1".to_owned(),
+        incarnation: 1,
+        strength: 25,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn daemons_whose_entries_are_lost_register_again_and_stay_known_meanwhile() {
+    let (board, writers) = Blackboard::new();
+    let lapsed = Arc::new(Notify::new());
+    let parts = MemberRosterParts {
+        clock: MonoClock::start(),
+        own: member_entry("own"),
+        writer: writers.members,
+        lapsed: Arc::clone(&lapsed),
+    };
+    let follower = follower(vec![
+        (at(0, 10), vec![member("old")]),
+        (
+            at(0, 12),
+            vec![member("own"), member("new"), member("dies")],
+        ),
+        (at(1, 10), vec![member("old")]),
+        (at(1, 11), vec![member("new")]),
+    ]);
+    tokio::spawn(MemberRosterController::new(follower, parts).run());
+    let again = timeout(Duration::from_secs(2), lapsed.notified())
+        .await
+        .is_ok();
+    let mut seen = Vec::new();
+    for seconds in [1, 11] {
+        sleep(Duration::from_secs(seconds)).await;
+        let members = board.members.load();
+        let names = members.hosts.iter().map(|(_, host)| host.name.clone());
+        let mut names: Vec<_> = names.collect();
+        names.sort();
+        seen.push(names);
+    }
+    assert_yaml_snapshot!((again, seen));
+}
