Do not give a fencing token out twice after a store lost a lease

Orders to engines could come from two holders under one fencing token, or under a lower one after a higher one, once a store had come back from a copy without the lease. Cause: the token is the revision at which the lease was written, and revisions are given out again; the lease of another holder may be gone, so it looked free; a conditional write from before could hit an object that another daemon had created at the same revision. What they do not cover: a daemon that starts after the restoration does not know that there was one.

--- a/src/control/order_leases.rs
+++ b/src/control/order_leases.rs
@@ -81,7 +81,7 @@
     /// `supersede` the lease is replaced at once, which is safe where the engine checks fencing
     /// numbers.
     ///
-    /// Fails with `Held` while another host holds the lease, with `Stale` if that host uses a later
+    /// Fails with `Held` while another host holds the lease, or may hold one that the store has lost, with `Stale` if that host uses a later
     /// revision, and with `Platform` if the platform fails.
     pub async fn acquire(
         &self,
@@ -90,6 +90,14 @@
         supersede: bool,
     ) -> Result<OrderLease, OrderError> {
         let before = self.platform.read(name).await?;
+        // A store that came back from a copy may have lost the lease of another holder.
+        if self
+            .platform
+            .restored_ago()
+            .is_some_and(|ago| ago < self.term)
+        {
+            return Err(OrderError::Held(name.to_owned()));
+        }
         let version = before.as_ref().map(|object| object.version);
         if let Some(object) = &before {
             self.check(name, object.version, &object.body, revision, supersede)?;
--- a/src/port/platform.rs
+++ b/src/port/platform.rs
@@ -29,6 +29,12 @@
         expected: u64,
         body: Bytes,
     ) -> impl Future<Output = Result<u64, PlatformError>> + Send;
+
+    /// Returns the time since the store was seen to have come back from an older copy of itself, without
+    /// what was written since the copy; `None` if it was not.
+    fn restored_ago(&self) -> Option<Duration> {
+        None
+    }
 }
 
 /// The platform's object API and host list.
--- a/tests/feed_restored.rs
+++ b/tests/feed_restored.rs
@@ -6,15 +6,19 @@
         feed_zone::{SPREAD_LIMIT_MS, Zone},
         listed::listed,
     },
+    bytes::Bytes,
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{Blackboard, FeedLog, Fleet, Role, Section},
-        control::{FeedFollower, MemberRosterController, MemberRosterParts, RosterController},
+        board::{Blackboard, FeedLog, Fleet, Role, Section, Tick},
+        control::{
+            FeedFollower, MemberRosterController, MemberRosterParts, OrderLeases, RosterController,
+        },
         decide::{FeedQuestion, feed_reply, record_changes, record_listing},
+        fake::MemoryPlatform,
         key::StoreRevision,
         port::{
-            Change, Changes, Feed, FeedError, FeedOrigin, FeedReply, Freshness, Listing,
-            MemberEntry, MonoClock, RosterEntry,
+            Change, Changes, Clock, Feed, FeedError, FeedOrigin, FeedReply, Freshness, Listing,
+            MemberEntry, MonoClock, Object, ObjectStore, PlatformError, RosterEntry,
         },
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -275,3 +279,41 @@
     }
     assert_yaml_snapshot!((again, seen));
 }
+
+/// Store that came back from a copy at a known time.
+#[derive(Clone, Debug)]
+struct Restored(MemoryPlatform, MonoClock);
+
+impl ObjectStore for Restored {
+    async fn read(&self, name: &str) -> Result<Option<Object>, PlatformError> {
+        self.0.read(name).await
+    }
+
+    async fn create(&self, name: &str, body: Bytes) -> Result<u64, PlatformError> {
+        self.0.create(name, body).await
+    }
+
+    async fn update(&self, name: &str, expected: u64, body: Bytes) -> Result<u64, PlatformError> {
+        self.0.update(name, expected, body).await
+    }
+
+    fn restored_ago(&self) -> Option<Duration> {
+        Some(self.1.now() - Tick::default())
+    }
+}
+
+/// The lease of another holder may be gone with the lost history.
+#[tokio::test(start_paused = true)]
+async fn no_lease_is_acquired_within_a_term_after_the_store_came_back_from_a_copy() {
+    let clock = MonoClock::start();
+    let store = Restored(MemoryPlatform::default(), clock);
+    let term = Duration::from_secs(8);
+    let leases = OrderLeases::new(store, clock, "host-1".to_owned(), term);
+    let mut seen = Vec::new();
+    for seconds in [1, 6, 2] {
+        sleep(Duration::from_secs(seconds)).await;
+        let acquired = leases.acquire("stage-lease", 0, false).await;
+        seen.push(acquired.map(|_| "acquired").map_err(|e| e.to_string()));
+    }
+    assert_yaml_snapshot!(seen);
+}
