--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -83,7 +83,7 @@
 
     /// Records the load that a response reported.
     pub fn record_load(&self, load: ReportedLoad, now: Tick) {
-        let all = load.running + load.waiting;
+        let all = load.running.saturating_add(load.waiting);
         let others = all.saturating_sub(self.running());
         self.other_requests.store(others, Ordering::Release);
         self.reported_at.store(now.0.max(1), Ordering::Release);
--- a/src/decide/feed_changes.rs
+++ b/src/decide/feed_changes.rs
@@ -37,10 +37,10 @@
             Change::Unreadable(_, reason) => ObjectState::Unreadable(reason.clone()),
             Change::Removed(_) => ObjectState::Removed,
         };
-        let known = log.objects.get(name(change));
+        let known = log.objects.get(change.name());
         if known.is_none_or(|known| known.state != state) {
             let object = LoggedObject { revision, state };
-            log.objects.insert(name(change).to_owned(), object);
+            log.objects.insert(change.name().to_owned(), object);
         }
     }
     log.revision = revision;
@@ -81,12 +81,6 @@
     }
 }
 
-fn name<T>(change: &Change<T>) -> &str {
-    match change {
-        Change::Put(name, _) | Change::Unreadable(name, _) | Change::Removed(name) => name,
-    }
-}
-
 /// Drops the oldest removed objects beyond `MAX_REMOVED` and raises the floor accordingly.
 fn forget_removed<T>(log: &mut FeedLog<T>) {
     let removed = log.objects.values().filter(|object| is_removed(object));
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -87,6 +87,15 @@
     Removed(String),
 }
 
+impl<T> Change<T> {
+    /// Returns the name of the object.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Put(name, _) | Self::Unreadable(name, _) | Self::Removed(name) => name,
+        }
+    }
+}
+
 /// The error of a call to a feed.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum FeedError {
