Answer or refuse calls that come late in a planned stop

Cause: calls were accepted until 1.2 s before the forced end whatever time they may take; their deadline did not know of the stop. Change: Health holds the time by which a planned stop has to have answered (stop_end). In its last phase a call is refused unsent, at once, if its time-out ends later; whatever else is accepted during a stop has that time as its deadline at most, so it ends with a response.

--- a/src/board/health.rs
+++ b/src/board/health.rs
@@ -1,3 +1,5 @@
+use super::Tick;
+
 /// Readiness of this daemon and reachability of the platform's store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Health {
@@ -7,6 +9,8 @@
     pub ready: bool,
     /// Progress of a planned stop.
     pub stop_phase: StopPhase,
+    /// Time by which a planned stop has to have answered forwarded requests; `None` without one.
+    pub stop_end: Option<Tick>,
 }
 
 /// Progress of a planned stop, in order.
--- a/src/control/health_controller.rs
+++ b/src/control/health_controller.rs
@@ -97,6 +97,7 @@
             } else {
                 StopPhase::Running
             },
+            stop_end: None,
         };
         if **self.writer.load() != health {
             self.writer.publish(health);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -29,7 +29,7 @@
     placement_router::PlacementRouter,
     queue_controller::QueueController,
     queue_handle::QueueHandle,
-    readiness_controller::{ReadinessController, STOP_NOTICE_TIME},
+    readiness_controller::{ReadinessController, ReadinessParts, STOP_NOTICE_TIME},
     registration::Registration,
     relayed_feed::{FeedLinks, RelayedFeed},
     roster_controller::RosterController,
--- a/src/control/readiness_controller.rs
+++ b/src/control/readiness_controller.rs
@@ -1,11 +1,11 @@
 use {
     super::HealthHandle,
-    crate::board::{Fleet, Health, Routing, Section, StopPhase, Writer},
-    std::time::Duration,
-    tokio::{
-        sync::{mpsc, watch},
-        time::{Instant, sleep},
+    crate::{
+        board::{Fleet, Health, Routing, Section, StopPhase, Tick, Writer},
+        port::Clock,
     },
+    std::time::Duration,
+    tokio::sync::{mpsc, watch},
 };
 
 /// Time after the announcement of a planned stop during which long requests are still accepted,
@@ -17,54 +17,61 @@
 ///
 /// A ready daemon stays ready, also without endpoints, until a planned stop is announced.
 #[derive(Debug)]
-pub struct ReadinessController {
-    writer: Writer<Health>,
-    routing: Section<Routing>,
-    fleet: Section<Fleet>,
-    reachable: watch::Receiver<bool>,
+pub struct ReadinessController<C> {
+    parts: ReadinessParts<C>,
     stop: mpsc::Receiver<()>,
 }
 
-impl ReadinessController {
-    /// Creates the controller and the handle that announces a planned stop; `reachable` holds whether
-    /// the store responds.
-    pub fn new(
-        writer: Writer<Health>,
-        routing: Section<Routing>,
-        fleet: Section<Fleet>,
-        reachable: watch::Receiver<bool>,
-    ) -> (Self, HealthHandle) {
+/// What a readiness controller works with.
+#[derive(Debug)]
+pub struct ReadinessParts<C> {
+    /// Writer of the section.
+    pub writer: Writer<Health>,
+    /// Routes in force.
+    pub routing: Section<Routing>,
+    /// Endpoints.
+    pub fleet: Section<Fleet>,
+    /// Whether the store responds.
+    pub reachable: watch::Receiver<bool>,
+    /// Source of time and sleep.
+    pub clock: C,
+    /// Time from the announcement of a planned stop until forwarded requests have to be answered.
+    pub stop_time: Duration,
+}
+
+impl<C> ReadinessController<C>
+where
+    C: Clock,
+{
+    /// Creates the controller and the handle that announces a planned stop.
+    pub fn new(parts: ReadinessParts<C>) -> (Self, HealthHandle) {
         let (handle, stop) = HealthHandle::new();
-        let controller = Self {
-            writer,
-            routing,
-            fleet,
-            reachable,
-            stop,
-        };
-        (controller, handle)
+        (Self { parts, stop }, handle)
     }
 
     /// Runs until every handle, or the writer of a section, is dropped.
     pub async fn run(mut self) {
         let mut stopping = None;
         loop {
+            let now = self.parts.clock.now();
             let left =
-                stopping.map(|since: Instant| STOP_NOTICE_TIME.saturating_sub(since.elapsed()));
-            self.publish(match left {
+                stopping.map(|since: Tick| STOP_NOTICE_TIME.saturating_sub(now.since(since)));
+            let phase = match left {
                 None => StopPhase::Running,
                 Some(left) if left.is_zero() => StopPhase::Closing,
                 Some(_) => StopPhase::Stopping,
-            });
+            };
+            let stop_time = self.parts.stop_time;
+            self.publish(phase, stopping.map(|since| since + stop_time));
             let open = tokio::select! {
                 stop = self.stop.recv() => {
-                    stopping = stopping.or(Some(Instant::now()));
+                    stopping = stopping.or_else(|| Some(self.parts.clock.now()));
                     stop.is_some()
                 }
-                () = sleep(left.unwrap_or_default()), if left.is_some_and(|left| !left.is_zero()) => true,
-                more = self.routing.changed() => more,
-                more = self.fleet.changed() => more,
-                more = self.reachable.changed() => more.is_ok(),
+                () = self.parts.clock.sleep(left.unwrap_or_default()), if left.is_some_and(|left| !left.is_zero()) => true,
+                more = self.parts.routing.changed() => more,
+                more = self.parts.fleet.changed() => more,
+                more = self.parts.reachable.changed() => more.is_ok(),
             };
             if !open {
                 return;
@@ -73,17 +80,19 @@
     }
 
     /// Publishes and logs the health if it has changed.
-    fn publish(&mut self, stop_phase: StopPhase) {
-        let known = self.routing.load().version > 0 && !self.fleet.load().endpoints.is_empty();
-        let before = **self.writer.load();
+    fn publish(&mut self, stop_phase: StopPhase, stop_end: Option<Tick>) {
+        let parts = &mut self.parts;
+        let known = parts.routing.load().version > 0 && !parts.fleet.load().endpoints.is_empty();
+        let before = **parts.writer.load();
         let health = Health {
-            store_reachable: *self.reachable.borrow_and_update(),
+            store_reachable: *parts.reachable.borrow_and_update(),
             ready: stop_phase == StopPhase::Running && (known || before.ready),
             stop_phase,
+            stop_end,
         };
         if before != health {
             log::info!(ready = health.ready, store = health.store_reachable, stop:? = stop_phase; "health of this daemon changed");
-            self.writer.publish(health);
+            parts.writer.publish(health);
         }
     }
 }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -5,8 +5,8 @@
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
             FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
-            ReadinessController, Registration, RelayedFeed, RosterController, RoutingController,
-            StageController, StageParts,
+            ReadinessController, ReadinessParts, Registration, RelayedFeed, RosterController,
+            RoutingController, StageController, StageParts,
         },
         key::name_hash,
         port::{
@@ -55,6 +55,8 @@
     /// Processor share of this daemon in hundredths of a core; daemons with at least half the
     /// greatest share are preferred as placers.
     pub strength: u32,
+    /// Time from the announcement of a planned stop until forwarded requests have to be answered.
+    pub stop_time: Duration,
     /// Limits and retry budget of the request path, and the availability zone.
     pub options: ForwardOptions,
 }
@@ -197,12 +199,14 @@
             .with_pause(ENDPOINT_PAUSE)
             .with_log(endpoints_writer);
         tasks.spawn(RosterController::new(follower, clock, writers.fleet, reachable).run());
-        let (controller, health) = ReadinessController::new(
-            writers.health,
-            board.routing.clone(),
-            board.fleet.clone(),
-            reachable_rx,
-        );
+        let (controller, health) = ReadinessController::new(ReadinessParts {
+            writer: writers.health,
+            routing: board.routing.clone(),
+            fleet: board.fleet.clone(),
+            reachable: reachable_rx,
+            clock,
+            stop_time: settings.stop_time,
+        });
         tasks.spawn(controller.run());
         let stages = StageParts {
             store: ports.store,
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -5,7 +5,7 @@
         opened_stream::OpenedStream, stream_times::StreamTimes,
     },
     crate::{
-        board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase},
+        board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase, Tick},
         key::CauseKey,
         port::ForwardRequest,
     },
@@ -123,22 +123,17 @@
         let Some((_, route)) = routing.find(&request.host, request.path()) else {
             return Err(self.no_route(&routing, request));
         };
-        let closing = self.shared.board().health.load().stop_phase == StopPhase::Closing;
-        if closing && route.response == ResponseKind::Events {
-            let detail =
-                "the daemon is stopping and starts no stream; send the request to another daemon";
-            return Err(Refused::not_run(Refusal::Stopping, detail).after(STOPPING_RETRY));
-        }
         let route = route.clone();
         // A caller that retries states how much of its time is left.
         let late = timeout.is_some_and(|timeout| timeout + route.target <= route.timeout);
         let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+        let deadline = self.deadline_in_stop(arrived + timeout, route.response)?;
         Ok(ForwardCall {
             pool: self.draw_pool(&route),
             route,
             version: routing.version,
             arrived,
-            deadline: arrived + timeout,
+            deadline,
             late,
             causes: causes(request),
             suspect: false,
@@ -149,6 +144,21 @@
         })
     }
 
+    /// Returns the deadline of a request that may take until `deadline`: a planned stop bounds it, so that
+    /// the caller gets a response.
+    ///
+    /// Refuses a request that begins late in a planned stop: streams, and calls that may take longer.
+    fn deadline_in_stop(&self, deadline: Tick, response: ResponseKind) -> Result<Tick, Refused> {
+        let health = **self.shared.board().health.load();
+        let end = health.stop_end.unwrap_or(deadline);
+        let too_long = response == ResponseKind::Events || deadline > end;
+        if health.stop_phase == StopPhase::Closing && too_long {
+            let detail = "the daemon is stopping and starts nothing that may take longer; send the request to another daemon";
+            return Err(Refused::not_run(Refusal::Stopping, detail).after(STOPPING_RETRY));
+        }
+        Ok(deadline.min(end))
+    }
+
     /// Refuses a request without a route: as `UnknownKind` while the store is available, else as
     /// `NotReady`, since the routes known here may be out of date.
     fn no_route(&self, routing: &Routing, request: &ForwardRequest) -> Refused {
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -244,6 +244,7 @@
         } else {
             StopPhase::Running
         },
+        stop_end: None,
     };
     let mut seen = Vec::new();
     site.writers.health.publish(health(false, false));
@@ -262,6 +263,34 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_call_late_in_a_planned_stop_is_answered_or_refused_unsent() {
+    let cases = [
+        (
+            "time enough",
+            StopPhase::Closing,
+            900,
+            Act::Answer(200, 700),
+        ),
+        ("too late", StopPhase::Closing, 700, Act::Answer(200, 1)),
+        ("before", StopPhase::Stopping, 700, Act::Answer(200, 500)),
+        ("before, no answer", StopPhase::Stopping, 700, Act::Hang),
+    ];
+    let mut seen = Vec::new();
+    for (case, stop_phase, left_ms, act) in cases {
+        let mut site = site(placed(), vec![act]);
+        let now = site.entry.shared().now();
+        site.writers.health.publish(Health {
+            store_reachable: true,
+            ready: false,
+            stop_phase,
+            stop_end: Some(now + Duration::from_millis(left_ms)),
+        });
+        seen.push((case, site.send("/order/").await));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stream_is_not_sent_to_an_engine_that_began_to_leave_during_its_prefill() {
     let mut seen = Vec::new();
