Let the store of the soak come back from a copy some seconds old

Change: the fault Restore; the operator and the workers write again what is lost, entries of ended workers expire after 3 s.

--- a/soak/fault.rs
+++ b/soak/fault.rs
@@ -58,6 +58,8 @@
     Store(StoreFault),
     /// Drops the watch events of the store.
     Compact,
+    /// Takes a copy of the store, from which it comes back after the duration.
+    Restore,
     /// Sets a fault on the link to a worker.
     WorkerLink(usize, LinkFault),
     /// Closes the connections to a worker.
@@ -103,7 +105,7 @@
             | FaultKind::Freeze(daemon)
             | FaultKind::StoreLink(daemon, _)
             | FaultKind::StoreReset(daemon) => FaultScope::Daemon(daemon),
-            FaultKind::Store(_) => FaultScope::All,
+            FaultKind::Store(_) | FaultKind::Restore => FaultScope::All,
             _ => FaultScope::None,
         }
     }
@@ -142,7 +144,8 @@
             1 => StoreFault::Slow(Duration::from_millis(rng.random_range(50..900))),
             _ => StoreFault::Mute,
         }),
-        7 => FaultKind::Compact,
+        7 if target % 2 == 0 => FaultKind::Compact,
+        7 => FaultKind::Restore,
         8 => FaultKind::WorkerLink(target, link),
         9 => FaultKind::WorkerReset(target),
         10 => FaultKind::Worker(
--- a/soak/soak_run.rs
+++ b/soak/soak_run.rs
@@ -10,11 +10,13 @@
         site::Site,
         store_stand_in::StoreFault,
         worker_fault::WorkerFault,
+        worker_stand_in::WorkerStandIn,
     },
     bytes::Bytes,
     http::Request,
     http_body_util::Empty,
     rustix::process::Signal,
+    serde_json::Value,
     std::{
         fs,
         path::Path,
@@ -45,6 +47,15 @@
 /// Time within which a change of the routes must take effect.
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a store is away before it comes back from a copy.
+const AWAY_TIME: Duration = Duration::from_millis(400);
+
+/// Time after which the operator and the workers write again what a store has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(500);
+
+/// Time after that in which entries of workers that have ended expire.
+const EXPIRY_TIME: Duration = Duration::from_secs(3);
+
 /// Pause between repeated stop signals.
 const SIGNAL_PAUSE: Duration = Duration::from_millis(300);
 
@@ -237,6 +248,7 @@
                 site.store.set_fault(StoreFault::None);
             }
             FaultKind::Compact => site.store.compact(),
+            FaultKind::Restore => self.restore(fault.duration).await,
             FaultKind::WorkerLink(number, link_fault) => {
                 worker(number).link().set_fault(link_fault);
                 sleep(fault.duration).await;
@@ -260,6 +272,37 @@
         Ok(())
     }
 
+    /// Lets the store come back from a copy that is `age` old. The operator and the workers then write
+    /// again what is lost, and entries of workers that have ended since the copy expire.
+    async fn restore(&self, age: Duration) {
+        let store = &self.site.store;
+        let copy = store.copy();
+        sleep(age).await;
+        let config = store.contents("config", "main");
+        store.set_fault(StoreFault::Down);
+        sleep(AWAY_TIME).await;
+        store.restore(copy);
+        store.set_fault(StoreFault::None);
+        sleep(REWRITE_TIME).await;
+        let version = |config: &Value| config["Version"].as_u64();
+        if let Some(config) = config
+            && version(&config) > store.contents("config", "main").as_ref().and_then(version)
+        {
+            store.put("config", "main", &config);
+        }
+        for worker in &self.site.workers {
+            worker.register();
+        }
+        sleep(EXPIRY_TIME).await;
+        let live = self.site.workers.iter().map(WorkerStandIn::instance);
+        let live: Vec<_> = live.collect();
+        for name in store.names("servers") {
+            if !live.contains(&name) {
+                store.remove("servers", &name);
+            }
+        }
+    }
+
     /// Stops a daemon with three SIGTERMs and starts it again after `time`. A daemon that exceeds its
     /// grace time is killed, and reported unless an unplanned fault disturbed it.
     async fn stop(&self, number: usize, time: Duration) -> Result<(), SoakError> {
--- a/soak/store_stand_in.rs
+++ b/soak/store_stand_in.rs
@@ -161,6 +161,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the contents of an object; `None` if it does not exist.
+    pub fn contents(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state();
+        let object = state.held.objects.get(&(kind.to_owned(), name.to_owned()));
+        object.map(|(_, contents)| contents.clone())
+    }
+
     /// Names of the objects of `kind`, sorted.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state();
--- a/soak/worker_stand_in.rs
+++ b/soak/worker_stand_in.rs
@@ -187,6 +187,11 @@
         self.store.remove("servers", &instance);
     }
 
+    /// Returns the name of the instance that runs, or that ran last.
+    pub fn instance(&self) -> String {
+        self.state().instance.clone()
+    }
+
     /// Writes the entry to the store; does nothing while the worker is stopped.
     pub fn register(&self) {
         let state = self.state();
