Keep prefill engines at their limit for prompts above the usual length

Callers' streams paused: with both prefill engines of a pool limited, most prompts were prefilled by the engines that generate, and the long ones stopped the generations beside them for more than 300 ms. Cause: the few requests that a limited prefill engine takes went to whichever prompt came next. Change: while its limit allows few more requests, a prefill engine gets prompts above the moving average of their lengths only; shorter ones are prefilled locally (Ledger::set_scarce, EngineLimits::is_scarce). Ways weighed: changing the roles of engines takes about 10 s, as long as such a limit lasts; not tried.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -390,10 +390,14 @@
                 (engine, usable && self.limit_wait(engine, now).is_zero())
             })
             .collect();
+        let scarce = engines.iter().map(|(engine, _)| &engine.name);
+        let scarce = scarce.filter(|name| self.limits.is_scarce(name, now));
+        let scarce = scarce.cloned().collect();
         let plan = routing.pools.get(pool);
         let memory = plan.map_or(0, |plan| plan.memory_tokens);
         let ledger = self.ledgers.entry(pool.to_owned()).or_default();
         ledger.sync(engines.into_iter(), memory);
+        ledger.set_scarce(scarce);
         ledger
     }
 }
--- a/src/decide/engine_limits.rs
+++ b/src/decide/engine_limits.rs
@@ -68,6 +68,12 @@
         limit.due.before(ahead) - now
     }
 
+    /// Returns whether the limit of `engine` allows fewer requests now than after a time without any.
+    pub fn is_scarce(&self, engine: &str, now: Tick) -> bool {
+        let limit = self.engines.get(engine);
+        limit.is_some_and(|limit| limit.rate.is_some() && limit.due > now)
+    }
+
     /// Records that a request to `engine` was placed at `now`.
     pub fn record_request(&mut self, engine: &str, now: Tick) {
         if let Some(limit) = self.engines.get_mut(engine)
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -5,7 +5,7 @@
         port::{ActivePlacement, PlacementEnd, PlacementRequest},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         time::Duration,
     },
 };
@@ -41,6 +41,10 @@
     /// sample.
     decode_rate: Option<f64>,
     lengths: OutputLengths,
+    /// Engines whose limit allows few more requests now.
+    scarce: BTreeSet<String>,
+    /// Moving average of the lengths of the prompts, in tokens.
+    usual_prompt: f64,
 }
 
 /// Engines that hold a placed request.
@@ -127,6 +131,12 @@
         }
     }
 
+    /// Sets the engines whose limit allows few more requests now. Those that prefill are kept for prompts
+    /// of more than the usual length, as these delay generations most where they are prefilled locally.
+    pub fn set_scarce(&mut self, engines: BTreeSet<String>) {
+        self.scarce = engines;
+    }
+
     /// Places a request; returns `None` if it has to wait.
     pub fn place(&mut self, request: &PlacementRequest, now: Tick) -> Option<Placement> {
         self.expire(now);
@@ -170,6 +180,7 @@
             prefill: prefill.clone(),
         };
         self.runs.insert(request.id, placed);
+        self.usual_prompt += (run.prompt - self.usual_prompt) * SAMPLE_RATIO;
         let figures = PlacementFigures {
             queue_time,
             peak,
@@ -302,8 +313,12 @@
     /// Returns the prefill engine that is expected to finish the prompt first.
     fn choose_prefill(&self, request: &PlacementRequest, now: Tick) -> Option<PrefillOption> {
         let engines = self.engines.iter();
-        let usable = engines
-            .filter(|(name, plan)| plan.accepts(Role::Prefill) && !request.avoid.contains(name));
+        let short = (request.prompt_tokens as f64) < self.usual_prompt;
+        let usable = engines.filter(|(name, plan)| {
+            plan.accepts(Role::Prefill)
+                && !request.avoid.contains(name)
+                && !(short && self.scarce.contains(*name))
+        });
         let options = usable.map(|(name, plan)| {
             let rate = plan
                 .prefill_rate
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -433,3 +433,23 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+/// A long prompt that is prefilled locally stops the generations beside it for longer than a short one.
+#[test]
+fn prefill_engines_at_their_limit_are_kept_for_longer_prompts() {
+    let mut ledger = ledger(&[("p1", Role::Prefill), ("d1", Role::Decode)]);
+    let mut seen = Vec::new();
+    for (id, scarce, prompt) in [
+        (1, false, 5_000),
+        (2, true, 400),
+        (3, true, 6_000),
+        (4, false, 400),
+    ] {
+        let engines = scarce.then(|| "p1".to_owned());
+        ledger.set_scarce(engines.into_iter().collect());
+        let at = Tick(id * 2_000_000);
+        let placement = ledger.place(&placement_request(id, prompt, 100), at);
+        seen.push((scarce, prompt, placement.unwrap().prefill));
+    }
+    assert_yaml_snapshot!(seen);
+}
