Publish the engines of a test fleet in one place

Cause: limits and crash_causes set up the same pool line by line. Change: publish_engines in tests/listed.rs; a comment wrapped. No check changed.

--- a/src/control/order_leases.rs
+++ b/src/control/order_leases.rs
@@ -81,8 +81,8 @@
     /// `supersede` the lease is replaced at once, which is safe where the engine checks fencing
     /// numbers.
     ///
-    /// Fails with `Held` while another host holds the lease, or may hold one that the store has lost, with `Stale` if that host uses a later
-    /// revision, and with `Platform` if the platform fails.
+    /// Fails with `Held` while another host holds the lease, or may hold one that the store has lost, with
+    /// `Stale` if that host uses a later revision, and with `Platform` if the platform fails.
     pub async fn acquire(
         &self,
         name: &str,
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -1,19 +1,19 @@
 //! Engines that crash under requests which share one part of their prompts, and nothing else.
 
 use {
-    crate::listed::listed,
+    crate::listed::{listed, publish_engines},
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{Blackboard, CallerLimits, PoolConfig, Role, Routing, Tick, Writers},
+        board::{Blackboard, Role, Tick, Writers},
         control::{AllocationController, AllocationHandle},
-        decide::{CrashRecord, merge_described},
+        decide::CrashRecord,
         key::CauseKey,
         port::{
             MonoClock, PeerCall, PlacementEnd, PlacementOutcome, PlacementReply, PlacementRequest,
             PlacerHandover, RunEnd,
         },
     },
-    std::{collections::HashMap, time::Duration},
+    std::time::Duration,
     tokio::time::{Instant, sleep},
 };
 
@@ -37,18 +37,7 @@
         let engines: Vec<_> = names
             .map(|name| listed(&name, "models", Role::Decode))
             .collect();
-        let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
-        writers
-            .fleet
-            .update(|fleet| merge_described(fleet, &described));
-        let config = PoolConfig {
-            memory_tokens: 100_000,
-            has_engines: true,
-            event_tokens: 1,
-        };
-        let pools = HashMap::from([("models".to_owned(), config)]);
-        let routing = Routing::new(1, Vec::new(), pools, CallerLimits::default());
-        writers.routing.publish(routing);
+        publish_engines(&mut writers, &engines);
         let (controller, handle) = AllocationController::new(board, MonoClock::start());
         tokio::spawn(controller.run());
         Self {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,18 +1,16 @@
 //! Limits that endpoints state on the rate of the requests of all daemons together.
 
 use {
-    crate::listed::listed,
+    crate::listed::{listed, publish_engines},
     insta::assert_yaml_snapshot,
     lentillead::{
-        board::{
-            Blackboard, CallerLimits, EndpointLimit, PoolConfig, RequestRate, Role, Routing, Tick,
-        },
+        board::{Blackboard, EndpointLimit, RequestRate, Role, Tick},
         control::AllocationController,
-        decide::{EngineLimits, merge_described},
+        decide::EngineLimits,
         port::{MonoClock, PlacementOutcome, PlacementRequest, StatedLimit},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::{collections::HashMap, time::Duration},
+    std::time::Duration,
 };
 
 /// Time over which requests are counted, in seconds.
@@ -177,18 +175,7 @@
 async fn a_stream_that_no_limited_engine_takes_in_time_is_refused_at_once() {
     let (board, mut writers) = Blackboard::new();
     let engines = ["d1", "d2"].map(|name| listed(name, "models", Role::Decode));
-    let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
-    writers
-        .fleet
-        .update(|fleet| merge_described(fleet, &described));
-    let config = PoolConfig {
-        memory_tokens: 100_000,
-        has_engines: true,
-        event_tokens: 1,
-    };
-    let pools = HashMap::from([("models".to_owned(), config)]);
-    let routing = Routing::new(1, Vec::new(), pools, CallerLimits::default());
-    writers.routing.publish(routing);
+    publish_engines(&mut writers, &engines);
     let (controller, handle) = AllocationController::new(board, MonoClock::start());
     tokio::spawn(controller.run());
     let mut seen = Vec::new();
--- a/tests/listed.rs
+++ b/tests/listed.rs
@@ -2,10 +2,11 @@
 
 use {
     lentillead::{
-        board::{ListedEndpoint, Role},
+        board::{CallerLimits, ListedEndpoint, PoolConfig, Role, Routing, Writers},
+        decide::merge_described,
         port::Description,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashMap},
 };
 
 /// List entry and description of the endpoint `name` of `pool` in `zone-a`, with six slots and an
@@ -32,3 +33,20 @@
     };
     (listed, description)
 }
+
+/// Publishes a fleet of these engines, all in the pool `models`, whose engines have memory for 100,000
+/// tokens.
+pub fn publish_engines(writers: &mut Writers, engines: &[(ListedEndpoint, Description)]) {
+    let described: Vec<_> = engines.iter().map(|(l, d)| (l, d)).collect();
+    writers
+        .fleet
+        .update(|fleet| merge_described(fleet, &described));
+    let config = PoolConfig {
+        memory_tokens: 100_000,
+        has_engines: true,
+        event_tokens: 1,
+    };
+    let pools = HashMap::from([("models".to_owned(), config)]);
+    let routing = Routing::new(1, Vec::new(), pools, CallerLimits::default());
+    writers.routing.publish(routing);
+}
