Tell limited streams to come back no sooner than from full engines

Callers of streams that no engine's limit took in time were told the time until the first slot, which another one had taken when they came back; they were refused again. Cause: Retry-After was the wait of one slot, not that of the queue for it. Change: at least the wait that full engines are answered with.

--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -91,6 +91,8 @@
                 }
                 PlacementOutcome::Wait => {}
                 PlacementOutcome::Limited(wait) => {
+                    // Others wait for the same slots, so the first one is soon taken.
+                    let wait = wait.max(self.shared.options().full_after);
                     return Err(forward_refusal::paused(self.call, wait));
                 }
                 PlacementOutcome::Refused(left) => {
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -263,6 +263,18 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn streams_beyond_the_limits_of_all_engines_are_told_to_come_back_no_sooner_than_from_full_ones()
+ {
+    let mut seen = Vec::new();
+    for wait_ms in [300, 9_000] {
+        let outcome = PlacementOutcome::Limited(Duration::from_millis(wait_ms));
+        let site = site(outcome, vec![]);
+        seen.push((wait_ms, site.send("/stream/").await.0));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_call_late_in_a_planned_stop_is_answered_or_refused_unsent() {
     let cases = [
