--- a/src/board/endpoint_limit.rs
+++ b/src/board/endpoint_limit.rs
@@ -26,7 +26,7 @@
     ///
     /// A response without a limit ends one only if its request was sent after that was stated. With a
     /// first limit, the slots of this daemon begin within the time `first_slot`.
-    pub fn state(
+    pub fn record(
         &self,
         rate: Option<RequestRate>,
         sent: Tick,
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -201,7 +201,7 @@
         if traffic.incarnation() == self.incarnation
             && traffic
                 .limit
-                .state(notice.limit, self.since, now, first_slot)
+                .record(notice.limit, self.since, now, first_slot)
         {
             let limit = notice.limit.map(RequestRate::milli);
             log::info!(endpoint = self.name.as_str(), limit_milli = limit; "endpoint stated another limit on the rate of its requests");
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -53,7 +53,7 @@
             let limit = EndpointLimit::default();
             let heard = at(rng.random_range(0..1_000));
             let first = rate(per_second).interval(daemons).mul_f64(rng.random());
-            limit.state(Some(rate(per_second)), heard, heard, first);
+            limit.record(Some(rate(per_second)), heard, heard, first);
             limit
         })
         .collect();
@@ -93,7 +93,7 @@
 fn a_limit_ends_with_the_response_to_a_later_request() {
     let limit = EndpointLimit::default();
     let state = |rate, sent, now| {
-        let changed = limit.state(rate, at(sent), at(now), Duration::ZERO);
+        let changed = limit.record(rate, at(sent), at(now), Duration::ZERO);
         (changed, limit.rate().map(RequestRate::milli))
     };
     let seen = [
@@ -109,7 +109,7 @@
 #[test]
 fn requests_beside_the_one_that_took_a_slot_are_charged() {
     let limit = EndpointLimit::default();
-    limit.state(Some(rate(1.0)), at(0), at(0), Duration::ZERO);
+    limit.record(Some(rate(1.0)), at(0), at(0), Duration::ZERO);
     let first = limit.try_take(at(0), 1);
     limit.charge(1);
     let wait = limit.wait(at(0), 1);
