Keep missing endpoints no longer than the daemon's own path may have been whole

A daemon that had been cut off from the store for some seconds sent requests to an endpoint more than 2 s after the store had removed its entry.

Cause: `FeedFollower` took every second without a result for an outage of the store, in which entries of live endpoints expire, and let the roster keep missing endpoints for 2.3 s from its first result on. That result comes up to 2.1 s after the path was restored (time limit of a call 0.9 s, delay up to 1.2 s), so endpoints that had left were used for up to 4.4 s after it. Nothing there tells a cut of the daemon's own path from an outage of the store.

Change: the store counts as back 0.5 s after the beginning of the last call that failed, or at the first result if that is sooner. The path was broken when that call began, so endpoints are kept for at most 2.8 s after the path was restored, less than the 3 s after which a daemon must know. Daemons that read from another one go by its failed calls in the same way, and so does the return of the store from a copy.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -16,8 +16,9 @@
 /// Delay after the first failed call; it doubles up to `MAX_RETRY_DELAY`.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// Longest delay between failed calls.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Longest time from the beginning of a failed call to the next one. With it, entries that expired in an
+/// outage of the store have time to come back within [`RETURN_SLACK`] of the last failed call.
+const MAX_RETRY_DELAY: Duration = RESPONSE_LIMIT;
 
 /// Delay after a call that found no source.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(250);
@@ -30,6 +31,10 @@
 /// seconds without a sign of life, of which a daemon notices the last ones.
 const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(1);
 
+/// Time after a call to the store has failed within which the store counts as back if it answers the next
+/// call. Later than that, only the delay between the calls passes.
+const RETURN_SLACK: Duration = Duration::from_millis(500);
+
 /// Follows a feed: lists its objects, then watches for changes, never returning to an older
 /// revision.
 #[derive(Debug)]
@@ -57,7 +62,8 @@
     called: Tick,
     /// Time without a result that has not ended; `None` if the last call succeeded.
     outage: Option<FeedOutage>,
-    /// When an outage of the store in which entries may have expired ended; `None` if none did.
+    /// When an outage of the store in which entries may have expired ended; `None` if none did. The
+    /// store may have come back some tenths of a second later.
     outage_end: Option<Tick>,
     /// When the store was last seen to have come back from a copy; `None` if it never was.
     restored: Option<Tick>,
@@ -71,8 +77,16 @@
     since: Tick,
     /// Why the last call failed.
     cause: FeedError,
-    /// Whether the store itself failed to answer, here or to the daemon that is read from.
-    store: bool,
+    /// Latest time at which the store itself is known not to have answered; `None` if it was not called.
+    failed: Option<Tick>,
+}
+
+impl FeedOutage {
+    /// Returns when the store came back at the latest, as far as a result at `now` tells.
+    fn end(&self, now: Tick) -> Tick {
+        self.failed
+            .map_or(now, |failed| now.min(failed + RETURN_SLACK))
+    }
 }
 
 /// Result of one call to the feed.
@@ -205,7 +219,9 @@
         }
         if !first && listing.revision.era > self.revision.era {
             log::warn!(kind = self.kind, era = listing.revision.era, revision = listing.revision.number, before = self.revision.number; "the store came back from a copy; what only its lost history held is dropped");
-            self.restored = Some(self.clock.now());
+            let now = self.clock.now();
+            let outage = self.outage.as_ref();
+            self.restored = Some(outage.map_or(now, |outage| outage.end(now)));
         }
         self.revision = listing.revision;
         self.listed = true;
@@ -274,18 +290,21 @@
     /// Ends an outage with a result from `origin`.
     fn record_success(&mut self, origin: FeedOrigin) {
         self.backoff.succeed();
-        let Some(outage) = self.outage.take() else {
+        let Some(mut outage) = self.outage.take() else {
             return;
         };
         let now = self.clock.now();
-        let failed_there = match origin {
-            FeedOrigin::Peer { failed_ago } => failed_ago,
-            FeedOrigin::Store => None,
-        };
-        // A daemon that had results meanwhile knows that the store failed for the other one alone.
-        let store = outage.store || failed_there.is_some_and(|ago| now.before(ago) >= outage.since);
+        if let FeedOrigin::Peer {
+            failed_ago: Some(ago),
+        } = origin
+        {
+            // A daemon that had results meanwhile knows that the store failed for the other one alone.
+            let failed = Some(now.before(ago)).filter(|failed| *failed >= outage.since);
+            outage.failed = outage.failed.max(failed);
+        }
+        let store = outage.failed.is_some();
         if store && now - outage.since >= MIN_EXPIRY_OUTAGE {
-            self.outage_end = Some(now);
+            self.outage_end = Some(outage.end(now));
         }
         log::info!(dependency = "store", kind = self.kind, revision = self.revision.number, store; "regained");
     }
@@ -301,39 +320,57 @@
             }
             Some(_) => {}
         }
-        let store = *error != FeedError::NoSource;
         let since = match error {
             FeedError::TimedOut => self.called,
             _ => self.clock.now(),
         };
+        let failed = self.failed_at(error);
         let before = self.outage.take();
         self.outage = Some(FeedOutage {
             since: before.as_ref().map_or(since, |outage| outage.since),
             cause: error.clone(),
-            store: store || before.is_some_and(|outage| outage.store),
+            failed: failed.max(before.and_then(|outage| outage.failed)),
         });
         // The store may have withheld changes from the watch that failed, so list all objects again.
         self.listed = false;
-        self.withdraw_log(store);
-        let wait = match error {
-            FeedError::NoSource => jitter(NO_SOURCE_DELAY, &mut self.rng),
-            _ => self.backoff.fail(&mut self.rng),
-        };
+        self.withdraw_log(failed);
+        let wait = self.retry_delay(error);
         self.clock.sleep(wait).await;
-        self.withdraw_log(store);
         FeedUpdate::Unavailable
     }
 
-    /// Records that other daemons are not to rely on the log, and, with `store`, that the store has
-    /// just failed.
-    fn withdraw_log(&mut self, store: bool) {
-        let now = self.clock.now();
+    /// Returns the delay before the call after one that failed with `error`.
+    fn retry_delay(&mut self, error: &FeedError) -> Duration {
+        if *error == FeedError::NoSource {
+            return jitter(NO_SOURCE_DELAY, &mut self.rng);
+        }
+        // A call that ran into its time limit has waited already.
+        let waited = self.clock.now() - self.called;
+        let delay = self.backoff.fail(&mut self.rng);
+        delay.saturating_sub(waited).max(RETRY_DELAY / 2)
+    }
+
+    /// Returns the latest time at which the last call, which failed with `error`, shows that the store did
+    /// not answer; `None` if it was not called.
+    ///
+    /// The path to the store may have been restored while the call was waiting for its time limit.
+    fn failed_at(&self, error: &FeedError) -> Option<Tick> {
+        match error {
+            FeedError::NoSource => None,
+            FeedError::TimedOut if self.listed => {
+                Some(self.called + self.feed.watch_wait(self.wait))
+            }
+            _ if self.listed => Some(self.clock.now()),
+            _ => Some(self.called),
+        }
+    }
+
+    /// Records that other daemons are not to rely on the log, and when the store last failed, if it did.
+    fn withdraw_log(&mut self, failed: Option<Tick>) {
         if let Some(log) = &mut self.log {
             log.update(|log| {
                 log.direct = false;
-                if store {
-                    log.failed = Some(now);
-                }
+                log.failed = log.failed.max(failed);
             });
         }
     }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -50,6 +50,7 @@
 mod queues;
 mod replay;
 mod retry;
+mod roster_outage;
 mod routing;
 mod service;
 mod settings;
