Count crashes by calls for all daemons, and do not retry the calls that cause them

A stock enquiry that crashed the worker which ran it was retried at a second worker each time it came, so two of three workers were down and orders on them got 502.

Cause: only streams have a record of crashes, kept by the daemon that places them. `forward_buffered` never set `suspect`, so a call was bounded by its attempts and the retry budget alone.

Change: a response to a repeatable call that breaks off is reported to the daemon that places the pool's streams (`PeerCall::EndCall`), before the retry. One daemon sees one call in six, so the count has to be common; the reply says whether the call is a suspect, and what is refused. From the second crash on there is no retry, from the third on such calls are refused at once. What tells a crash from a lost answer: the answer to the retry is reported too and clears the cause, and a daemon that answered such a call within the last minute reports nothing (`AnsweredCalls`, atomics). Time-outs and requests that were not sent count nothing. At-most-once calls are left as they are: they are never retried after they may have run.

Evidence: `a_call_that_crashes_workers_is_retried_a_few_times_only_whichever_daemon_gets_it` failed before (more than 3 retries after the third call; four daemons in turn) and passes now, and `a_call_whose_responses_are_lost_now_and_then_keeps_its_retry` holds the other side.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: sections with exactly one writer each, read through snapshots and atomics.
 
 pub use self::{
+    answered_calls::AnsweredCalls,
     arena::Arena,
     blackboard::{Blackboard, Writers},
     branch::{Branch, Secret},
@@ -34,6 +35,7 @@
     tick::Tick,
 };
 
+mod answered_calls;
 mod arena;
 mod blackboard;
 mod branch;
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -4,8 +4,8 @@
         decide::{CrashRecord, EngineLimits, Ledger, Placement, WaitBudget},
         key::CauseKey,
         port::{
-            Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome, PlacementReply,
-            PlacementRequest, PlacerHandover, RunEnd,
+            CallEnd, CallVerdict, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
+            PlacementReply, PlacementRequest, PlacerHandover, RunEnd,
         },
     },
     std::{collections::HashMap, time::Duration},
@@ -51,6 +51,7 @@
     Place(PlacementRequest, oneshot::Sender<PlacementReply>),
     Adopt(PlacerHandover),
     End(PlacementEnd),
+    EndCall(CallEnd, oneshot::Sender<CallVerdict>),
 }
 
 /// A placement request that waits for free engines.
@@ -77,6 +78,10 @@
                 self.end(end);
                 PeerReply::Done
             }
+            PeerCall::EndCall(end) => match self.end_call(end).await {
+                Some(verdict) => PeerReply::CallVerdict(verdict),
+                None => PeerReply::Failed("this daemon is overloaded or stopping".to_owned()),
+            },
             _ => {
                 PeerReply::Failed("call not supported: this daemon only places requests".to_owned())
             }
@@ -108,6 +113,16 @@
         }
     }
 
+    /// Records how a call at a plain service ended; `None` if the controller is overloaded or has stopped.
+    pub async fn end_call(&self, end: CallEnd) -> Option<CallVerdict> {
+        let (reply, verdict) = oneshot::channel();
+        if self.mailbox.try_send(Message::EndCall(end, reply)).is_err() {
+            log::warn!("allocation controller overloaded or stopped; end of a call not recorded");
+            return None;
+        }
+        verdict.await.ok()
+    }
+
     /// Ends a placement and frees what it holds in the ledger.
     pub fn end(&self, end: PlacementEnd) {
         if self.mailbox.try_send(Message::End(end)).is_err() {
@@ -153,6 +168,10 @@
                 Some(Message::Place(request, reply)) => self.enqueue(request, reply),
                 Some(Message::Adopt(handover)) => self.adopt(&handover),
                 Some(Message::End(end)) => self.end(&end),
+                Some(Message::EndCall(end, reply)) => {
+                    // A requester that has left needs no verdict.
+                    let _ = reply.send(self.end_call(&end));
+                }
                 None => {}
             }
             self.place_waiting();
@@ -180,30 +199,53 @@
         match end.run {
             RunEnd::Unknown => {}
             RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
-            RunEnd::Crashed => self.record_crash(end, now),
+            RunEnd::Crashed => {
+                log::info!(
+                    id = end.id,
+                    endpoint = end.engine.as_str(),
+                    causes = cause_list(&end.causes);
+                    "engine broke off early in a response; crash recorded"
+                );
+                self.record_crash(&end.pool, &end.engine, &end.causes, now);
+            }
         }
         if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
             ledger.end(end, now);
         }
     }
 
-    /// Records a crash, and logs what may have caused it.
-    fn record_crash(&mut self, end: &PlacementEnd, now: Tick) {
-        let keys = |causes: &[CauseKey]| {
-            let keys = causes.iter().map(|cause| cause.0.to_string());
-            keys.collect::<Vec<_>>().join(",")
-        };
-        log::info!(
-            id = end.id,
-            endpoint = end.engine.as_str(),
-            causes = keys(&end.causes);
-            "engine broke off early in a response; crash recorded"
-        );
-        let refused = self.crashes.record_crash(&end.causes, &end.engine, now);
+    /// Records how a call at a plain service ended, and returns what that means for calls like it.
+    fn end_call(&mut self, end: &CallEnd) -> CallVerdict {
+        let now = self.clock.now();
+        match end.run {
+            RunEnd::Unknown => {}
+            RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
+            RunEnd::Crashed => {
+                // Nobody asks before a call is sent: one that is refused came from a daemon that did not
+                // know so, or after the time was over.
+                self.crashes.record_placement(&end.causes, now);
+                log::info!(
+                    pool = end.pool.as_str(),
+                    endpoint = end.endpoint.as_str(),
+                    causes = cause_list(&end.causes);
+                    "endpoint broke off a call; crash recorded"
+                );
+                self.record_crash(&end.pool, &end.endpoint, &end.causes, now);
+            }
+        }
+        CallVerdict {
+            suspect: self.crashes.is_suspect(&end.causes),
+            refused: self.crashes.refused().list(now),
+        }
+    }
+
+    /// Records a crash, and logs the causes that are refused from now on.
+    fn record_crash(&mut self, pool: &str, endpoint: &str, causes: &[CauseKey], now: Tick) {
+        let refused = self.crashes.record_crash(causes, endpoint, now);
         if !refused.is_empty() {
             log::warn!(
-                pool = end.pool.as_str(),
-                causes = keys(&refused);
+                pool,
+                causes = cause_list(&refused);
                 "several engines crashed under the same cause; requests with it are refused"
             );
         }
@@ -401,3 +443,9 @@
         ledger
     }
 }
+
+/// Returns the keys of `causes` for a log line.
+fn cause_list(causes: &[CauseKey]) -> String {
+    let keys = causes.iter().map(|cause| cause.0.to_string());
+    keys.collect::<Vec<_>>().join(",")
+}
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -5,8 +5,8 @@
         decide::{RefusedCauses, placer_order},
         key::{CauseKey, HostKey},
         port::{
-            ActivePlacement, Clock, Peer, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
-            PlacementReply, PlacementRequest, Placer, PlacerHandover,
+            ActivePlacement, CallEnd, CallVerdict, Clock, Peer, PeerCall, PeerReply, PlacementEnd,
+            PlacementOutcome, PlacementReply, PlacementRequest, Placer, PlacerHandover,
         },
     },
     arc_swap::ArcSwap,
@@ -247,6 +247,19 @@
         });
     }
 
+    async fn end_call(&self, end: CallEnd) -> bool {
+        let hosts = self.ranked(&end.pool).into_iter().take(MAX_TRIED_DAEMONS);
+        for host in hosts.collect::<Vec<_>>() {
+            self.send_placements(host, &end.pool).await;
+            let reply = self.call(host, PeerCall::EndCall(end.clone())).await;
+            if let Some(PeerReply::CallVerdict(CallVerdict { suspect, refused })) = reply {
+                self.record_refused(&end.pool, &refused);
+                return suspect;
+            }
+        }
+        false
+    }
+
     fn refused(&self, pool: &str, causes: &[CauseKey]) -> Option<Duration> {
         let refused = self.state.refused.load();
         refused.get(pool)?.remaining(causes, self.clock.now())
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -66,6 +66,7 @@
             PeerCall::Place(_)
             | PeerCall::AdoptPlacements(_)
             | PeerCall::EndPlacement(_)
+            | PeerCall::EndCall(_)
             | PeerCall::ReadFeed(_) => PeerReply::Failed(
                 "this daemon does not forward by routes and accepts no placement or feed calls"
                     .to_owned(),
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -23,8 +23,8 @@
         SheetChange, SuspectUpdate,
     },
     placer::{
-        ActivePlacement, PlacementEnd, PlacementOutcome, PlacementReply, PlacementRequest, Placer,
-        PlacerHandover, RunEnd, StatedLimit,
+        ActivePlacement, CallEnd, CallVerdict, PlacementEnd, PlacementOutcome, PlacementReply,
+        PlacementRequest, Placer, PlacerHandover, RunEnd, StatedLimit,
     },
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,5 +1,8 @@
 use {
-    super::{FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest, PlacerHandover},
+    super::{
+        CallEnd, CallVerdict, FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest,
+        PlacerHandover,
+    },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
         key::AttemptId,
@@ -41,6 +44,8 @@
     EndPlacement(PlacementEnd),
     /// Requests what the receiver has read from a feed of the store; may wait for a change.
     ReadFeed(FeedRead),
+    /// Reports how the run of a call at a plain service ended.
+    EndCall(CallEnd),
 }
 
 /// Reply to a `PeerCall`.
@@ -66,6 +71,8 @@
     Placement(PlacementReply),
     /// What the receiver has read from a feed.
     Feed(FeedReply),
+    /// Whether calls like the one that ended are suspected of crashing endpoints.
+    CallVerdict(CallVerdict),
 }
 
 /// State and updates that daemons send each other at every heartbeat interval; its size is bounded.
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -12,6 +12,11 @@
     /// Reports that a request no longer uses its placement, what it used and how it ended.
     fn end(&self, end: PlacementEnd);
 
+    /// Reports how the run of a call at a plain service ended, and returns whether calls like it count as
+    /// crash suspects, which are not retried. The reply may take some tenths of a second; without one, no
+    /// call is suspected.
+    fn end_call(&self, end: CallEnd) -> impl Future<Output = bool> + Send;
+
     /// Returns the time for which requests to `pool` with one of `causes` are still refused, as they
     /// crash engines; `None` if they are not.
     fn refused(&self, pool: &str, causes: &[CauseKey]) -> Option<Duration>;
@@ -123,6 +128,28 @@
     pub running_for: Duration,
 }
 
+/// End of a call at a plain service, which needs no placement, as far as it tells what crashes endpoints.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallEnd {
+    /// Name of the pool.
+    pub pool: String,
+    /// Name of the endpoint that ran the call.
+    pub endpoint: String,
+    /// What may crash endpoints: the call itself.
+    pub causes: Vec<CauseKey>,
+    /// How the run ended.
+    pub run: RunEnd,
+}
+
+/// Reply to the end of a call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallVerdict {
+    /// Whether calls like it crashed so many endpoints that they are not retried.
+    pub suspect: bool,
+    /// Causes of crashes whose requests are refused at present, each with the time left.
+    pub refused: Vec<(CauseKey, Duration)>,
+}
+
 /// End of a placement, and what the request used of it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlacementEnd {
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
-        forward_log::NextStep, forward_refusal, forward_response::ForwardResponse,
+        CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
+        ForwardShared, Refused, forward_log::NextStep, forward_refusal,
+        forward_response::ForwardResponse,
     },
     crate::{
         board::Role,
@@ -33,6 +34,9 @@
 where
     P: ForwardParts,
 {
+    if let Some(left) = CrashWatch::new(shared, call).refused() {
+        return Err(forward_refusal::crash_suspect(call, left));
+    }
     let mut failure = None;
     loop {
         let need = EndpointNeed {
@@ -53,11 +57,13 @@
         match run_attempt(shared, call, &hold).await {
             Ok(response) if response.status < FIRST_SERVER_ERROR => {
                 hold.record_end(false);
+                CrashWatch::new(shared, call).answered(&hold);
                 return Ok(response);
             }
             Ok(response) => {
                 call.ran += 1;
                 hold.record_end(!call.is_at_most_once());
+                CrashWatch::new(shared, call).answered(&hold);
                 let again = call.may_repeat() && !shared.left(call.deadline).is_zero();
                 if !again || !shared.budget(&call.pool).spend() {
                     return Ok(response);
@@ -67,6 +73,8 @@
             }
             Err(error) => {
                 hold.record_failure(shared, &error);
+                let watch = CrashWatch::new(shared, call);
+                watch.attempt_failed(&hold, &error).await;
                 let past_deadline = shared.left(call.deadline).is_zero();
                 let verdict = call.after_failure(&error, past_deadline, &shared.budget(&call.pool));
                 let next = NextStep::from_verdict(verdict, &error);
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -31,6 +31,8 @@
     pub causes: Vec<CauseKey>,
     /// Whether so many engines broke off while they ran the request that it is not retried.
     pub suspect: bool,
+    /// Whether an endpoint broke off while it ran the call, which counts as a crash.
+    pub crashed: bool,
     /// Endpoints that attempts were sent to.
     pub tried: Vec<EndpointKey>,
     /// Number of attempts that ran or may have run.
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -137,6 +137,7 @@
             late,
             causes: causes(request),
             suspect: false,
+            crashed: false,
             tried: Vec::new(),
             ran: 0,
             times: StreamTimes::default(),
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -44,9 +44,9 @@
     refused(shared, call, Refusal::EndpointRefused, detail)
 }
 
-/// Refuses a stream whose prompt, or a part of it, crashes engines, for as long as that is assumed.
+/// Refuses a request that crashes endpoints, or a part of whose prompt does, for as long as that is assumed.
 pub fn crash_suspect(call: &ForwardCall, left: Duration) -> Refused {
-    let detail = "requests like this one crash endpoints; change the prompt";
+    let detail = "requests like this one crash endpoints; change the request";
     refused_for(call, Refusal::CrashSuspect, detail, left)
 }
 
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -1,7 +1,7 @@
 use {
     super::{ForwardOptions, ForwardParts},
     crate::{
-        board::{Blackboard, Counters, Tick},
+        board::{AnsweredCalls, Blackboard, Counters, Tick},
         decide::RetryBudget,
         port::Clock,
     },
@@ -40,6 +40,7 @@
     counters: Counters,
     options: ForwardOptions,
     budgets: ArcSwap<HashMap<String, Arc<RetryBudget>>>,
+    answered: AnsweredCalls,
     draws: AtomicU64,
     tasks: TaskTracker,
 }
@@ -71,6 +72,7 @@
                 counters,
                 options,
                 budgets: ArcSwap::default(),
+                answered: AnsweredCalls::default(),
                 draws: AtomicU64::new(seed),
                 tasks: TaskTracker::new(),
             }),
@@ -92,6 +94,11 @@
         &self.inner.counters
     }
 
+    /// Returns the calls that were answered lately.
+    pub fn answered_calls(&self) -> &AnsweredCalls {
+        &self.inner.answered
+    }
+
     /// Returns the limits for forwarded requests.
     pub fn options(&self) -> &ForwardOptions {
         &self.inner.options
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -14,6 +14,7 @@
     completion::Completion,
     completion_grants::{AttemptNeed, CompletionGrants},
     completion_run::{CompletionEvent, finish_completion, start_completion},
+    crash_watch::CrashWatch,
     endpoint_hold::{EndpointHold, EndpointNeed},
     entry::{Admission, Arrival, Entry},
     event_relay::EventRelay,
@@ -52,6 +53,7 @@
 mod completion;
 mod completion_grants;
 mod completion_run;
+mod crash_watch;
 mod endpoint_hold;
 mod entry;
 mod event_relay;
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -12,7 +12,7 @@
         decide::merge_described,
         key::CauseKey,
         port::{
-            CacheHandle, EndpointNotice, ForwardRequest, MonoClock, Noticed, PlacementEnd,
+            CacheHandle, CallEnd, EndpointNotice, ForwardRequest, MonoClock, Noticed, PlacementEnd,
             PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody, ResponseEvent,
             TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
         },
@@ -205,6 +205,10 @@
 
     fn end(&self, _: PlacementEnd) {}
 
+    async fn end_call(&self, _: CallEnd) -> bool {
+        false
+    }
+
     fn refused(&self, _: &str, _: &[CauseKey]) -> Option<Duration> {
         None
     }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -1,5 +1,6 @@
 //! Integration tests, a file for each feature.
 
+mod answered_calls;
 mod bounded_output;
 mod budget;
 mod burst;
