--- a/src/decide/attempt_state.rs
+++ b/src/decide/attempt_state.rs
@@ -36,7 +36,9 @@
         match error {
             UpstreamError::Unsent(_) => Self::Unsent,
             UpstreamError::Refused { .. } | UpstreamError::Misdirected => Self::NotRun,
-            UpstreamError::Broken(_) | UpstreamError::TimedOut => Self::Unknown,
+            UpstreamError::Broken(_) | UpstreamError::Oversized(_) | UpstreamError::TimedOut => {
+                Self::Unknown
+            }
         }
     }
 }
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -55,8 +55,10 @@
     fn next(&mut self)
     -> impl Future<Output = Result<Option<ResponseEvent>, UpstreamError>> + Send;
 
-    /// Reads the complete body; fails if the response breaks off.
-    fn collect(self) -> impl Future<Output = Result<Bytes, UpstreamError>> + Send;
+    /// Reads the complete body of at most `limit` bytes.
+    ///
+    /// Fails if the response breaks off, and as `Oversized` if it is longer or there is no memory for it.
+    fn collect(self, limit: usize) -> impl Future<Output = Result<Bytes, UpstreamError>> + Send;
 }
 
 /// One event of a streamed response.
@@ -227,6 +229,9 @@
     /// The response broke off; the attempt may have run.
     #[error("the response broke off: {0}")]
     Broken(String),
+    /// The response holds more than is kept of it, perhaps without end; the attempt may have run.
+    #[error("the response is too large: {0}")]
+    Oversized(String),
     /// No response arrived in time; the attempt may have run.
     #[error("no response in time")]
     TimedOut,
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -252,7 +252,10 @@
                 }
             }
             UpstreamError::Broken(_) => traffic.record_attempt(true),
-            UpstreamError::Unsent(_) | UpstreamError::TimedOut | UpstreamError::Misdirected => {
+            UpstreamError::Unsent(_)
+            | UpstreamError::Oversized(_)
+            | UpstreamError::TimedOut
+            | UpstreamError::Misdirected => {
                 traffic.record_attempt(true);
                 let unanswered = traffic.record_unanswered().min(MAX_UNANSWERED);
                 traffic.avoid(now + shared.options().avoid_time * 2_u32.pow(unanswered - 1));
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -2,6 +2,7 @@
     super::{
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
         ReservationHold,
+        forward_buffered::collect_failure,
         forward_log::NextStep,
         forward_refusal,
         forward_response::ForwardResponse,
@@ -70,16 +71,23 @@
             progress: shared.now(),
             open: true,
         };
-        match relay.start().await {
-            Ok(response) if response.status < FIRST_NON_SUCCESS => {
-                let (headers, run) = response.into_run();
-                relay.run = Some(run);
-                OpenedStream::Events(headers, Box::new(relay))
-            }
-            Ok(response) => relay.buffer_failure(response).await,
-            Err(refused) => {
-                relay.close_refused(&refused);
-                OpenedStream::Refused(refused)
+        loop {
+            let opened = match relay.start().await {
+                Ok(response) if response.status < FIRST_NON_SUCCESS => {
+                    let (headers, run) = response.into_run();
+                    relay.run = Some(run);
+                    return OpenedStream::Events(headers, Box::new(relay));
+                }
+                Ok(response) => relay.buffer_failure(response).await,
+                Err(refused) => Err(refused),
+            };
+            match opened {
+                Ok(Some(failure)) => return OpenedStream::Failure(failure),
+                Ok(None) => {}
+                Err(refused) => {
+                    relay.close_refused(&refused);
+                    return OpenedStream::Refused(refused);
+                }
             }
         }
     }
@@ -369,27 +377,34 @@
         response.unwrap_or(Err(UpstreamError::TimedOut))
     }
 
-    /// Reads the complete response of an endpoint whose status is not a success.
-    async fn buffer_failure(mut self, response: StartedAttempt<P>) -> OpenedStream<P> {
-        response.hold.record_end(true);
+    /// Reads the complete response of an endpoint whose status is not a success; `None` if that failed and
+    /// another attempt is to follow.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if that failed and no other attempt may follow.
+    async fn buffer_failure(
+        &mut self,
+        response: StartedAttempt<P>,
+    ) -> Result<Option<ForwardResponse>, Refused> {
         let status = response.status;
         let left = self.shared.left(self.call.deadline);
-        let body = timeout(left, response.body.collect()).await;
+        let body = timeout(left, collect_failure(&self.shared, response.body)).await;
         match body.unwrap_or(Err(UpstreamError::TimedOut)) {
             Ok(body) => {
                 self.open = false;
+                response.hold.record_end(true);
                 let log = ForwardLog::new(&self.shared, &self.call);
                 log.stream_answered(&response.hold.name, status, 0);
-                OpenedStream::Failure(ForwardResponse {
+                Ok(Some(ForwardResponse {
                     status,
                     headers: response.headers,
                     body,
-                })
+                }))
             }
             Err(error) => {
-                let refused = Refused::unknown(Refusal::OutcomeUnknown, &error.to_string());
-                self.close_refused(&refused);
-                OpenedStream::Refused(refused)
+                self.after_failure(&response.hold, &error)?;
+                Ok(None)
             }
         }
     }
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -9,6 +9,7 @@
         decide::Verdict,
         port::{Clock, ResponseBody, Upstream, UpstreamError},
     },
+    bytes::Bytes,
     std::{pin::pin, time::Duration},
     tokio::time::timeout,
 };
@@ -109,7 +110,11 @@
     let response = async {
         let response = shared.parts().upstream().send(request).await?;
         hold.record_notice(shared, response.notice);
-        let body = response.body.collect().await?;
+        let body = if response.status < FIRST_SERVER_ERROR {
+            response.body.collect(shared.options().max_body).await?
+        } else {
+            collect_failure(shared, response.body).await?
+        };
         Ok(ForwardResponse {
             status: response.status,
             headers: response.headers,
@@ -122,6 +127,29 @@
     Ok(response)
 }
 
+/// Reads the body of a response that reports a failure. A longer one, or one that takes longer, is no more
+/// use to the caller than a failure of our own.
+///
+/// # Errors
+///
+/// Fails as `Oversized` if the body is longer or takes longer than failures usually do.
+pub async fn collect_failure<P, B>(
+    shared: &ForwardShared<P>,
+    body: B,
+) -> Result<Bytes, UpstreamError>
+where
+    P: ForwardParts,
+    B: ResponseBody,
+{
+    let options = shared.options();
+    let body = timeout(options.failure_timeout, body.collect(options.max_failure)).await;
+    body.unwrap_or_else(|_| {
+        let limit = options.failure_timeout.as_millis();
+        let detail = format!("the body of a failure has no end within {limit} ms");
+        Err(UpstreamError::Oversized(detail))
+    })
+}
+
 /// Waits for `response`; once it is overdue, new requests avoid the endpoint.
 async fn avoid_overdue<P, F>(
     shared: &ForwardShared<P>,
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -267,6 +267,8 @@
     match error {
         UpstreamError::Unsent(_) => RetryReason::Unsent,
         UpstreamError::Refused { .. } | UpstreamError::Misdirected => RetryReason::Refused,
-        UpstreamError::Broken(_) | UpstreamError::TimedOut => RetryReason::CallBroken,
+        UpstreamError::Broken(_) | UpstreamError::Oversized(_) | UpstreamError::TimedOut => {
+            RetryReason::CallBroken
+        }
     }
 }
--- a/src/request/forward_options.rs
+++ b/src/request/forward_options.rs
@@ -26,6 +26,12 @@
     pub prefill_wait: Duration,
     /// Limit for a remote prefill.
     pub prefill_timeout: Duration,
+    /// Largest body of a response that is kept until it is complete, in bytes.
+    pub max_body: usize,
+    /// The same for a response that reports a failure.
+    pub max_failure: usize,
+    /// Limit for the body of a response that reports a failure.
+    pub failure_timeout: Duration,
     /// Age up to which a computed prompt may be sent to another decode endpoint.
     pub cache_time: Duration,
     /// Time between two events after which a stream counts as broken.
@@ -56,6 +62,9 @@
             remote_wait: Duration::from_millis(200),
             prefill_wait: Duration::from_millis(20),
             prefill_timeout: Duration::from_millis(800),
+            max_body: 16 << 20,
+            max_failure: 256 << 10,
+            failure_timeout: Duration::from_secs(1),
             cache_time: Duration::from_millis(350),
             stall_timeout: Duration::from_millis(1_300),
             first_event: Duration::from_millis(1_800),
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    async fn collect(self) -> Result<Bytes, UpstreamError> {
+    async fn collect(self, _: usize) -> Result<Bytes, UpstreamError> {
         Ok(Bytes::from_static(b"whole"))
     }
 }
