--- a/src/border/endpoint_response.rs
+++ b/src/border/endpoint_response.rs
@@ -1,10 +1,16 @@
 use {
-    super::endpoint_wire::{RefusalBody, RefusalBodyRan},
+    super::{
+        bounded_body::{BoundedBodyError, bounded_body},
+        endpoint_wire::{RefusalBody, RefusalBodyRan},
+    },
     crate::port::EngineError,
     reqwest::{Error, Response},
     serde::de::DeserializeOwned,
 };
 
+/// Largest reply of an engine to a request of our own, in bytes; descriptions of caches are the longest.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+
 /// HTTP status of a refusal whose body states that the attempt did not run.
 pub const REFUSED_STATUS: u16 = 429;
 
@@ -34,8 +40,12 @@
 }
 
 /// Converts an error that occurred after the head of the response was read.
-pub(super) fn body_error(error: Error) -> EngineError {
-    EngineError::Broken(error.without_url().to_string())
+pub(super) fn body_error(error: BoundedBodyError) -> EngineError {
+    let text = match error {
+        BoundedBodyError::Broken(error) => error.without_url().to_string(),
+        error @ BoundedBodyError::TooLong(_) => error.to_string(),
+    };
+    EngineError::Broken(text)
 }
 
 /// Reads the JSON body of a response; fails with `EngineError::Broken` if it breaks off or is
@@ -44,7 +54,9 @@
 where
     T: DeserializeOwned,
 {
-    response.json().await.map_err(body_error)
+    let body = bounded_body(response, MAX_REPLY_BYTES).await;
+    let body = body.map_err(body_error)?;
+    serde_json::from_slice(&body).map_err(|e| EngineError::Broken(e.to_string()))
 }
 
 /// Converts a response with a status other than 2xx.
@@ -52,7 +64,7 @@
 /// A status without the matching body does not prove that the attempt did not run.
 pub(super) async fn refusal_error(response: Response) -> EngineError {
     let status = response.status().as_u16();
-    let Ok(body) = response.json::<RefusalBody>().await else {
+    let Ok(body) = read_json::<RefusalBody>(response).await else {
         return EngineError::Broken(format!("status {status} without a refusal body"));
     };
     stated_error(status, body)
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -2,6 +2,7 @@
 //! daemons, the formats of settings and sheets, and log output.
 
 pub use self::{
+    bounded_body::{BoundedBodyError, bounded_body},
     bounded_output::BoundedOutput,
     budgeted_platform::BudgetedPlatform,
     call_counters::CallCounters,
@@ -41,6 +42,7 @@
     sheet_csv::{MAX_SHEET_BYTES, read_sheet, write_sheet},
 };
 
+mod bounded_body;
 mod bounded_output;
 mod caller_api;
 mod caller_context;
--- a/src/border/platform_client.rs
+++ b/src/border/platform_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::http_client,
+    super::{bounded_body::bounded_body, http_client},
     crate::port::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     bytes::Bytes,
     reqwest::{
@@ -13,6 +13,12 @@
 /// Maximum size of an object in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1_000_000;
 
+/// Largest list of the platform in bytes: some hundred for each of 12,000 hosts.
+const MAX_LIST_BYTES: usize = 16 << 20;
+
+/// Largest text of an error in bytes.
+const MAX_TEXT_BYTES: usize = 64 << 10;
+
 /// Time-out of opening a connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -104,7 +110,9 @@
         if response.status() != StatusCode::OK {
             return Err(status_error(response).await);
         }
-        response.json().await.map_err(|e| unknown_outcome(&e))
+        let body = bounded_body(response, MAX_LIST_BYTES).await;
+        let body = body.map_err(|e| unknown_outcome(&e))?;
+        serde_json::from_slice(&body).map_err(|e| unknown_outcome(&e))
     }
 
     /// Sends a call; an error after the connection was opened means that the outcome is unknown.
@@ -180,7 +188,8 @@
 /// Reads version and contents of an object from a response.
 async fn object(response: Response) -> Result<Object, PlatformError> {
     let version = version(&response)?;
-    let body = response.bytes().await.map_err(|e| unknown_outcome(&e))?;
+    let body = bounded_body(response, MAX_OBJECT_BYTES).await;
+    let body = body.map_err(|e| unknown_outcome(&e))?;
     Ok(Object { version, body })
 }
 
@@ -197,7 +206,9 @@
 /// Converts a response with an unexpected status to an error.
 async fn status_error(response: Response) -> PlatformError {
     let status = response.status();
-    let text = response.text().await.unwrap_or_default();
+    let text = bounded_body(response, MAX_TEXT_BYTES).await;
+    let text = text.unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
     let text = format!("{status} {text}");
     if status == StatusCode::SERVICE_UNAVAILABLE {
         PlatformError::Unavailable(text)
@@ -209,7 +220,10 @@
 }
 
 /// Error for a call that may have taken effect.
-fn unknown_outcome(error: &reqwest::Error) -> PlatformError {
+fn unknown_outcome<E>(error: &E) -> PlatformError
+where
+    E: std::error::Error,
+{
     PlatformError::Unknown(error.to_string())
 }
 
--- a/src/border/service_client.rs
+++ b/src/border/service_client.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        bounded_body::bounded_body,
         endpoint_response::{body_error, call_error},
         endpoint_wire::{RefusalBody, RefusalBodyRan},
     },
@@ -8,6 +9,9 @@
     reqwest::{Client, Request, Response, Url},
 };
 
+/// Largest body of a response of a service in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Media type of the body of a refusal.
 const PROBLEM_TYPE: &str = "application/problem+json";
 
@@ -81,7 +85,8 @@
 async fn read_response(response: Response) -> Result<ServiceResponse, EngineError> {
     let status = response.status().as_u16();
     let headers = header_list(response.headers());
-    let body = response.bytes().await.map_err(body_error)?;
+    let body = bounded_body(response, MAX_BODY_BYTES).await;
+    let body = body.map_err(body_error)?;
     Ok(ServiceResponse {
         status,
         headers,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -11,6 +11,7 @@
 mod command_line;
 mod crash_causes;
 mod emulator;
+mod endless_replies;
 mod engine;
 mod engine_fault;
 mod fault_caller_gone;
