--- a/src/board/feed_log.rs
+++ b/src/board/feed_log.rs
@@ -16,7 +16,7 @@
     /// Time since the boot of the host until which the last read vouches for the log; time in which
     /// the host was suspended counts.
     pub valid_until: Duration,
-    /// When a read last failed; `None` if none did.
+    /// Latest time at which the store is known not to have answered this daemon; `None` if it always did.
     pub failed: Option<Tick>,
     /// Objects by name, removed ones included.
     pub objects: BTreeMap<String, LoggedObject<T>>,
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -16,8 +16,8 @@
 /// Delay after the first failed call; it doubles up to `MAX_RETRY_DELAY`.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// Longest time from the beginning of a failed call to the next one. With it, entries that expired in an
-/// outage of the store have time to come back within [`RETURN_SLACK`] of the last failed call.
+/// Longest time from the beginning of a failed call to the next one. Not much longer than [`RETURN_SLACK`], so
+/// that little of the time for expired entries to come back has passed at the first result.
 const MAX_RETRY_DELAY: Duration = RESPONSE_LIMIT;
 
 /// Delay after a call that found no source.
