--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time after the store came back from a copy within which live daemons register again.
-const REREGISTER_TIME: Duration = Duration::from_secs(10);
+const DAEMON_RETURN_TIME: Duration = Duration::from_secs(10);
 
 /// Writes the `members` section from a feed in which daemons register themselves.
 ///
@@ -115,7 +115,7 @@
     /// Returns until when daemons are kept whose entries the store may have lost; `None` if it has not
     /// come back from a copy lately.
     fn keep_until(&self) -> Option<Tick> {
-        let until = self.follower.restored()? + REREGISTER_TIME;
+        let until = self.follower.restored()? + DAEMON_RETURN_TIME;
         (until > self.parts.clock.now()).then_some(until)
     }
 
--- a/src/control/roster_controller.rs
+++ b/src/control/roster_controller.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time after an outage of the store within which a live endpoint registers again.
-const REREGISTER_TIME: Duration = Duration::from_millis(2_300);
+const ENDPOINT_RETURN_TIME: Duration = Duration::from_millis(2_300);
 
 /// Time after the store came back from a copy within which the entries of processes that have ended since
 /// the copy expire.
@@ -92,7 +92,7 @@
         RosterRead {
             now,
             revision: self.follower.revision().number,
-            keep_until: later(ended, REREGISTER_TIME),
+            keep_until: later(ended, ENDPOINT_RETURN_TIME),
             doubt_until: later(restored, OLD_ENTRY_TIME),
         }
     }
