--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -31,8 +31,8 @@
 /// seconds without a sign of life, of which a daemon notices the last ones.
 const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(1);
 
-/// Time after a call to the store has failed within which the store counts as back if it answers the next
-/// call. Later than that, only the delay between the calls passes.
+/// Time after the store is known not to have answered at which it counts as back, if it answers the next call.
+/// The rest of the time until that answer may have gone to a time limit and to the delay between the calls.
 const RETURN_SLACK: Duration = Duration::from_millis(500);
 
 /// Time after the path to the store was restored within which a call may still begin and get no response:
@@ -359,19 +359,19 @@
     ///
     /// The path to the store may have been restored while the call was waiting for its time limit.
     fn failed_at(&self, error: &FeedError) -> Option<Tick> {
-        match error {
-            FeedError::NoSource => None,
-            FeedError::Refused(_) if self.listed => Some(self.clock.now()),
-            FeedError::Refused(_) => Some(self.called),
-            // Without a response, the call may have been lost on a connection from before the path was
-            // restored.
-            FeedError::TimedOut if self.listed => {
-                let due = self.called + self.feed.watch_wait(self.wait);
-                Some(due.before(STALE_TIME))
-            }
-            _ if self.listed => Some(self.clock.now().before(STALE_TIME)),
-            _ => Some(self.called.before(STALE_TIME)),
+        if *error == FeedError::NoSource {
+            return None;
+        }
+        let failed = match error {
+            _ if !self.listed => self.called,
+            FeedError::TimedOut => self.called + self.feed.watch_wait(self.wait),
+            _ => self.clock.now(),
+        };
+        if matches!(error, FeedError::Refused(_)) {
+            return Some(failed);
         }
+        // Without a response, the call may have been lost on a connection from before the path was restored.
+        Some(failed.before(STALE_TIME))
     }
 
     /// Records that other daemons are not to rely on the log, and when the store last failed, if it did.
