Say in the log what time was left when an attempt or a request ended

The lines on a failed attempt and a refused request said 'no response in time' for the silence of an endpoint, for the deadline of the request and for the end of a planned stop alike, so the hypotheses of the incident of LOST could not be told apart. They now carry left_ms, the time until the deadline (which a planned stop brings forward), and stopping. No decision changes.

--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -102,6 +102,8 @@
             next = next.as_str(),
             reason = next.reason(),
             budget = self.shared.budget(&self.call.pool).left(),
+            left_ms = self.left_ms(),
+            stopping = self.is_stopping(),
             ms = hold.age(self.shared).as_millis() as u64;
             "attempt failed: {error}"
         );
@@ -183,6 +185,8 @@
             tried = self.call.tried.len(),
             events,
             prefills = self.call.times.prefills,
+            left_ms = self.left_ms(),
+            stopping = self.is_stopping(),
             ms = self.elapsed_ms();
             "refused: {detail}"
         );
@@ -206,6 +210,16 @@
         self.call.route.target.as_millis() as u64
     }
 
+    /// Milliseconds left until the deadline, which a planned stop may have brought forward.
+    fn left_ms(&self) -> u64 {
+        self.shared.left(self.call.deadline).as_millis() as u64
+    }
+
+    /// Whether a planned stop of this daemon has begun.
+    fn is_stopping(&self) -> bool {
+        self.shared.board().health.load().stopping()
+    }
+
     /// Milliseconds since the request arrived.
     fn elapsed_ms(&self) -> u64 {
         (self.shared.now() - self.call.arrived).as_millis() as u64
