Give up an overdue response only once another one can take its place

Cause: where a response was silent for longer than a time limit of ours, the daemon first closed the connection, which ends the run, and only then asked the retry budget and for a placement. Class: a response that may still go on is given up before it is certain that a better one can take its place. It stood at four places: between the events of a stream, before its first event or head, in a prefill (its request was refused without a retry for the run), and in calls to plain services, which were also given up where no other endpoint was left to try. Change: while an attempt is overdue it goes on running beside a search. The search takes a retry, a placement and a reservation of memory at the engine found, in this order, and returns all of them if the attempt goes on meanwhile; only with all three the attempt is ended. An overdue prefill is given up with a retry in hand, a call with a retry and an endpoint that it was not sent to. Without them the wait lasts to the deadline. The replacement prefills at the engine that decodes, so it needs one retry where it could take two before.

--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -38,6 +38,14 @@
         self.credit.load(Ordering::Acquire) / RETRY_CREDIT
     }
 
+    /// Returns the credit of a retry that was not made.
+    pub fn refund(&self) {
+        let more = |credit: u64| Some((credit + RETRY_CREDIT).min(self.max));
+        let _ = self
+            .credit
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
+    }
+
     /// Spends the credit of one retry; returns `false` if less is left.
     pub fn spend(&self) -> bool {
         let less = |credit: u64| credit.checked_sub(RETRY_CREDIT);
--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -7,7 +7,10 @@
         forward_refusal,
         forward_response::ForwardResponse,
         opened_stream::OpenedStream,
+        overdue_wait::{Awaited, OverdueWait},
         placement_search::{PlacementSearch, StreamPlacement},
+        replacement_search::{Replacement, ReplacementSearch},
+        retry_permit::RetryPermit,
         stream_run::{BodyOf, RunningAttempt, StartedAttempt},
     },
     crate::{
@@ -19,8 +22,8 @@
         },
     },
     bytes::Bytes,
-    std::time::Duration,
-    tokio::time::timeout,
+    std::{pin::pin, time::Duration},
+    tokio::{select, time::timeout},
 };
 
 /// Status code of a stream that began.
@@ -48,6 +51,8 @@
     event_tokens: u64,
     /// When the attempt was sent, accepted, or last sent more than a comment.
     progress: Tick,
+    /// Search for a replacement of the attempt, while it is overdue.
+    search: Option<ReplacementSearch<P>>,
     open: bool,
 }
 
@@ -69,10 +74,11 @@
             events: 0,
             event_tokens,
             progress: shared.now(),
+            search: None,
             open: true,
         };
         loop {
-            let opened = match relay.start().await {
+            let opened = match relay.start(None).await {
                 Ok(response) if response.status < FIRST_NON_SUCCESS => {
                     let (headers, run) = response.into_run();
                     relay.run = Some(run);
@@ -95,23 +101,35 @@
     /// Waits for the next event, as the endpoint sent it; `None` after the end, regular or refused.
     pub async fn next(&mut self) -> Option<Result<Bytes, Refused>> {
         loop {
-            let limit = self.event_timeout();
+            let limit = self.overdue_after();
             let run = self.run.as_mut()?;
-            let next = timeout(limit, run.body.next()).await;
-            let error = match next.unwrap_or(Err(UpstreamError::TimedOut)) {
-                Ok(Some(event)) => match self.accept(&event) {
+            let wait = OverdueWait {
+                shared: &self.shared,
+                call: &self.call,
+                search: &mut self.search,
+                limit,
+            };
+            let error = match wait.wait(run.body.next()).await {
+                Awaited::Response(Ok(Some(event))) => match self.accept(&event) {
                     Ok(true) => return Some(Ok(event.bytes)),
                     Ok(false) => continue,
                     Err(error) => error,
                 },
-                Ok(None) if run.awaits_first => {
+                Awaited::Response(Ok(None)) if run.awaits_first => {
                     UpstreamError::Broken("the response ended without an event".to_owned())
                 }
-                Ok(None) => {
+                Awaited::Response(Ok(None)) => {
                     self.finish();
                     return None;
                 }
-                Err(error) => error,
+                Awaited::Response(Err(error)) => error,
+                Awaited::Replacement(replacement) => {
+                    if let Err(refused) = self.replace(replacement).await {
+                        self.close_refused(&refused);
+                        return Some(Err(refused));
+                    }
+                    continue;
+                }
             };
             if let Err(refused) = self.fail_over(&error).await {
                 self.close_refused(&refused);
@@ -120,21 +138,16 @@
         }
     }
 
-    /// Returns the longest wait for the next event: all the time left if no retry may follow. Comments
-    /// do not prolong it.
-    fn event_timeout(&self) -> Duration {
-        let left = self.shared.left(self.call.deadline);
+    /// Returns the time until the attempt is overdue if no event arrives. Comments do not prolong it.
+    fn overdue_after(&self) -> Duration {
         let options = self.shared.options();
-        if !self.call.may_repeat_after(1) {
-            return left;
-        }
         let awaits_first = self.run.as_ref().is_none_or(|run| run.awaits_first);
         let limit = if awaits_first {
             options.first_event
         } else {
             options.stall_timeout
         };
-        left.min(limit.saturating_sub(self.shared.now() - self.progress))
+        limit.saturating_sub(self.shared.now() - self.progress)
     }
 
     /// Records `event`; returns whether it goes to the caller, `false` if the caller already has it.
@@ -156,6 +169,7 @@
         }
         let now = self.shared.now();
         self.progress = now;
+        self.search = None;
         if let Some(run) = &mut self.run
             && run.awaits_first
         {
@@ -197,21 +211,40 @@
 
     /// Ends the broken attempt and starts another one after the last event sent to the caller.
     async fn fail_over(&mut self, error: &UpstreamError) -> Result<(), Refused> {
+        let hold = self.end_run(error)?;
+        self.after_failure(&hold, error)?;
+        drop(hold);
+        self.start_again(None).await
+    }
+
+    /// Ends the overdue attempt and starts another one, where `replacement` has room for it.
+    async fn replace(&mut self, replacement: Replacement<P>) -> Result<(), Refused> {
+        let error = UpstreamError::TimedOut;
+        let hold = self.end_run(&error)?;
+        let placement = self.record_replaced(&hold, replacement);
+        drop(hold);
+        self.start_again(Some(placement)).await
+    }
+
+    /// Closes the connection of the running attempt, and returns its endpoint.
+    fn end_run(&mut self, error: &UpstreamError) -> Result<EndpointHold, Refused> {
         let Some(run) = self.run.take() else {
             return Err(Refused::unknown(
                 Refusal::Truncated,
                 "the stream has no running attempt to resume",
             ));
         };
-        let hold = run.hold;
+        self.search = None;
         // Closes the connection first: the old attempt ends before another one continues.
         drop(run.body);
         let mut placement = run.placement;
         placement.failed(error);
-        drop(placement);
-        self.after_failure(&hold, error)?;
-        drop(hold);
-        let response = self.start().await?;
+        Ok(run.hold)
+    }
+
+    /// Starts an attempt that goes on after the last event sent to the caller, at `placed` if present.
+    async fn start_again(&mut self, placed: Option<StreamPlacement<P>>) -> Result<(), Refused> {
+        let response = self.start(placed).await?;
         if response.status >= FIRST_NON_SUCCESS {
             response.hold.record_end(true);
             let detail = format!(
@@ -224,6 +257,29 @@
         Ok(())
     }
 
+    /// Records that the overdue attempt at `hold` was ended for `replacement`; returns where that runs.
+    fn record_replaced(
+        &mut self,
+        hold: &EndpointHold,
+        replacement: Replacement<P>,
+    ) -> StreamPlacement<P> {
+        let error = UpstreamError::TimedOut;
+        hold.record_failure(&self.shared, &error);
+        self.call.ran += 1;
+        replacement.permit.spend();
+        let reason = if self.events > 0 {
+            RetryReason::Moved
+        } else {
+            RetryReason::CallBroken
+        };
+        ForwardLog::new(&self.shared, &self.call).attempt_failed(
+            hold,
+            &error,
+            NextStep::Retry(reason),
+        );
+        replacement.placement
+    }
+
     /// Records a failed attempt; returns the refusal unless another attempt is to follow.
     fn after_failure(&mut self, hold: &EndpointHold, error: &UpstreamError) -> Result<(), Refused> {
         hold.record_failure(&self.shared, error);
@@ -241,8 +297,12 @@
         Err(forward_refusal::from_verdict(&self.shared, verdict, error))
     }
 
-    /// Finds the endpoints, prefills remotely where one was found for it, and sends the request.
-    async fn start(&mut self) -> Result<StartedAttempt<P>, Refused> {
+    /// Finds the endpoints unless `placed` names them, prefills remotely where one was found for it, and
+    /// sends the request.
+    async fn start(
+        &mut self,
+        mut placed: Option<StreamPlacement<P>>,
+    ) -> Result<StartedAttempt<P>, Refused> {
         let mut cache: Option<CacheHold<P>> = None;
         // Only the first remote prefill of a request adds no load beyond the request itself.
         let mut prefills = u32::from(self.call.ran > 0);
@@ -251,22 +311,20 @@
                 return Err(forward_refusal::past_deadline(&self.call));
             }
             cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
-            let remote =
-                prefills < FREE_PREFILLS || (prefills == FREE_PREFILLS && self.spend_retry());
-            let local = cache.is_some() || !remote;
-            let searched = self.shared.now();
-            let search = PlacementSearch::new(&self.shared, &mut self.call);
-            let found = search.find(local).await;
-            let waited = self.shared.now() - searched;
-            self.call.times.placement += waited;
+            let found = match placed.take() {
+                Some(placed) => placed,
+                None => {
+                    let remote = prefills < FREE_PREFILLS
+                        || (prefills == FREE_PREFILLS && self.spend_retry());
+                    self.find(cache.is_some() || !remote).await?
+                }
+            };
             let StreamPlacement {
                 decode: hold,
                 reservation,
                 mut placement,
                 prefill,
-            } = found?;
-            let waited = waited.as_secs_f64();
-            self.shared.counters().placement_time.observe(waited);
+            } = found;
             if let Some(prefill) = prefill {
                 prefills += 1;
                 let start = self.shared.now();
@@ -287,7 +345,7 @@
             let handle = cache.as_ref().and_then(CacheHold::handle);
             let reserved = reservation.as_ref().and_then(ReservationHold::handle);
             match self.send_to(&hold, handle, reserved).await {
-                Ok(response) => {
+                Awaited::Response(Ok(response)) => {
                     if let Some(reservation) = reservation {
                         reservation.used();
                     }
@@ -304,7 +362,7 @@
                         placement,
                     });
                 }
-                Err(error) => {
+                Awaited::Response(Err(error)) => {
                     placement.failed(&error);
                     // Reports the crash before the next placement request.
                     drop(placement);
@@ -312,10 +370,28 @@
                     // Reuses the cache only if the endpoint certainly did not take it.
                     cache = cache.filter(|_| error.is_not_run());
                 }
+                Awaited::Replacement(replacement) => {
+                    placed = Some(self.record_replaced(&hold, replacement));
+                    cache = None;
+                }
             }
         }
     }
 
+    /// Finds the endpoints of an attempt; with `local`, the decode endpoint prefills.
+    async fn find(&mut self, local: bool) -> Result<StreamPlacement<P>, Refused> {
+        let searched = self.shared.now();
+        let search = PlacementSearch::new(&self.shared, &mut self.call);
+        let found = search.find(local).await;
+        let waited = self.shared.now() - searched;
+        self.call.times.placement += waited;
+        if found.is_ok() {
+            let waited = waited.as_secs_f64();
+            self.shared.counters().placement_time.observe(waited);
+        }
+        found
+    }
+
     /// Spends one retry of the pool's budget; `false` if none is left.
     fn spend_retry(&self) -> bool {
         self.shared.budget(&self.call.pool).spend()
@@ -333,9 +409,8 @@
             resume_after: self.last_id,
             ..self.call.upstream_request(&self.shared, &hold)
         };
-        let prefill = self.shared.parts().upstream().prefill(request);
-        let computed = timeout(self.shared.options().prefill_timeout, prefill).await;
-        let error = match computed.unwrap_or(Err(UpstreamError::TimedOut)) {
+        let (computed, permit) = self.await_prefill(request).await;
+        let error = match computed {
             Ok(Noticed { value, notice }) => {
                 hold.record_notice(&self.shared, notice);
                 hold.record_response_time(self.shared.now() - start);
@@ -349,21 +424,54 @@
         let log = ForwardLog::new(&self.shared, &self.call);
         // The next attempt is further load on the pool, unless this one was never sent.
         let free = matches!(error, UpstreamError::Unsent(_));
-        if !free && !self.spend_retry() {
-            log.attempt_failed(&hold, &error, NextStep::Refuse(Refusal::RetryBudget));
-            return Err(forward_refusal::budget_spent(&self.shared, &self.call));
+        let permit = permit.or_else(|| RetryPermit::take(&self.shared, &self.call.pool));
+        match permit {
+            Some(permit) if !free => permit.spend(),
+            None if !free => {
+                log.attempt_failed(&hold, &error, NextStep::Refuse(Refusal::RetryBudget));
+                return Err(forward_refusal::budget_spent(&self.shared, &self.call));
+            }
+            _ => {}
         }
         log.attempt_failed(&hold, &error, NextStep::Retry(RetryReason::PrefillBroken));
         Ok(None)
     }
 
-    /// Sends the request to `hold` and waits for the head of the response.
+    /// Waits for the response to a prefill. Once it is overdue, it is given up as `TimedOut` as soon as
+    /// there is a retry for what follows, which is returned with the error.
+    async fn await_prefill(
+        &self,
+        request: UpstreamRequest,
+    ) -> (
+        Result<Noticed<CacheHandle>, UpstreamError>,
+        Option<RetryPermit>,
+    ) {
+        let mut prefill = pin!(self.shared.parts().upstream().prefill(request));
+        let limit = self.shared.options().prefill_timeout;
+        if let Ok(computed) = timeout(limit, &mut prefill).await {
+            return (computed, None);
+        }
+        let left = self.shared.left(self.call.deadline);
+        let either = async {
+            select! {
+                biased;
+                computed = prefill => (computed, None),
+                permit = RetryPermit::wait(&self.shared, &self.call.pool) => {
+                    (Err(UpstreamError::TimedOut), Some(permit))
+                }
+            }
+        };
+        let ended = timeout(left, either).await;
+        ended.unwrap_or((Err(UpstreamError::TimedOut), None))
+    }
+
+    /// Sends the request to `hold` and waits for the head of the response, or for a replacement.
     async fn send_to(
         &mut self,
         hold: &EndpointHold,
         cache: Option<CacheHandle>,
         reservation: Option<Reservation>,
-    ) -> Result<UpstreamResponse<BodyOf<P>>, UpstreamError> {
+    ) -> Awaited<UpstreamResponse<BodyOf<P>>, P> {
         let request = UpstreamRequest {
             cache,
             reservation,
@@ -371,10 +479,16 @@
             ..self.call.upstream_request(&self.shared, hold)
         };
         let send = self.shared.parts().upstream().send(request);
+        let wait = OverdueWait {
+            shared: &self.shared,
+            call: &self.call,
+            search: &mut self.search,
+            limit: self.shared.options().first_event,
+        };
+        let awaited = wait.wait(send).await;
+        self.search = None;
         self.progress = self.shared.now();
-        let response = timeout(self.event_timeout(), send).await;
-        self.progress = self.shared.now();
-        response.unwrap_or(Err(UpstreamError::TimedOut))
+        awaited
     }
 
     /// Reads the complete response of an endpoint whose status is not a success; `None` if that failed and
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -1,17 +1,17 @@
 use {
     super::{
         CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, Refused, forward_log::NextStep, forward_refusal,
+        ForwardShared, Refused, RetryPermit, forward_log::NextStep, forward_refusal,
         forward_response::ForwardResponse,
     },
     crate::{
-        board::Role,
+        board::{RetryReason, Role},
         decide::Verdict,
         port::{Clock, ResponseBody, Upstream, UpstreamError},
     },
     bytes::Bytes,
-    std::{pin::pin, time::Duration},
-    tokio::time::timeout,
+    std::{future::pending, pin::pin, time::Duration},
+    tokio::{select, time::timeout},
 };
 
 /// First status code that reports a failure of the endpoint.
@@ -23,6 +23,9 @@
 /// Shortest time after which a response counts as overdue.
 const MIN_OVERDUE_TIME: Duration = Duration::from_millis(150);
 
+/// Wait before endpoints are looked at again while none can take the place of a late one.
+const SEARCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// Runs a request whose response is read completely before it goes to the caller.
 ///
 /// # Errors
@@ -39,29 +42,30 @@
         return Err(forward_refusal::crash_suspect(call, left));
     }
     let mut failure = None;
+    let mut replacement: Option<EndpointHold> = None;
     loop {
-        let need = EndpointNeed {
-            pool: &call.pool,
-            role: Role::Service,
-            tokens: 0,
-            tried: &call.tried,
-        };
-        let Some(hold) = EndpointHold::choose(shared, &need) else {
-            return failure
-                .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
+        let hold = match replacement.take() {
+            Some(hold) => hold,
+            None => {
+                let Some(hold) = choose(shared, call) else {
+                    return failure
+                        .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
+                };
+                if hold.option.tried {
+                    return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
+                }
+                hold
+            }
         };
-        if hold.option.tried {
-            return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
-        }
         ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
         match run_attempt(shared, call, &hold).await {
-            Ok(response) if response.status < FIRST_SERVER_ERROR => {
+            Attempted::Ended(Ok(response)) if response.status < FIRST_SERVER_ERROR => {
                 hold.record_end(false);
                 CrashWatch::new(shared, call).answered(&hold);
                 return Ok(response);
             }
-            Ok(response) => {
+            Attempted::Ended(Ok(response)) => {
                 call.ran += 1;
                 hold.record_end(!call.is_at_most_once());
                 CrashWatch::new(shared, call).answered(&hold);
@@ -72,7 +76,7 @@
                 ForwardLog::new(shared, call).error_status(&hold, response.status);
                 failure = Some(response);
             }
-            Err(error) => {
+            Attempted::Ended(Err(error)) => {
                 hold.record_failure(shared, &error);
                 let watch = CrashWatch::new(shared, call);
                 watch.attempt_failed(&hold, &error).await;
@@ -85,27 +89,51 @@
                         .ok_or_else(|| forward_refusal::from_verdict(shared, verdict, &error));
                 }
             }
+            Attempted::Replaced(permit, other) => {
+                let error = UpstreamError::TimedOut;
+                hold.record_failure(shared, &error);
+                call.ran += 1;
+                permit.spend();
+                let next = NextStep::Retry(RetryReason::CallBroken);
+                ForwardLog::new(shared, call).attempt_failed(&hold, &error, next);
+                replacement = Some(other);
+            }
         }
     }
 }
 
-/// Sends the request to `hold` and reads the complete response; `TimedOut` if that takes too long.
+/// How an attempt of a request ended.
+enum Attempted {
+    /// With a complete response or an error; `TimedOut` at the deadline of the request.
+    Ended(Result<ForwardResponse, UpstreamError>),
+    /// For a retry at another endpoint, as the response is overdue.
+    Replaced(RetryPermit, EndpointHold),
+}
+
+/// Chooses the endpoint of an attempt; `None` if there is none.
+fn choose<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Option<EndpointHold>
+where
+    P: ForwardParts,
+{
+    let need = EndpointNeed {
+        pool: &call.pool,
+        role: Role::Service,
+        tokens: 0,
+        tried: &call.tried,
+    };
+    EndpointHold::choose(shared, &need)
+}
+
+/// Sends the request to `hold` and reads the complete response, unless another endpoint is to answer.
 async fn run_attempt<P>(
     shared: &ForwardShared<P>,
     call: &ForwardCall,
     hold: &EndpointHold,
-) -> Result<ForwardResponse, UpstreamError>
+) -> Attempted
 where
     P: ForwardParts,
 {
-    let start = shared.parts().clock().now();
-    let left = shared.left(call.deadline);
-    // A request that may be repeated leaves time for an attempt at another endpoint.
-    let limit = if !call.is_at_most_once() && call.ran + 1 < call.route.attempts {
-        left.min(call.route.target.max(left / 2))
-    } else {
-        left
-    };
+    let start = shared.now();
     let request = call.upstream_request(shared, hold);
     let response = async {
         let response = shared.parts().upstream().send(request).await?;
@@ -121,10 +149,46 @@
             body,
         })
     };
-    let response = timeout(limit, avoid_overdue(shared, hold, response)).await;
-    let response = response.unwrap_or(Err(UpstreamError::TimedOut))?;
-    hold.record_response_time(shared.now() - start);
-    Ok(response)
+    let attempt = async {
+        select! {
+            biased;
+            response = avoid_overdue(shared, hold, response) => {
+                if response.is_ok() {
+                    hold.record_response_time(shared.now() - start);
+                }
+                Attempted::Ended(response)
+            }
+            (permit, other) = find_replacement(shared, call) => Attempted::Replaced(permit, other),
+        }
+    };
+    let ended = timeout(shared.left(call.deadline), attempt).await;
+    ended.unwrap_or(Attempted::Ended(Err(UpstreamError::TimedOut)))
+}
+
+/// Waits until the response to an attempt of `call` is so late that another endpoint is to be tried, and
+/// until there is a retry and an endpoint for that. Never returns if the request may not be repeated.
+async fn find_replacement<P>(
+    shared: &ForwardShared<P>,
+    call: &ForwardCall,
+) -> (RetryPermit, EndpointHold)
+where
+    P: ForwardParts,
+{
+    if !call.may_be_replaced() {
+        return pending().await;
+    }
+    let left = shared.left(call.deadline);
+    let clock = shared.parts().clock();
+    // Leaves time for the attempt at the other endpoint.
+    clock.sleep(call.route.target.max(left / 2)).await;
+    loop {
+        let permit = RetryPermit::wait(shared, &call.pool).await;
+        if let Some(other) = choose(shared, call).filter(|other| !other.option.tried) {
+            return (permit, other);
+        }
+        drop(permit);
+        clock.sleep(SEARCH_PAUSE).await;
+    }
 }
 
 /// Reads the body of a response that reports a failure. A longer one, or one that takes longer, is no more
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -10,7 +10,7 @@
 };
 
 /// State of a forwarded request: its route, its deadline and the attempts made so far.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ForwardCall {
     /// Request as the front end received it.
     pub request: Arc<ForwardRequest>,
@@ -86,6 +86,11 @@
         !self.is_at_most_once() && self.ran + more < self.route.attempts
     }
 
+    /// Whether another attempt may take the place of the running one, which may have run.
+    pub fn may_be_replaced(&self) -> bool {
+        self.may_repeat_after(1) && !self.suspect
+    }
+
     /// Decides what follows the attempt that `error` ended; a retry is spent from `budget`.
     ///
     /// Counts the attempt in `ran` if it may have run.
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -131,7 +131,7 @@
             request = self.call.request.id.as_str(),
             place = id,
             asks = requests;
-            "no placement granted in time; refusing the request"
+            "no placement granted in time"
         );
     }
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -40,6 +40,7 @@
     relay::{Relay, RelayEnd},
     reply::Reply,
     reservation_hold::ReservationHold,
+    retry_permit::RetryPermit,
     run_claimed::run_claimed,
     service_path::ServicePath,
     service_run::call_service,
@@ -70,6 +71,7 @@
 mod grant_hold;
 mod model_path;
 mod opened_stream;
+mod overdue_wait;
 mod owner;
 mod parts;
 mod path_options;
@@ -80,8 +82,10 @@
 mod progress;
 mod refused;
 mod relay;
+mod replacement_search;
 mod reply;
 mod reservation_hold;
+mod retry_permit;
 mod run_claimed;
 mod service_path;
 mod service_run;
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -1,17 +1,13 @@
 use {
     super::{
         EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts, ForwardShared,
-        PlacementHold, Refused, ReservationHold, forward_log::NextStep, forward_refusal,
+        PlacementHold, Refused, ReservationHold, forward_refusal,
     },
     crate::{
         board::{Endpoint, Role, Tick},
         decide::WaitBudget,
-        port::{
-            Clock, Noticed, PlacementOutcome, PlacementRequest, Placer, StatedLimit, Upstream,
-            UpstreamError,
-        },
+        port::{Clock, PlacementOutcome, PlacementRequest, Placer, StatedLimit},
     },
-    tokio::time::timeout,
 };
 
 /// Maximum requests of this daemon at one prefill endpoint while no daemon places requests.
@@ -257,31 +253,8 @@
             }
             ForwardLog::new(self.shared, self.call).chosen(&hold, "decode");
             tried.push(hold.key);
-            let options = self.shared.options();
-            let request = self.call.upstream_request(self.shared, &hold);
-            let reserve = self.shared.parts().upstream();
-            let reserve = reserve.reserve(request, tokens, options.reservation_time);
-            let reserved = timeout(options.reserve_timeout, reserve).await;
-            match reserved.unwrap_or(Err(UpstreamError::TimedOut)) {
-                Ok(Noticed { value, notice }) => {
-                    hold.record_notice(self.shared, notice);
-                    // The request that uses the reservation is one more.
-                    hold.charge(self.shared);
-                    return Ok(Some((hold, ReservationHold::new(self.shared, value))));
-                }
-                Err(error) => {
-                    ForwardLog::new(self.shared, self.call).attempt_failed(
-                        &hold,
-                        &error,
-                        NextStep::TryAnother,
-                    );
-                    // A refused reservation says only that the engine is full.
-                    if let UpstreamError::Refused { notice, .. } = error {
-                        hold.record_notice(self.shared, notice);
-                    } else {
-                        hold.record_failure(self.shared, &error);
-                    }
-                }
+            if let Some(reservation) = ReservationHold::take(self.shared, self.call, &hold).await {
+                return Ok(Some((hold, reservation)));
             }
         }
     }
--- a/src/request/reservation_hold.rs
+++ b/src/request/reservation_hold.rs
@@ -1,6 +1,7 @@
 use {
-    super::{ForwardParts, ForwardShared},
-    crate::port::{Reservation, Upstream},
+    super::{EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, NextStep},
+    crate::port::{Noticed, Reservation, Upstream, UpstreamError},
+    tokio::time::timeout,
 };
 
 /// Memory reserved at an endpoint; dropping it unused releases the reservation.
@@ -17,12 +18,40 @@
 where
     P: ForwardParts,
 {
-    /// Takes over the reservation `handle`.
-    pub fn new(shared: &ForwardShared<P>, handle: Reservation) -> Self {
-        Self {
-            shared: shared.clone(),
-            handle: Some(handle),
+    /// Reserves a slot and memory for `call` at the endpoint of `hold`; `None` if it refuses or does not
+    /// respond, which is recorded there.
+    pub async fn take(
+        shared: &ForwardShared<P>,
+        call: &ForwardCall,
+        hold: &EndpointHold,
+    ) -> Option<Self> {
+        let size = call.request.token_counts.unwrap_or_default();
+        let options = shared.options();
+        let request = call.upstream_request(shared, hold);
+        let tokens = size.expected_memory().max(1);
+        let reserve = shared.parts().upstream();
+        let reserve = reserve.reserve(request, tokens, options.reservation_time);
+        let reserved = timeout(options.reserve_timeout, reserve).await;
+        let error = match reserved.unwrap_or(Err(UpstreamError::TimedOut)) {
+            Ok(Noticed { value, notice }) => {
+                hold.record_notice(shared, notice);
+                // The request that uses the reservation is one more.
+                hold.charge(shared);
+                return Some(Self {
+                    shared: shared.clone(),
+                    handle: Some(value),
+                });
+            }
+            Err(error) => error,
+        };
+        ForwardLog::new(shared, call).attempt_failed(hold, &error, NextStep::TryAnother);
+        // A refused reservation says only that the engine is full.
+        if let UpstreamError::Refused { notice, .. } = error {
+            hold.record_notice(shared, notice);
+        } else {
+            hold.record_failure(shared, &error);
         }
+        None
     }
 
     /// Returns the handle to send with an attempt.
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -26,7 +26,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep, sleep_until},
 };
 
 /// Behaviour of an endpoint on one call.
@@ -36,6 +36,9 @@
     Answer(u16, u64),
     /// Sends events with these ids, then ends the stream (`true`) or breaks it (`false`).
     Events(Vec<u64>, bool),
+    /// Responds after this many milliseconds, then sends events, each after a pause in milliseconds
+    /// and with an id, and ends the stream.
+    Paced(u64, Vec<(u64, u64)>),
     /// Fails with this error.
     Fail(UpstreamError),
     /// Never responds; the call fails as timed out after one hour.
@@ -65,6 +68,10 @@
                 sleep(Duration::from_millis(ms)).await;
                 Ok(Act::Answer(status, ms))
             }
+            Act::Paced(ms, events) => {
+                sleep(Duration::from_millis(ms)).await;
+                Ok(Act::Paced(ms, events))
+            }
             events @ Act::Events(..) => Ok(events),
         }
     }
@@ -86,14 +93,29 @@
     }
 }
 
-/// Body of a scripted response: the ids of the events left, and whether the stream ends cleanly.
+/// Body of a scripted response: the times and ids of the events left, and whether the stream ends cleanly.
 #[derive(Debug)]
-pub struct Body(VecDeque<u64>, bool);
+pub struct Body(VecDeque<(Instant, u64)>, bool);
+
+impl Body {
+    /// Returns a body of `events`, each sent after a pause in milliseconds.
+    fn paced(events: Vec<(u64, u64)>, ends: bool) -> Self {
+        let mut due = Instant::now();
+        let events = events.into_iter().map(|(pause, id)| {
+            due += Duration::from_millis(pause);
+            (due, id)
+        });
+        Self(events.collect(), ends)
+    }
+}
 
 impl ResponseBody for Body {
     async fn next(&mut self) -> Result<Option<ResponseEvent>, UpstreamError> {
+        if let Some((due, _)) = self.0.front() {
+            sleep_until(*due).await;
+        }
         match self.0.pop_front() {
-            Some(id) => Ok(Some(ResponseEvent {
+            Some((_, id)) => Ok(Some(ResponseEvent {
                 id: Some(id),
                 bytes: Bytes::from(format!("event {id}")),
             })),
@@ -123,7 +145,11 @@
             .map_or(String::new(), |last| format!(" after {last}"));
         let act = self.act(format!("run{cache}{resume}")).await?;
         let (status, body) = match act {
-            Act::Events(ids, ends) => (200, Body(ids.into(), ends)),
+            Act::Events(ids, ends) => {
+                let events = ids.into_iter().map(|id| (0, id));
+                (200, Body::paced(events.collect(), ends))
+            }
+            Act::Paced(_, events) => (200, Body::paced(events, true)),
             Act::Answer(status, _) => (status, Body(VecDeque::new(), true)),
             Act::Fail(_) | Act::Hang => unreachable!("handled before"),
         };
@@ -176,15 +202,26 @@
     }
 }
 
-/// Placer that returns a fixed outcome after 100 ms; `d2` replaces a decode engine to avoid, and a
-/// prefill engine to avoid is left out.
+/// Placer that returns these outcomes, the last one again and again, each after 100 ms; `d2` replaces a
+/// decode engine to avoid, and a prefill engine to avoid is left out.
 #[derive(Clone, Debug)]
-pub struct FixedPlacer(PlacementOutcome);
+pub struct FixedPlacer(Arc<Mutex<VecDeque<PlacementOutcome>>>);
+
+impl FixedPlacer {
+    fn next(&self) -> PlacementOutcome {
+        let mut outcomes = self.0.lock().unwrap();
+        let next = outcomes.front().unwrap().clone();
+        if outcomes.len() > 1 {
+            outcomes.pop_front();
+        }
+        next
+    }
+}
 
 impl Placer for FixedPlacer {
     async fn place(&self, request: PlacementRequest) -> PlacementOutcome {
         sleep(Duration::from_millis(100)).await;
-        match self.0.clone() {
+        match self.next() {
             PlacementOutcome::Placed {
                 decode,
                 prefill,
@@ -264,6 +301,10 @@
 }
 
 pub fn site(placement: PlacementOutcome, acts: Vec<Act>) -> Site {
+    site_with_placements(vec![placement], acts)
+}
+
+pub fn site_with_placements(placements: Vec<PlacementOutcome>, acts: Vec<Act>) -> Site {
     let (board, mut writers) = Blackboard::new();
     let endpoints = [
         listed("s1", "ledger", Role::Service),
@@ -288,7 +329,8 @@
         calls: Arc::default(),
         runs: Arc::default(),
     };
-    let ports = Ports(script.clone(), FixedPlacer(placement), MonoClock::start());
+    let placer = FixedPlacer(Arc::new(Mutex::new(placements.into())));
+    let ports = Ports(script.clone(), placer, MonoClock::start());
     let counters = Counters::new(&mut Registry::default());
     let shared = ForwardShared::new(ports, board, counters, ForwardOptions::default(), 7);
     Site {
@@ -310,7 +352,7 @@
 impl Site {
     /// Sends a request; returns what the caller received, the endpoint calls and the time in ms.
     pub async fn send(&self, path: &str) -> (String, Vec<String>, u128) {
-        let start = tokio::time::Instant::now();
+        let start = Instant::now();
         let request = ForwardRequest {
             id: "r-1".to_owned(),
             method: Method::POST,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -37,6 +37,7 @@
 mod operator_listener;
 mod orders;
 mod output_lengths;
+mod overdue;
 mod owner_choice;
 mod ownership;
 mod peer_listener;
--- /dev/null
+++ b/tests/overdue.rs
@@ -0,0 +1,124 @@
+//! Responses that are silent for a while, where no other endpoint, or one, could take their place.
+
+use {
+    crate::forward_site::{Act, Site, full, placed, site, site_with_placements},
+    insta::assert_yaml_snapshot,
+    lentillead::port::PlacementOutcome,
+};
+
+/// Spends all retries of `pool`.
+fn spend_retries(site: &Site, pool: &str) {
+    let budget = site.entry.shared().budget(pool);
+    while budget.spend() {}
+}
+
+/// Returns a stream of three events with a pause of `ms` milliseconds after the first one.
+fn pausing(ms: u64) -> Act {
+    Act::Paced(0, vec![(0, 1), (ms, 2), (10, 3)])
+}
+
+fn prefilled() -> Act {
+    Act::Answer(200, 90)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_response_is_not_given_up_while_no_retry_is_left() {
+    let events = || vec![(0, 1), (10, 2)];
+    let cases = [
+        (
+            "between two events",
+            "/stream/",
+            vec![prefilled(), pausing(3_000)],
+        ),
+        (
+            "before the first event",
+            "/stream/",
+            vec![prefilled(), Act::Paced(0, vec![(3_000, 1), (10, 2)])],
+        ),
+        (
+            "before the head",
+            "/stream/",
+            vec![prefilled(), Act::Paced(3_000, events())],
+        ),
+        (
+            "in the prefill",
+            "/stream/",
+            vec![Act::Answer(200, 2_000), Act::Paced(0, events())],
+        ),
+        ("in a call", "/read/", vec![Act::Answer(200, 700)]),
+        (
+            "without an end",
+            "/stream/",
+            vec![prefilled(), pausing(60_000)],
+        ),
+        ("without an end, in a call", "/read/", vec![Act::Hang]),
+    ];
+    let mut seen = Vec::new();
+    for (name, path, acts) in cases {
+        let site = site(placed(), acts);
+        spend_retries(&site, "models");
+        spend_retries(&site, "ledger");
+        seen.push((name, site.send(path).await));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_stream_is_not_given_up_while_no_other_engine_has_room() {
+    let mut refusing = vec![prefilled(), pausing(3_000)];
+    refusing.extend(vec![full(); 40]);
+    let cases = [
+        (
+            "no placement",
+            vec![placed(), PlacementOutcome::Wait],
+            vec![prefilled(), pausing(3_000)],
+        ),
+        ("no reservation", vec![placed()], refusing),
+    ];
+    let mut seen = Vec::new();
+    for (name, placements, acts) in cases {
+        let site = site_with_placements(placements, acts);
+        let (received, calls, ms) = site.send("/stream/").await;
+        let runs = calls.iter().filter(|call| call.starts_with("run")).count();
+        let retries = site.entry.shared().budget("models").left();
+        seen.push((name, received, runs, retries, ms));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_stream_goes_on_at_an_engine_that_has_room_unless_it_resumes_before() {
+    let reserved = || Act::Answer(200, 5);
+    let rest = || Act::Events(vec![2, 3], true);
+    let cases = [
+        (
+            "silent for good",
+            vec![prefilled(), pausing(60_000), reserved(), rest()],
+        ),
+        (
+            "resumes while a placement is requested",
+            vec![prefilled(), pausing(1_350)],
+        ),
+        (
+            "resumes while memory is reserved",
+            vec![prefilled(), pausing(1_450), Act::Answer(200, 100)],
+        ),
+        (
+            "no head for good",
+            vec![
+                prefilled(),
+                Act::Paced(60_000, vec![]),
+                reserved(),
+                Act::Events(vec![1, 2], true),
+            ],
+        ),
+    ];
+    let mut seen = Vec::new();
+    for (name, acts) in cases {
+        let site = site(placed(), acts);
+        let sent = site.send("/stream/").await;
+        let retries = site.entry.shared().budget("models").left();
+        seen.push((name, sent, retries));
+    }
+    assert_yaml_snapshot!(seen);
+}
