Let a stream go on when a comment follows a search that has ended

What callers would see: a stream whose connection closes in the middle, after a comment of the engine. Cause: a search for a replacement ends without a result once the request is suspected of crashes. Its receiver has then completed, and was polled again after the next comment, which panics ("called after complete") in the task of the connection. Change: the receiver is dropped when it has ended; the wait then lasts to the deadline.

--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -33,7 +33,8 @@
 where
     P: ForwardParts,
 {
-    found: oneshot::Receiver<Replacement<P>>,
+    /// Receives the result; `None` once the search has ended without one.
+    found: Option<oneshot::Receiver<Replacement<P>>>,
 }
 
 impl<P> ReplacementSearch<P>
@@ -56,15 +57,18 @@
                 task_shared.parts().clock().sleep(SEARCH_PAUSE).await;
             }
         });
-        Self { found }
+        Self { found: Some(found) }
     }
 
     /// Waits until a replacement is found. May be dropped and called again.
     pub async fn found(&mut self) -> Replacement<P> {
-        match (&mut self.found).await {
-            Ok(replacement) => replacement,
-            Err(_) => pending().await,
+        if let Some(found) = &mut self.found {
+            if let Ok(replacement) = found.await {
+                return replacement;
+            }
+            self.found = None;
         }
+        pending().await
     }
 }
 
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -37,7 +37,7 @@
     /// Sends events with these ids, then ends the stream (`true`) or breaks it (`false`).
     Events(Vec<u64>, bool),
     /// Responds after this many milliseconds, then sends events, each after a pause in milliseconds
-    /// and with an id, and ends the stream.
+    /// and with an id, 0 for a comment, and ends the stream.
     Paced(u64, Vec<(u64, u64)>),
     /// Fails with this error.
     Fail(UpstreamError),
@@ -115,6 +115,10 @@
             sleep_until(*due).await;
         }
         match self.0.pop_front() {
+            Some((_, 0)) => Ok(Some(ResponseEvent {
+                id: None,
+                bytes: Bytes::from(": comment"),
+            })),
             Some((_, id)) => Ok(Some(ResponseEvent {
                 id: Some(id),
                 bytes: Bytes::from(format!("event {id}")),
@@ -203,13 +207,16 @@
 }
 
 /// Placer that returns these outcomes, the last one again and again, each after 100 ms; `d2` replaces a
-/// decode engine to avoid, and a prefill engine to avoid is left out.
+/// decode engine to avoid, and a prefill engine to avoid is left out. Keeps the requests.
 #[derive(Clone, Debug)]
-pub struct FixedPlacer(Arc<Mutex<VecDeque<PlacementOutcome>>>);
+pub struct FixedPlacer {
+    outcomes: Arc<Mutex<VecDeque<PlacementOutcome>>>,
+    pub requests: Arc<Mutex<Vec<PlacementRequest>>>,
+}
 
 impl FixedPlacer {
     fn next(&self) -> PlacementOutcome {
-        let mut outcomes = self.0.lock().unwrap();
+        let mut outcomes = self.outcomes.lock().unwrap();
         let next = outcomes.front().unwrap().clone();
         if outcomes.len() > 1 {
             outcomes.pop_front();
@@ -220,6 +227,7 @@
 
 impl Placer for FixedPlacer {
     async fn place(&self, request: PlacementRequest) -> PlacementOutcome {
+        self.requests.lock().unwrap().push(request.clone());
         sleep(Duration::from_millis(100)).await;
         match self.next() {
             PlacementOutcome::Placed {
@@ -276,6 +284,7 @@
 pub struct Site {
     pub entry: ForwardEntry<Ports>,
     pub script: Script,
+    pub placer: FixedPlacer,
     pub writers: Writers,
 }
 
@@ -329,13 +338,17 @@
         calls: Arc::default(),
         runs: Arc::default(),
     };
-    let placer = FixedPlacer(Arc::new(Mutex::new(placements.into())));
-    let ports = Ports(script.clone(), placer, MonoClock::start());
+    let placer = FixedPlacer {
+        outcomes: Arc::new(Mutex::new(placements.into())),
+        requests: Arc::default(),
+    };
+    let ports = Ports(script.clone(), placer.clone(), MonoClock::start());
     let counters = Counters::new(&mut Registry::default());
     let shared = ForwardShared::new(ports, board, counters, ForwardOptions::default(), 7);
     Site {
         entry: ForwardEntry::new(shared),
         script,
+        placer,
         writers,
     }
 }
@@ -352,6 +365,15 @@
 impl Site {
     /// Sends a request; returns what the caller received, the endpoint calls and the time in ms.
     pub async fn send(&self, path: &str) -> (String, Vec<String>, u128) {
+        self.send_within(path, None).await
+    }
+
+    /// Sends a request of a caller who leaves `limit` for the response.
+    pub async fn send_within(
+        &self,
+        path: &str,
+        limit: Option<Duration>,
+    ) -> (String, Vec<String>, u128) {
         let start = Instant::now();
         let request = ForwardRequest {
             id: "r-1".to_owned(),
@@ -368,7 +390,7 @@
             shared_parts: Vec::new(),
             resume_after: None,
         };
-        let received = match self.entry.forward(request, None).await {
+        let received = match self.entry.forward(request, limit).await {
             ForwardReply::Complete(response) => format!("status {}", response.status),
             ForwardReply::Refused(reason) => refused(&reason),
             ForwardReply::Events(_, mut relay) => {
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -122,3 +122,15 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_comment_after_the_search_has_ended_does_not_end_the_stream() {
+    let suspect = PlacementOutcome::Placed {
+        decode: "d1".to_owned(),
+        prefill: None,
+        suspect: true,
+    };
+    let comments = Act::Paced(0, vec![(0, 1), (1_800, 0), (300, 0), (500, 2)]);
+    let site = site_with_placements(vec![placed(), suspect], vec![prefilled(), comments]);
+    assert_yaml_snapshot!(site.send("/stream/").await);
+}
