Let searches for a replacement wait behind streams that run nowhere yet

What callers would see: new streams refused as queue-full, while a few streams of the pool are silent and no other engine has room for them. Cause: a placement that does not fit keeps the younger ones of its pool waiting. A search asks with the age of its stream, so it is the first in line, and it leaves out the engine that may be the only one with room. Change: after the first search without room, the next ones ask as late requests do, behind those that can meet their target.

--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -80,8 +80,11 @@
     P: ForwardParts,
 {
     let permit = RetryPermit::take(shared, &call.pool)?;
-    let found = PlacementSearch::new(shared, call).find(true).await;
-    let mut placement = found.ok()?;
+    let Ok(mut placement) = PlacementSearch::new(shared, call).find(true).await else {
+        // A request that does not fit keeps those behind it waiting, and they run nowhere yet.
+        call.late = true;
+        return None;
+    };
     if call.suspect {
         return None;
     }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -41,6 +41,7 @@
 mod owner_choice;
 mod ownership;
 mod peer_listener;
+mod placement_order;
 mod placer_order;
 mod platform;
 mod process;
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -134,3 +134,13 @@
     let site = site_with_placements(vec![placed(), suspect], vec![prefilled(), comments]);
     assert_yaml_snapshot!(site.send("/stream/").await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_search_that_found_no_room_does_not_keep_other_streams_waiting() {
+    let placements = vec![placed(), PlacementOutcome::Wait];
+    let site = site_with_placements(placements, vec![prefilled(), pausing(3_000)]);
+    site.send("/stream/").await;
+    let requests = site.placer.requests.lock().unwrap();
+    let late: Vec<_> = requests.iter().map(|request| request.late).collect();
+    assert_yaml_snapshot!(late);
+}
