Leave the retries to requests that failed while a replacement is searched for

What callers would see: streams truncated as retry-budget after their endpoint broke off, while other streams of the pool are only silent. Cause: a search for a replacement held its retry from its start, for two fifths of the target time, again and again, though it may find no room. A daemon saves up one or two retries of a pool. Change: a search is counted, at most as many at once as retries are left, and takes its retry when it has found an engine with room. Evidence: with two retries, one was left while a stream was silent on, now both.

--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -87,6 +87,7 @@
 mod reservation_hold;
 mod retry_permit;
 mod run_claimed;
+mod search_slot;
 mod service_path;
 mod service_run;
 mod shared;
--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -2,6 +2,7 @@
     super::{
         ForwardCall, ForwardParts, ForwardShared, ReservationHold, RetryPermit,
         placement_search::{PlacementSearch, StreamPlacement},
+        search_slot::SearchSlot,
     },
     crate::port::Clock,
     std::{future::pending, time::Duration},
@@ -72,14 +73,14 @@
     }
 }
 
-/// Searches once for a retry and an engine with room; `None` if there is none now.
+/// Searches once for an engine with room and a retry; `None` if there is none now.
 ///
 /// The engine prefills locally: a remote prefill would be in vain if the running attempt goes on.
 async fn search<P>(shared: &ForwardShared<P>, call: &mut ForwardCall) -> Option<Replacement<P>>
 where
     P: ForwardParts,
 {
-    let permit = RetryPermit::take(shared, &call.pool)?;
+    let _slot = SearchSlot::take(shared, &call.pool)?;
     let Ok(mut placement) = PlacementSearch::new(shared, call).find(true).await else {
         // A request that does not fit keeps those behind it waiting, and they run nowhere yet.
         call.late = true;
@@ -92,5 +93,7 @@
         let reservation = ReservationHold::take(shared, call, &placement.decode).await?;
         placement.reservation = Some(reservation);
     }
+    // Another request may have spent the last retry meanwhile.
+    let permit = RetryPermit::take(shared, &call.pool)?;
     Some(Replacement { permit, placement })
 }
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -4,6 +4,8 @@
     crate::forward_site::{Act, Site, full, placed, site, site_with_placements},
     insta::assert_yaml_snapshot,
     lentillead::port::PlacementOutcome,
+    std::time::Duration,
+    tokio::{join, time::sleep},
 };
 
 /// Spends all retries of `pool`.
@@ -144,3 +146,15 @@
     let late: Vec<_> = requests.iter().map(|request| request.late).collect();
     assert_yaml_snapshot!(late);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_search_leaves_the_retries_to_requests_that_failed() {
+    let placements = vec![placed(), PlacementOutcome::Wait];
+    let site = site_with_placements(placements, vec![prefilled(), pausing(3_000)]);
+    let left = async {
+        sleep(Duration::from_millis(1_600)).await;
+        site.entry.shared().budget("models").left()
+    };
+    let (_, left) = join!(site.send("/stream/"), left);
+    assert_eq!(left, 2);
+}
