Reserve no memory for a stream that no longer waits for a replacement

What engines would see: reservations for streams that went on or whose callers had left, up to two fifths of the target time before, each released at once. Cause: a search looked whether anyone waits for it only before it asked for a placement. Change: it looks again before the reservation.

--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -50,7 +50,7 @@
         shared.spawn(async move {
             // A request that may have crashed engines is not retried.
             while !sender.is_closed() && !call.suspect {
-                if let Some(replacement) = search(&task_shared, &mut call).await {
+                if let Some(replacement) = search(&task_shared, &mut call, &sender).await {
                     // Without a receiver, the replacement is dropped here.
                     drop(sender.send(replacement));
                     return;
@@ -73,10 +73,15 @@
     }
 }
 
-/// Searches once for an engine with room and a retry; `None` if there is none now.
+/// Searches once for an engine with room and a retry; `None` if there is none now, or if nobody waits for
+/// it any more.
 ///
 /// The engine prefills locally: a remote prefill would be in vain if the running attempt goes on.
-async fn search<P>(shared: &ForwardShared<P>, call: &mut ForwardCall) -> Option<Replacement<P>>
+async fn search<P>(
+    shared: &ForwardShared<P>,
+    call: &mut ForwardCall,
+    sender: &oneshot::Sender<Replacement<P>>,
+) -> Option<Replacement<P>>
 where
     P: ForwardParts,
 {
@@ -86,7 +91,7 @@
         call.late = true;
         return None;
     };
-    if call.suspect {
+    if call.suspect || sender.is_closed() {
         return None;
     }
     if placement.reservation.is_none() {
