Avoid an endpoint whose stream or prefill is overdue, also without a retry

What callers would see: more streams sent to an engine that hangs or is cut off, each of which waits for it, where the budget is spent or no other engine has room. Cause: an endpoint became one to avoid when its silent attempt was given up. The attempt now goes on until it can be replaced, and nothing was recorded meanwhile. Change: new requests avoid it for a moment from when its response is overdue, as it is done for calls. Evidence: the placement request that another stream made then named no unreachable engine on; now it names the one that is silent between events, before the head, and in the prefill.

--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -106,6 +106,7 @@
             let wait = OverdueWait {
                 shared: &self.shared,
                 call: &self.call,
+                hold: &run.hold,
                 search: &mut self.search,
                 limit,
             };
@@ -409,7 +410,7 @@
             resume_after: self.last_id,
             ..self.call.upstream_request(&self.shared, &hold)
         };
-        let (computed, permit) = self.await_prefill(request).await;
+        let (computed, permit) = self.await_prefill(&hold, request).await;
         let error = match computed {
             Ok(Noticed { value, notice }) => {
                 hold.record_notice(&self.shared, notice);
@@ -441,6 +442,7 @@
     /// there is a retry for what follows, which is returned with the error.
     async fn await_prefill(
         &self,
+        hold: &EndpointHold,
         request: UpstreamRequest,
     ) -> (
         Result<Noticed<CacheHandle>, UpstreamError>,
@@ -451,6 +453,7 @@
         if let Ok(computed) = timeout(limit, &mut prefill).await {
             return (computed, None);
         }
+        hold.avoid_overdue(&self.shared);
         let left = self.shared.left(self.call.deadline);
         let either = async {
             select! {
@@ -482,6 +485,7 @@
         let wait = OverdueWait {
             shared: &self.shared,
             call: &self.call,
+            hold,
             search: &mut self.search,
             limit: self.shared.options().first_event,
         };
--- a/src/request/overdue_wait.rs
+++ b/src/request/overdue_wait.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ForwardCall, ForwardParts, ForwardShared,
+        EndpointHold, ForwardCall, ForwardParts, ForwardShared,
         replacement_search::{Replacement, ReplacementSearch},
     },
     crate::port::UpstreamError,
@@ -18,6 +18,8 @@
     pub shared: &'a ForwardShared<P>,
     /// The request.
     pub call: &'a ForwardCall,
+    /// Endpoint of the attempt.
+    pub hold: &'a EndpointHold,
     /// Search for a replacement, present while the attempt is overdue.
     pub search: &'a mut Option<ReplacementSearch<P>>,
     /// Time from now on after which the attempt is overdue.
@@ -57,9 +59,10 @@
             }
         }
         let left = left();
-        let search = self
-            .search
-            .get_or_insert_with(|| ReplacementSearch::start(self.shared, self.call));
+        let search = self.search.get_or_insert_with(|| {
+            self.hold.avoid_overdue(self.shared);
+            ReplacementSearch::start(self.shared, self.call)
+        });
         let either = async {
             select! {
                 biased;
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -158,3 +158,41 @@
     let (_, left) = join!(site.send("/stream/"), left);
     assert_eq!(left, 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_with_an_overdue_response_is_avoided_though_no_retry_is_left() {
+    let events = || Act::Paced(0, vec![(0, 1)]);
+    let cases = [
+        (
+            "between two events",
+            1_600,
+            vec![prefilled(), pausing(3_000)],
+        ),
+        (
+            "before the head",
+            2_000,
+            vec![prefilled(), Act::Paced(3_000, vec![(0, 1)])],
+        ),
+        (
+            "in the prefill",
+            1_000,
+            vec![Act::Answer(200, 2_000), events()],
+        ),
+    ];
+    let mut seen = Vec::new();
+    for (name, ms, acts) in cases {
+        let site = site(placed(), acts);
+        spend_retries(&site, "models");
+        let other = async {
+            sleep(Duration::from_millis(ms)).await;
+            site.script.acts.lock().unwrap().push_front(events());
+            site.script.acts.lock().unwrap().push_front(prefilled());
+            site.send("/stream/").await;
+        };
+        let ((received, ..), ()) = join!(site.send("/stream/"), other);
+        let requests = site.placer.requests.lock().unwrap();
+        let unreachable = requests.last().unwrap().unreachable.clone();
+        seen.push((name, received, unreachable));
+    }
+    assert_yaml_snapshot!(seen);
+}
