Let a late call take no slot of an endpoint that it was sent to

What callers would see: calls refused within the rate that an endpoint states, while another call to it is late and there is no other endpoint. Cause: the search for another endpoint chose one every 100 ms, which takes a slot of its rate, and looked only then whether the call had been sent there before. Change: such endpoints are left out before one is chosen. Evidence: at ten requests a second and 650 ms the next slot was 50 ms away on; now it is open.

--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -66,10 +66,30 @@
     /// Chooses an endpoint for `need` within the limits that endpoints state, and counts the attempt
     /// in its load; `None` if there is none.
     pub fn choose<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Option<Self>
+    where
+        P: ForwardParts,
+    {
+        Self::choose_among(shared, need, options(shared, need))
+    }
+
+    /// Chooses as `choose` does, but none of the endpoints that the request was sent to.
+    pub fn choose_untried<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Option<Self>
     where
         P: ForwardParts,
     {
         let mut options = options(shared, need);
+        options.retain(|option| !option.tried);
+        Self::choose_among(shared, need, options)
+    }
+
+    fn choose_among<P>(
+        shared: &ForwardShared<P>,
+        need: &EndpointNeed<'_>,
+        mut options: Vec<EndpointOption>,
+    ) -> Option<Self>
+    where
+        P: ForwardParts,
+    {
         let fleet = shared.board().fleet.load();
         let (now, daemons) = (shared.now(), shared.daemons());
         let limit = |key| Some(&fleet.endpoints.get(key)?.counters.traffic.limit);
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -47,7 +47,7 @@
         let hold = match replacement.take() {
             Some(hold) => hold,
             None => {
-                let Some(hold) = choose(shared, call) else {
+                let Some(hold) = EndpointHold::choose(shared, &need_of(call)) else {
                     return failure
                         .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
                 };
@@ -110,18 +110,14 @@
     Replaced(RetryPermit, EndpointHold),
 }
 
-/// Chooses the endpoint of an attempt; `None` if there is none.
-fn choose<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Option<EndpointHold>
-where
-    P: ForwardParts,
-{
-    let need = EndpointNeed {
+/// Returns what an attempt of `call` needs of its endpoint.
+fn need_of(call: &ForwardCall) -> EndpointNeed<'_> {
+    EndpointNeed {
         pool: &call.pool,
         role: Role::Service,
         tokens: 0,
         tried: &call.tried,
-    };
-    EndpointHold::choose(shared, &need)
+    }
 }
 
 /// Sends the request to `hold` and reads the complete response, unless another endpoint is to answer.
@@ -183,7 +179,7 @@
     clock.sleep(call.route.target.max(left / 2)).await;
     loop {
         let permit = RetryPermit::wait(shared, &call.pool).await;
-        if let Some(other) = choose(shared, call).filter(|other| !other.option.tried) {
+        if let Some(other) = EndpointHold::choose_untried(shared, &need_of(call)) {
             return (permit, other);
         }
         drop(permit);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -22,7 +22,7 @@
 /// Length of a run, in milliseconds.
 const RUN_MS: u64 = 120_000;
 
-fn rate(per_second: f64) -> RequestRate {
+pub fn rate(per_second: f64) -> RequestRate {
     RequestRate::per_second(per_second).unwrap()
 }
 
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -1,7 +1,10 @@
 //! Responses that are silent for a while, where no other endpoint, or one, could take their place.
 
 use {
-    crate::forward_site::{Act, Site, full, placed, site, site_with_placements},
+    crate::{
+        forward_site::{Act, Site, full, placed, site, site_with_placements},
+        limits::rate,
+    },
     insta::assert_yaml_snapshot,
     lentillead::port::PlacementOutcome,
     std::time::Duration,
@@ -196,3 +199,26 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_late_call_takes_no_slot_of_an_endpoint_that_has_it() {
+    let site = site(placed(), vec![full(), Act::Answer(200, 750)]);
+    let fleet = site.entry.shared().board().fleet.snapshot();
+    let limit = |name: &str| {
+        let key = fleet.endpoints.find(name).unwrap();
+        &fleet.endpoints.get(key).unwrap().counters.traffic.limit
+    };
+    let now = || site.entry.shared().now();
+    for name in ["s1", "s2"] {
+        limit(name).record(Some(rate(10.0)), now(), now(), Duration::ZERO);
+    }
+    let waits = async {
+        sleep(Duration::from_millis(650)).await;
+        ["s1", "s2"].map(|name| limit(name).wait(now(), 1))
+    };
+    let ((received, ..), waits) = join!(site.send("/read/"), waits);
+    assert_eq!(
+        (received.as_str(), waits),
+        ("status 200", [Duration::ZERO; 2])
+    );
+}
