End a prefill at the deadline of its request, and run nothing after it

What callers saw: an answer up to 0.8 s after their deadline; engines were sent a run with no time left. Cause: the time limit of a prefill was not bounded by the time left, and what followed a failed prefill did not look at the deadline.

--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -402,7 +402,7 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if the prefill failed and the retry budget is spent.
+    /// Refuses the request if the prefill failed, and its deadline has passed or the retry budget is spent.
     async fn prefill(&self, hold: EndpointHold) -> Result<Option<CacheHold<P>>, Refused> {
         ForwardLog::new(&self.shared, &self.call).chosen(&hold, "prefill");
         let start = self.shared.now();
@@ -423,6 +423,10 @@
         };
         hold.record_failure(&self.shared, &error);
         let log = ForwardLog::new(&self.shared, &self.call);
+        if self.shared.left(self.call.deadline).is_zero() {
+            log.attempt_failed(&hold, &error, NextStep::Refuse(Refusal::DeadlinePassed));
+            return Err(forward_refusal::past_deadline(&self.call));
+        }
         // The next attempt is further load on the pool, unless this one was never sent.
         let free = matches!(error, UpstreamError::Unsent(_));
         let permit = permit.or_else(|| RetryPermit::take(&self.shared, &self.call.pool));
@@ -450,6 +454,7 @@
     ) {
         let mut prefill = pin!(self.shared.parts().upstream().prefill(request));
         let limit = self.shared.options().prefill_timeout;
+        let limit = limit.min(self.shared.left(self.call.deadline));
         if let Ok(computed) = timeout(limit, &mut prefill).await {
             return (computed, None);
         }
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -222,3 +222,10 @@
         ("status 200", [Duration::ZERO; 2])
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_prefill_ends_at_the_deadline_of_its_request() {
+    let site = site(placed(), vec![Act::Hang]);
+    let limit = Some(Duration::from_millis(500));
+    assert_yaml_snapshot!(site.send_within("/stream/", limit).await);
+}
