--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -106,6 +106,7 @@
             let wait = OverdueWait {
                 shared: &self.shared,
                 call: &self.call,
+                hold: &run.hold,
                 search: &mut self.search,
                 limit,
             };
@@ -401,7 +402,7 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if the prefill failed and the retry budget is spent.
+    /// Refuses the request if the prefill failed, and its deadline has passed or the retry budget is spent.
     async fn prefill(&self, hold: EndpointHold) -> Result<Option<CacheHold<P>>, Refused> {
         ForwardLog::new(&self.shared, &self.call).chosen(&hold, "prefill");
         let start = self.shared.now();
@@ -409,7 +410,7 @@
             resume_after: self.last_id,
             ..self.call.upstream_request(&self.shared, &hold)
         };
-        let (computed, permit) = self.await_prefill(request).await;
+        let (computed, permit) = self.await_prefill(&hold, request).await;
         let error = match computed {
             Ok(Noticed { value, notice }) => {
                 hold.record_notice(&self.shared, notice);
@@ -422,6 +423,10 @@
         };
         hold.record_failure(&self.shared, &error);
         let log = ForwardLog::new(&self.shared, &self.call);
+        if self.shared.left(self.call.deadline).is_zero() {
+            log.attempt_failed(&hold, &error, NextStep::Refuse(Refusal::DeadlinePassed));
+            return Err(forward_refusal::past_deadline(&self.call));
+        }
         // The next attempt is further load on the pool, unless this one was never sent.
         let free = matches!(error, UpstreamError::Unsent(_));
         let permit = permit.or_else(|| RetryPermit::take(&self.shared, &self.call.pool));
@@ -441,6 +446,7 @@
     /// there is a retry for what follows, which is returned with the error.
     async fn await_prefill(
         &self,
+        hold: &EndpointHold,
         request: UpstreamRequest,
     ) -> (
         Result<Noticed<CacheHandle>, UpstreamError>,
@@ -448,9 +454,11 @@
     ) {
         let mut prefill = pin!(self.shared.parts().upstream().prefill(request));
         let limit = self.shared.options().prefill_timeout;
+        let limit = limit.min(self.shared.left(self.call.deadline));
         if let Ok(computed) = timeout(limit, &mut prefill).await {
             return (computed, None);
         }
+        hold.avoid_overdue(&self.shared);
         let left = self.shared.left(self.call.deadline);
         let either = async {
             select! {
@@ -482,6 +490,7 @@
         let wait = OverdueWait {
             shared: &self.shared,
             call: &self.call,
+            hold,
             search: &mut self.search,
             limit: self.shared.options().first_event,
         };
--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -2,6 +2,7 @@
     super::{
         ForwardCall, ForwardParts, ForwardShared, ReservationHold, RetryPermit,
         placement_search::{PlacementSearch, StreamPlacement},
+        search_slot::SearchSlot,
     },
     crate::port::Clock,
     std::{future::pending, time::Duration},
@@ -33,7 +34,8 @@
 where
     P: ForwardParts,
 {
-    found: oneshot::Receiver<Replacement<P>>,
+    /// Receives the result; `None` once the search has ended without one.
+    found: Option<oneshot::Receiver<Replacement<P>>>,
 }
 
 impl<P> ReplacementSearch<P>
@@ -48,7 +50,7 @@
         shared.spawn(async move {
             // A request that may have crashed engines is not retried.
             while !sender.is_closed() && !call.suspect {
-                if let Some(replacement) = search(&task_shared, &mut call).await {
+                if let Some(replacement) = search(&task_shared, &mut call, &sender).await {
                     // Without a receiver, the replacement is dropped here.
                     drop(sender.send(replacement));
                     return;
@@ -56,34 +58,47 @@
                 task_shared.parts().clock().sleep(SEARCH_PAUSE).await;
             }
         });
-        Self { found }
+        Self { found: Some(found) }
     }
 
     /// Waits until a replacement is found. May be dropped and called again.
     pub async fn found(&mut self) -> Replacement<P> {
-        match (&mut self.found).await {
-            Ok(replacement) => replacement,
-            Err(_) => pending().await,
+        if let Some(found) = &mut self.found {
+            if let Ok(replacement) = found.await {
+                return replacement;
+            }
+            self.found = None;
         }
+        pending().await
     }
 }
 
-/// Searches once for a retry and an engine with room; `None` if there is none now.
+/// Searches once for an engine with room and a retry; `None` if there is none now, or if nobody waits for
+/// it any more.
 ///
 /// The engine prefills locally: a remote prefill would be in vain if the running attempt goes on.
-async fn search<P>(shared: &ForwardShared<P>, call: &mut ForwardCall) -> Option<Replacement<P>>
+async fn search<P>(
+    shared: &ForwardShared<P>,
+    call: &mut ForwardCall,
+    sender: &oneshot::Sender<Replacement<P>>,
+) -> Option<Replacement<P>>
 where
     P: ForwardParts,
 {
-    let permit = RetryPermit::take(shared, &call.pool)?;
-    let found = PlacementSearch::new(shared, call).find(true).await;
-    let mut placement = found.ok()?;
-    if call.suspect {
+    let _slot = SearchSlot::take(shared, &call.pool)?;
+    let Ok(mut placement) = PlacementSearch::new(shared, call).find(true).await else {
+        // A request that does not fit keeps those behind it waiting, and they run nowhere yet.
+        call.late = true;
+        return None;
+    };
+    if call.suspect || sender.is_closed() {
         return None;
     }
     if placement.reservation.is_none() {
         let reservation = ReservationHold::take(shared, call, &placement.decode).await?;
         placement.reservation = Some(reservation);
     }
+    // Another request may have spent the last retry meanwhile.
+    let permit = RetryPermit::take(shared, &call.pool)?;
     Some(Replacement { permit, placement })
 }
