--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -125,7 +125,7 @@
                 }
                 Awaited::Response(Err(error)) => error,
                 Awaited::Replacement(replacement) => {
-                    if let Err(refused) = self.replace(replacement).await {
+                    if let Err(refused) = self.replace(*replacement).await {
                         self.close_refused(&refused);
                         return Some(Err(refused));
                     }
@@ -312,13 +312,12 @@
                 return Err(forward_refusal::past_deadline(&self.call));
             }
             cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
-            let found = match placed.take() {
-                Some(placed) => placed,
-                None => {
-                    let remote = prefills < FREE_PREFILLS
-                        || (prefills == FREE_PREFILLS && self.spend_retry());
-                    self.find(cache.is_some() || !remote).await?
-                }
+            let found = if let Some(placed) = placed.take() {
+                placed
+            } else {
+                let remote =
+                    prefills < FREE_PREFILLS || (prefills == FREE_PREFILLS && self.spend_retry());
+                self.find(cache.is_some() || !remote).await?
             };
             let StreamPlacement {
                 decode: hold,
@@ -372,7 +371,7 @@
                     cache = cache.filter(|_| error.is_not_run());
                 }
                 Awaited::Replacement(replacement) => {
-                    placed = Some(self.record_replaced(&hold, replacement));
+                    placed = Some(self.record_replaced(&hold, *replacement));
                     cache = None;
                 }
             }
