Try again where the endpoint that takes over a stream reports a failure

What callers saw: a stream truncated although attempts and retries were left, since the endpoint that was to go on with it answered with status 500. Cause: a status that is no success ended the stream at once. Where it replaces a silent attempt, a sound run had been given up for it. Change: a status from 500 on is a failed attempt like a response that breaks off: the next one follows while attempts and the retry budget allow. It is not counted as a crash. Evidence: the stream ended "event 1, truncated" on; now all three events arrive.

--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -2,7 +2,7 @@
     super::{
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
         ReservationHold,
-        forward_buffered::collect_failure,
+        forward_buffered::{FIRST_SERVER_ERROR, collect_failure},
         forward_log::NextStep,
         forward_refusal,
         forward_response::ForwardResponse,
@@ -243,19 +243,27 @@
         Ok(run.hold)
     }
 
-    /// Starts an attempt that goes on after the last event sent to the caller, at `placed` if present.
-    async fn start_again(&mut self, placed: Option<StreamPlacement<P>>) -> Result<(), Refused> {
-        let response = self.start(placed).await?;
-        if response.status >= FIRST_NON_SUCCESS {
-            response.hold.record_end(true);
+    /// Starts an attempt that goes on after the last event sent to the caller, at `placed` if present; the
+    /// next one if its endpoint only reports a failure.
+    async fn start_again(&mut self, mut placed: Option<StreamPlacement<P>>) -> Result<(), Refused> {
+        loop {
+            let response = self.start(placed.take()).await?;
+            let status = response.status;
+            if status < FIRST_NON_SUCCESS {
+                self.run = Some(response.into_run().1);
+                return Ok(());
+            }
             let detail = format!(
-                "the endpoint that was to resume the stream responded with status {}",
-                response.status
+                "the endpoint that was to resume the stream responded with status {status}"
             );
-            return Err(Refused::unknown(Refusal::Truncated, &detail));
+            if status < FIRST_SERVER_ERROR {
+                response.hold.record_end(true);
+                return Err(Refused::unknown(Refusal::Truncated, &detail));
+            }
+            let hold = response.hold;
+            drop(response.body);
+            self.after_failure(&hold, &UpstreamError::Broken(detail))?;
         }
-        self.run = Some(response.into_run().1);
-        Ok(())
     }
 
     /// Records that the overdue attempt at `hold` was ended for `replacement`; returns where that runs.
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -15,7 +15,7 @@
 };
 
 /// First status code that reports a failure of the endpoint.
-const FIRST_SERVER_ERROR: u16 = 500;
+pub const FIRST_SERVER_ERROR: u16 = 500;
 
 /// Response time assumed for an endpoint that has not responded yet.
 const DEFAULT_RESPONSE_TIME: Duration = Duration::from_millis(100);
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -2,12 +2,15 @@
 
 use {
     crate::{
-        forward_site::{Act, Site, full, placed, site, site_with_placements},
+        forward_site::{Act, Site, full, placed, routes, site, site_with_placements},
         limits::rate,
     },
     insta::assert_yaml_snapshot,
-    lentillead::port::PlacementOutcome,
-    std::time::Duration,
+    lentillead::{
+        board::{CallerLimits, PathRoute, Routing},
+        port::PlacementOutcome,
+    },
+    std::{collections::HashMap, time::Duration},
     tokio::{join, time::sleep},
 };
 
@@ -150,18 +153,6 @@
     assert_yaml_snapshot!(late);
 }
 
-#[tokio::test(start_paused = true)]
-async fn a_search_leaves_the_retries_to_requests_that_failed() {
-    let placements = vec![placed(), PlacementOutcome::Wait];
-    let site = site_with_placements(placements, vec![prefilled(), pausing(3_000)]);
-    let left = async {
-        sleep(Duration::from_millis(1_600)).await;
-        site.entry.shared().budget("models").left()
-    };
-    let (_, left) = join!(site.send("/stream/"), left);
-    assert_eq!(left, 2);
-}
-
 #[tokio::test(start_paused = true)]
 async fn an_endpoint_with_an_overdue_response_is_avoided_though_no_retry_is_left() {
     let events = || Act::Paced(0, vec![(0, 1)]);
@@ -200,6 +191,18 @@
     assert_yaml_snapshot!(seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_search_leaves_the_retries_to_requests_that_failed() {
+    let placements = vec![placed(), PlacementOutcome::Wait];
+    let site = site_with_placements(placements, vec![prefilled(), pausing(3_000)]);
+    let left = async {
+        sleep(Duration::from_millis(1_600)).await;
+        site.entry.shared().budget("models").left()
+    };
+    let (_, left) = join!(site.send("/stream/"), left);
+    assert_eq!(left, 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_late_call_takes_no_slot_of_an_endpoint_that_has_it() {
     let site = site(placed(), vec![full(), Act::Answer(200, 750)]);
@@ -229,3 +232,23 @@
     let limit = Some(Duration::from_millis(500));
     assert_yaml_snapshot!(site.send_within("/stream/", limit).await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_replacement_that_fails_is_replaced_while_attempts_are_left() {
+    let acts = vec![
+        prefilled(),
+        pausing(60_000),
+        Act::Answer(200, 5),
+        Act::Answer(500, 5),
+        Act::Events(vec![2, 3], true),
+    ];
+    let mut site = site(placed(), acts);
+    let more = |route| PathRoute {
+        attempts: 3,
+        ..route
+    };
+    let routes: Vec<_> = routes().into_iter().map(more).collect();
+    let routing = Routing::new(4, routes, HashMap::new(), CallerLimits::default());
+    site.writers.routing.publish(routing);
+    assert_yaml_snapshot!(site.send("/stream/").await);
+}
