Keep a silent completion until a retry for it is certain

What callers saw: completions truncated or refused as retry-budget, outcome-unknown or after the last attempt, although their engines were still running them. A stream silent for three stall limits, a prefill of 30 s and a head that took 5 s counted as broken, and only then it was asked whether an attempt, a retry of the budget or a second run was allowed. Change: these waits go on to the deadline until an attempt is left, the request may run again, and a retry is taken; the retry goes with the failure and is not spent twice. The two resumes at the same endpoint stay as they are, since they lose nothing; a resume that fails otherwise than as unknown no longer ends a stream that is only silent. The grant of the next attempt is still asked for after the old one is given up. With a retry, the stream goes on at another engine as before.

--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -437,7 +437,7 @@
         }
         // The next attempt is further load on the pool, unless this one was never sent.
         let free = matches!(error, UpstreamError::Unsent(_));
-        let permit = permit.or_else(|| RetryPermit::take(&self.shared, &self.call.pool));
+        let permit = permit.or_else(|| RetryPermit::take(self.shared.budget(&self.call.pool)));
         match permit {
             Some(permit) if !free => permit.spend(),
             None if !free => {
@@ -468,11 +468,12 @@
         }
         hold.avoid_overdue(&self.shared);
         let left = self.shared.left(self.call.deadline);
+        let clock = self.shared.parts().clock();
         let either = async {
             select! {
                 biased;
                 computed = prefill => (computed, None),
-                permit = RetryPermit::wait(&self.shared, &self.call.pool) => {
+                permit = RetryPermit::wait(self.shared.budget(&self.call.pool), clock) => {
                     (Err(UpstreamError::TimedOut), Some(permit))
                 }
             }
--- a/src/request/failed_call.rs
+++ b/src/request/failed_call.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Call, Parts, Progress, Ran, Refused, Shared},
+    super::{Call, Parts, Progress, Ran, Refused, RetryPermit, Shared, overdue_call::CallError},
     crate::{
         board::{RetryReason, Role},
         decide::{AttemptState, Chance, Failure, Verdict, after_failure},
@@ -13,7 +13,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
 /// A failed call to an endpoint.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct FailedCall {
     /// Name of the endpoint.
     pub endpoint: String,
@@ -25,11 +25,17 @@
     pub role: Role,
     /// How the call failed.
     pub error: EngineError,
+    /// Retry taken before the call was given up.
+    permit: Option<RetryPermit>,
 }
 
 impl FailedCall {
     /// Describes the failure of a call under `grant`.
-    pub fn new(grant: &Grant, role: Role, error: EngineError) -> Self {
+    pub fn new<E>(grant: &Grant, role: Role, error: E) -> Self
+    where
+        E: Into<CallError>,
+    {
+        let CallError { error, permit } = error.into();
         let endpoint = grant.endpoint.clone();
         let address = grant.address.clone();
         let attempt = grant.attempt.number;
@@ -39,6 +45,7 @@
             attempt,
             role,
             error,
+            permit,
         }
     }
 
@@ -74,7 +81,7 @@
         }
     }
 
-    /// Decides what follows; a retry is spent from the branch's budget.
+    /// Decides what follows; a retry is spent from the branch's budget unless it was taken before.
     ///
     /// `may_have_run` states whether an earlier attempt may have run.
     fn verdict<P>(&self, shared: &Shared<P>, call: &Call, may_have_run: bool) -> Verdict
@@ -100,7 +107,7 @@
                 .budget(call.branch)
                 .is_some_and(|budget| !budget.spend())
         };
-        if verdict == Verdict::Retry && spent() {
+        if verdict == Verdict::Retry && self.permit.is_none() && spent() {
             return after_failure(Failure {
                 chance: Chance::BudgetSpent,
                 ..failure
@@ -115,7 +122,7 @@
     ///
     /// Refuses the request if no further attempt is to be made.
     pub async fn wait_to_retry<P>(
-        &self,
+        self,
         shared: &Shared<P>,
         call: &Call,
         progress: &Progress,
@@ -127,13 +134,17 @@
         self.report_crash(shared, call).await;
         let verdict = self.verdict(shared, call, progress.ran() == Ran::Unknown);
         self.log(call, progress);
-        let detail = self.error.to_string();
+        let (detail, reason) = (self.error.to_string(), self.retry_reason());
         match verdict {
-            Verdict::Retry => {}
+            Verdict::Retry => {
+                if let Some(permit) = self.permit {
+                    permit.spend();
+                }
+            }
             Verdict::NotRun(reason) => return Err(Refused::not_run(reason, &detail)),
             Verdict::Unknown(reason) => return Err(Refused::unknown(reason, &detail)),
         }
-        shared.counters().count_retry(self.retry_reason());
+        shared.counters().count_retry(reason);
         shared.parts().clock().sleep(RETRY_DELAY).await;
         Ok(())
     }
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -178,7 +178,7 @@
     // Leaves time for the attempt at the other endpoint.
     clock.sleep(call.route.target.max(left / 2)).await;
     loop {
-        let permit = RetryPermit::wait(shared, &call.pool).await;
+        let permit = RetryPermit::wait(shared.budget(&call.pool), clock).await;
         if let Some(other) = EndpointHold::choose_untried(shared, &need_of(call)) {
             return (permit, other);
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -71,6 +71,7 @@
 mod grant_hold;
 mod model_path;
 mod opened_stream;
+mod overdue_call;
 mod overdue_wait;
 mod owner;
 mod parts;
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -1,5 +1,8 @@
 use {
-    super::{CallerDisconnected, GrantHold, Parts, Progress, Shared, Sink, TextChunk},
+    super::{
+        CallerDisconnected, GrantHold, Parts, Progress, Sink, TextChunk,
+        overdue_call::{CallError, OverdueCall},
+    },
     crate::{
         board::RetryReason,
         port::{Chunk, Engine, EngineError, Grant, TokenStream},
@@ -8,12 +11,12 @@
 };
 
 /// Why a relay ended before the final chunk.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum RelayEnd {
     /// The caller disconnected.
     Disconnected,
     /// The endpoint failed, and the stream could not be resumed there.
-    Failed(EngineError),
+    Failed(CallError),
 }
 
 impl From<CallerDisconnected> for RelayEnd {
@@ -22,13 +25,22 @@
     }
 }
 
+/// How a stream that did not fail ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Streamed {
+    /// With its final chunk.
+    Complete,
+    /// It is silent and may be resumed.
+    Stalled,
+}
+
 /// Relays the tokens of one attempt to the caller, each exactly once and in order.
 #[derive(Debug)]
 pub struct Relay<'a, P>
 where
     P: Parts,
 {
-    shared: &'a Shared<P>,
+    overdue: OverdueCall<'a, P>,
     grant: &'a Grant,
     progress: &'a mut Progress,
     prefill: Option<GrantHold<P>>,
@@ -41,17 +53,18 @@
 {
     /// Prepares to relay the attempt that holds `grant` after the tokens counted in `progress`.
     ///
+    /// `overdue` states when it may be given up.
     /// `prefill` holds the exported KV cache; it is released at the first chunk, which shows that
     /// the import is complete.
     pub fn new(
-        shared: &'a Shared<P>,
+        overdue: OverdueCall<'a, P>,
         grant: &'a Grant,
         progress: &'a mut Progress,
         prefill: Option<GrantHold<P>>,
     ) -> Self {
         let base = progress.tokens;
         Self {
-            shared,
+            overdue,
             grant,
             progress,
             prefill,
@@ -72,27 +85,31 @@
     where
         K: Sink,
     {
-        let mut resumes = self.shared.options().max_resumes;
+        let mut resumes = self.overdue.shared.options().max_resumes;
         loop {
-            let error = match self.stream(&mut tokens, sink).await {
-                Ok(()) => return Ok(()),
-                Err(RelayEnd::Failed(error)) => error,
+            let failed = match self.stream(&mut tokens, resumes > 0, sink).await {
+                Ok(Streamed::Complete) => return Ok(()),
+                Ok(Streamed::Stalled) => None,
+                Err(RelayEnd::Failed(failed)) if resumes > 0 => Some(failed),
                 Err(end) => return Err(end),
             };
-            if resumes == 0 {
-                return Err(RelayEnd::Failed(error));
-            }
             resumes -= 1;
-            tokens = self
-                .resume()
-                .await
-                .map_err(|_failed| RelayEnd::Failed(error))?;
-            self.shared.counters().count_retry(RetryReason::Resumed);
+            match (self.resume().await, failed) {
+                (Ok(next), _) => tokens = next,
+                (Err(_), Some(failed)) => return Err(RelayEnd::Failed(failed)),
+                (Err(error @ EngineError::UnknownAttempt), None) => {
+                    return Err(RelayEnd::Failed(error.into()));
+                }
+                // The stream that is silent may still go on.
+                (Err(_), None) => continue,
+            }
+            let counters = self.overdue.shared.counters();
+            counters.count_retry(RetryReason::Resumed);
         }
     }
 
     async fn resume(&self) -> Result<<P::Engine as Engine>::Tokens, EngineError> {
-        let engine = self.shared.parts().engine();
+        let engine = self.overdue.shared.parts().engine();
         engine
             .resume(
                 &self.grant.address,
@@ -102,25 +119,31 @@
             .await
     }
 
-    /// Relays chunks until the stream ends or breaks; a stall counts as a break.
+    /// Relays chunks until the stream ends or breaks. A stall ends it where it may be resumed, else once a
+    /// retry may follow.
     async fn stream<K>(
         &mut self,
         tokens: &mut <P::Engine as Engine>::Tokens,
+        may_resume: bool,
         sink: &mut K,
-    ) -> Result<(), RelayEnd>
+    ) -> Result<Streamed, RelayEnd>
     where
         K: Sink,
     {
+        let limit = self.overdue.shared.options().stall_timeout;
         loop {
-            let next = timeout(self.shared.options().stall_timeout, tokens.next()).await;
-            let stalled = |_| EngineError::Broken("no token within the stall limit".to_owned());
-            let chunk = next
-                .map_err(stalled)
-                .and_then(|next| next)
-                .map_err(RelayEnd::Failed)?;
-            match chunk {
+            let next = tokens.next();
+            let chunk = if may_resume {
+                let Ok(next) = timeout(limit, next).await else {
+                    return Ok(Streamed::Stalled);
+                };
+                next.map_err(CallError::from)
+            } else {
+                self.overdue.wait(limit, next).await
+            };
+            match chunk.map_err(RelayEnd::Failed)? {
                 Some(chunk) => self.relay_chunk(chunk, sink).await?,
-                None => return Ok(()),
+                None => return Ok(Streamed::Complete),
             }
         }
     }
@@ -138,10 +161,8 @@
             finish: chunk.finish,
         };
         self.progress.record(&relayed);
-        self.shared
-            .counters()
-            .tokens
-            .inc_by(u64::from(relayed.count));
+        let counters = self.overdue.shared.counters();
+        counters.tokens.inc_by(u64::from(relayed.count));
         Ok(sink.send(relayed).await?)
     }
 }
--- a/src/request/replacement_search.rs
+++ b/src/request/replacement_search.rs
@@ -99,6 +99,6 @@
         placement.reservation = Some(reservation);
     }
     // Another request may have spent the last retry meanwhile.
-    let permit = RetryPermit::take(shared, &call.pool)?;
+    let permit = RetryPermit::take(shared.budget(&call.pool))?;
     Some(Replacement { permit, placement })
 }
--- a/src/request/retry_permit.rs
+++ b/src/request/retry_permit.rs
@@ -1,5 +1,4 @@
 use {
-    super::{ForwardParts, ForwardShared},
     crate::{decide::RetryBudget, port::Clock},
     std::{sync::Arc, time::Duration},
 };
@@ -7,7 +6,7 @@
 /// Wait before a spent budget is checked again.
 const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Permission for one retry of a pool's budget; dropping it unused returns the credit.
+/// Permission for one retry of a budget; dropping it unused returns the credit.
 #[derive(Debug)]
 pub struct RetryPermit {
     budget: Arc<RetryBudget>,
@@ -15,28 +14,24 @@
 }
 
 impl RetryPermit {
-    /// Takes a retry of the budget of `pool`; `None` if none is left.
-    pub fn take<P>(shared: &ForwardShared<P>, pool: &str) -> Option<Self>
-    where
-        P: ForwardParts,
-    {
-        let budget = shared.budget(pool);
+    /// Takes a retry of `budget`; `None` if none is left.
+    pub fn take(budget: Arc<RetryBudget>) -> Option<Self> {
         budget.spend().then(|| Self {
             budget,
             used: false,
         })
     }
 
-    /// Waits until the budget of `pool` has a retry left, and takes it.
-    pub async fn wait<P>(shared: &ForwardShared<P>, pool: &str) -> Self
+    /// Waits until `budget` has a retry left, and takes it.
+    pub async fn wait<C>(budget: Arc<RetryBudget>, clock: &C) -> Self
     where
-        P: ForwardParts,
+        C: Clock,
     {
         loop {
-            if let Some(permit) = Self::take(shared, pool) {
+            if let Some(permit) = Self::take(Arc::clone(&budget)) {
                 return permit;
             }
-            shared.parts().clock().sleep(BUDGET_CHECK_INTERVAL).await;
+            clock.sleep(BUDGET_CHECK_INTERVAL).await;
         }
     }
 
--- a/src/request/service_path.rs
+++ b/src/request/service_path.rs
@@ -66,7 +66,7 @@
             let hold = granted.map_err(|denial| no_grant(denial, self.progress.ran()))?;
             match self.attempt(hold).await {
                 Ok(response) => return Ok(response),
-                Err(failed) => self.after_failure(&failed).await?,
+                Err(failed) => self.after_failure(failed).await?,
             }
         }
         Err(attempts_exhausted(self.progress.ran()))
@@ -127,7 +127,7 @@
     }
 
     /// Waits until an attempt at another endpoint than `failed` may start, or refuses the request.
-    async fn after_failure(&mut self, failed: &FailedCall) -> Result<(), Refused> {
+    async fn after_failure(&mut self, failed: FailedCall) -> Result<(), Refused> {
         self.avoid = vec![failed.endpoint.clone()];
         failed
             .wait_to_retry(self.shared, self.call, &self.progress)
--- a/src/request/shared.rs
+++ b/src/request/shared.rs
@@ -24,7 +24,7 @@
     board: Blackboard,
     counters: Counters,
     options: PathOptions,
-    budgets: SecondaryMap<BranchKey, RetryBudget>,
+    budgets: SecondaryMap<BranchKey, Arc<RetryBudget>>,
     tasks: TaskTracker,
 }
 
@@ -42,7 +42,10 @@
 {
     /// Creates the shared state, with a retry budget for each branch that `board` lists now.
     pub fn new(parts: P, board: Blackboard, counters: Counters, options: PathOptions) -> Self {
-        let budget = || RetryBudget::new(options.retry_percent, options.retry_reserve);
+        let budget = || {
+            let budget = RetryBudget::new(options.retry_percent, options.retry_reserve);
+            Arc::new(budget)
+        };
         let budgets = board
             .branches
             .load()
@@ -117,7 +120,7 @@
     }
 
     /// Returns the retry budget of `branch`; `None` for a branch that was not listed at the start.
-    pub fn budget(&self, branch: BranchKey) -> Option<&RetryBudget> {
+    pub fn budget(&self, branch: BranchKey) -> Option<&Arc<RetryBudget>> {
         self.inner.budgets.get(branch)
     }
 
