--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -2,7 +2,7 @@
     super::{
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
         ReservationHold,
-        forward_buffered::collect_failure,
+        forward_buffered::{FIRST_SERVER_ERROR, collect_failure},
         forward_log::NextStep,
         forward_refusal,
         forward_response::ForwardResponse,
@@ -219,7 +219,7 @@
     }
 
     /// Ends the overdue attempt and starts another one, where `replacement` has room for it.
-    async fn replace(&mut self, replacement: Replacement<P>) -> Result<(), Refused> {
+    async fn replace(&mut self, replacement: Box<Replacement<P>>) -> Result<(), Refused> {
         let error = UpstreamError::TimedOut;
         let hold = self.end_run(&error)?;
         let placement = self.record_replaced(&hold, replacement);
@@ -243,26 +243,34 @@
         Ok(run.hold)
     }
 
-    /// Starts an attempt that goes on after the last event sent to the caller, at `placed` if present.
-    async fn start_again(&mut self, placed: Option<StreamPlacement<P>>) -> Result<(), Refused> {
-        let response = self.start(placed).await?;
-        if response.status >= FIRST_NON_SUCCESS {
-            response.hold.record_end(true);
+    /// Starts an attempt that goes on after the last event sent to the caller, at `placed` if present; the
+    /// next one if its endpoint only reports a failure.
+    async fn start_again(&mut self, mut placed: Option<StreamPlacement<P>>) -> Result<(), Refused> {
+        loop {
+            let response = self.start(placed.take()).await?;
+            let status = response.status;
+            if status < FIRST_NON_SUCCESS {
+                self.run = Some(response.into_run().1);
+                return Ok(());
+            }
             let detail = format!(
-                "the endpoint that was to resume the stream responded with status {}",
-                response.status
+                "the endpoint that was to resume the stream responded with status {status}"
             );
-            return Err(Refused::unknown(Refusal::Truncated, &detail));
+            if status < FIRST_SERVER_ERROR {
+                response.hold.record_end(true);
+                return Err(Refused::unknown(Refusal::Truncated, &detail));
+            }
+            let hold = response.hold;
+            drop(response.body);
+            self.after_failure(&hold, &UpstreamError::Broken(detail))?;
         }
-        self.run = Some(response.into_run().1);
-        Ok(())
     }
 
     /// Records that the overdue attempt at `hold` was ended for `replacement`; returns where that runs.
     fn record_replaced(
         &mut self,
         hold: &EndpointHold,
-        replacement: Replacement<P>,
+        replacement: Box<Replacement<P>>,
     ) -> StreamPlacement<P> {
         let error = UpstreamError::TimedOut;
         hold.record_failure(&self.shared, &error);
@@ -428,7 +436,7 @@
         }
         // The next attempt is further load on the pool, unless this one was never sent.
         let free = matches!(error, UpstreamError::Unsent(_));
-        let permit = permit.or_else(|| RetryPermit::take(&self.shared, &self.call.pool));
+        let permit = permit.or_else(|| RetryPermit::take(self.shared.budget(&self.call.pool)));
         match permit {
             Some(permit) if !free => permit.spend(),
             None if !free => {
@@ -459,11 +467,12 @@
         }
         hold.avoid_overdue(&self.shared);
         let left = self.shared.left(self.call.deadline);
+        let clock = self.shared.parts().clock();
         let either = async {
             select! {
                 biased;
                 computed = prefill => (computed, None),
-                permit = RetryPermit::wait(&self.shared, &self.call.pool) => {
+                permit = RetryPermit::wait(self.shared.budget(&self.call.pool), clock) => {
                     (Err(UpstreamError::TimedOut), Some(permit))
                 }
             }
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -15,7 +15,7 @@
 };
 
 /// First status code that reports a failure of the endpoint.
-const FIRST_SERVER_ERROR: u16 = 500;
+pub const FIRST_SERVER_ERROR: u16 = 500;
 
 /// Response time assumed for an endpoint that has not responded yet.
 const DEFAULT_RESPONSE_TIME: Duration = Duration::from_millis(100);
@@ -177,7 +177,7 @@
     // Leaves time for the attempt at the other endpoint.
     clock.sleep(call.route.target.max(left / 2)).await;
     loop {
-        let permit = RetryPermit::wait(shared, &call.pool).await;
+        let permit = RetryPermit::wait(shared.budget(&call.pool), clock).await;
         if let Some(other) = EndpointHold::choose_untried(shared, &need_of(call)) {
             return (permit, other);
         }
