--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -125,7 +125,7 @@
                 }
                 Awaited::Response(Err(error)) => error,
                 Awaited::Replacement(replacement) => {
-                    if let Err(refused) = self.replace(*replacement).await {
+                    if let Err(refused) = self.replace(replacement).await {
                         self.close_refused(&refused);
                         return Some(Err(refused));
                     }
@@ -379,7 +379,7 @@
                     cache = cache.filter(|_| error.is_not_run());
                 }
                 Awaited::Replacement(replacement) => {
-                    placed = Some(self.record_replaced(&hold, *replacement));
+                    placed = Some(self.record_replaced(&hold, replacement));
                     cache = None;
                 }
             }
