--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -93,5 +93,6 @@
 mod service_run;
 mod shared;
 mod sink;
+mod stream_attempts;
 mod stream_run;
 mod stream_times;
