Test signals in series at a platform daemon that runs as a process

SIGHUP and SIGTERM in turns, and SIGINT, 40 ms apart while a request runs: it and a request that is sent after the signals get their whole responses of 1 MiB, and the process exits with 0.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -46,6 +46,7 @@
 mod process;
 mod process_daemon;
 mod process_input;
+mod process_platform;
 mod process_site;
 mod queue_bench;
 mod queue_memory;
