--- a/src/request/event_relay.rs
+++ b/src/request/event_relay.rs
@@ -219,7 +219,7 @@
     }
 
     /// Ends the overdue attempt and starts another one, where `replacement` has room for it.
-    async fn replace(&mut self, replacement: Replacement<P>) -> Result<(), Refused> {
+    async fn replace(&mut self, replacement: Box<Replacement<P>>) -> Result<(), Refused> {
         let error = UpstreamError::TimedOut;
         let hold = self.end_run(&error)?;
         let placement = self.record_replaced(&hold, replacement);
@@ -270,7 +270,7 @@
     fn record_replaced(
         &mut self,
         hold: &EndpointHold,
-        replacement: Replacement<P>,
+        replacement: Box<Replacement<P>>,
     ) -> StreamPlacement<P> {
         let error = UpstreamError::TimedOut;
         hold.record_failure(&self.shared, &error);
@@ -320,13 +320,12 @@
                 return Err(forward_refusal::past_deadline(&self.call));
             }
             cache = cache.filter(|cache| cache.age() < self.shared.options().cache_time);
-            let found = match placed.take() {
-                Some(placed) => placed,
-                None => {
-                    let remote = prefills < FREE_PREFILLS
-                        || (prefills == FREE_PREFILLS && self.spend_retry());
-                    self.find(cache.is_some() || !remote).await?
-                }
+            let found = if let Some(placed) = placed.take() {
+                placed
+            } else {
+                let remote =
+                    prefills < FREE_PREFILLS || (prefills == FREE_PREFILLS && self.spend_retry());
+                self.find(cache.is_some() || !remote).await?
             };
             let StreamPlacement {
                 decode: hold,
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -44,18 +44,17 @@
     let mut failure = None;
     let mut replacement: Option<EndpointHold> = None;
     loop {
-        let hold = match replacement.take() {
-            Some(hold) => hold,
-            None => {
-                let Some(hold) = EndpointHold::choose(shared, &need_of(call)) else {
-                    return failure
-                        .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
-                };
-                if hold.option.tried {
-                    return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
-                }
-                hold
+        let hold = if let Some(hold) = replacement.take() {
+            hold
+        } else {
+            let Some(hold) = EndpointHold::choose(shared, &need_of(call)) else {
+                return failure
+                    .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
+            };
+            if hold.option.tried {
+                return failure.ok_or_else(|| forward_refusal::all_refused(shared, call));
             }
+            hold
         };
         ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
--- a/src/request/overdue_wait.rs
+++ b/src/request/overdue_wait.rs
@@ -35,7 +35,7 @@
     /// What the attempt responded, or how it failed; `TimedOut` at the deadline of the request.
     Response(Result<T, UpstreamError>),
     /// The attempt is overdue, and this can take its place.
-    Replacement(Replacement<P>),
+    Replacement(Box<Replacement<P>>),
 }
 
 impl<P> OverdueWait<'_, P>
@@ -67,7 +67,7 @@
             select! {
                 biased;
                 response = response => Awaited::Response(response),
-                found = search.found() => Awaited::Replacement(found),
+                found = search.found() => Awaited::Replacement(Box::new(found)),
             }
         };
         let ended = timeout(left, either).await;
--- a/tests/model_path.rs
+++ b/tests/model_path.rs
@@ -148,13 +148,13 @@
         &self,
         _: &str,
         attempt: AttemptId,
-        next: u32,
+        index: u32,
     ) -> Result<ScriptTokens, EngineError> {
         let silent = self.silent.lock().unwrap();
         let tokens = silent.get(&attempt).ok_or(EngineError::UnknownAttempt)?;
-        self.record(format!("resume at {next}"));
+        self.record(format!("resume at {index}"));
         Ok(ScriptTokens {
-            next,
+            next: index,
             ..tokens.clone()
         })
     }
