Let a list leave time for the store when another daemon is silent

Its log: lists of endpoints ended by their time limit although the path was whole, no daemon was given up as silent meanwhile, and a list succeeded once other daemons were no longer asked first.

Cause: the store was not called. A list that asks another daemon waited for it up to 1.4 s (the wait of a watch and the limit of the reply) once that daemon had replied to an earlier read. The limit of the list as a whole is 0.9 s, so the list ended first: the silent daemon was not avoided, and the time-out counted as the store's.

Change: a list, which is replied to at once, asks with no wait, so a silent daemon costs it 0.4 s.

Test: a_reader_whose_path_is_restored_lists_at_the_store_while_the_other_one_is_silent failed before in 9 of 20 lengths of a cut (up to 2,132 ms from the restored path to a list) and passes now (limit 1,300 ms).

--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -146,10 +146,11 @@
         hosts
     }
 
-    /// Returns the wait of a read from another daemon: none after a read without a reply, so that it
-    /// soon shows whether a daemon replies at all.
-    fn wait(&self) -> Duration {
-        if self.state.replied.load(Ordering::Acquire) {
+    /// Returns the wait of a read from another daemon: none for a list, which is replied to at once and has to
+    /// leave time for the store, and none after a read without a reply, so that it soon shows whether a
+    /// daemon replies at all.
+    fn wait(&self, since: Option<StoreRevision>) -> Duration {
+        if since.is_some() && self.state.replied.load(Ordering::Acquire) {
             PEER_WAIT
         } else {
             Duration::ZERO
@@ -232,7 +233,7 @@
         let Some(member) = members.hosts.get(host) else {
             return Ok(FeedReply::NotReading);
         };
-        let wait = self.wait();
+        let wait = self.wait(since);
         let read = FeedRead {
             kind: F::Item::KIND,
             since,
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -18,6 +18,10 @@
     tokio::time::sleep,
 };
 
+/// Longest time, in milliseconds, from the restoration of the path to the store until a reader has listed: a call
+/// that fails and the delay after it.
+const RESTORED_LIMIT_MS: u128 = 1_300;
+
 #[tokio::test(start_paused = true)]
 async fn calls_to_the_store_at_rest_do_not_grow_with_the_daemons() {
     let mut calls = Vec::new();
@@ -107,6 +111,33 @@
     }
 }
 
+/// A reader that was cut off asked the other one, whose connection had gone silent, for as long as a list may
+/// take, so it did not call the store although its path was whole again.
+#[tokio::test(start_paused = true)]
+async fn a_reader_whose_path_is_restored_lists_at_the_store_while_the_other_one_is_silent() {
+    let mut late = Vec::new();
+    for cut_ms in (3_000..5_000).step_by(100) {
+        let zone = Zone::start(2).await;
+        let [cut, other] = zone.readers().try_into().unwrap();
+        // It has read from the other one before.
+        zone.store.lock().unwrap().cut.insert(cut.clone());
+        zone.changed.send_replace(());
+        zone.time_to_spread("e1", &[]).await;
+        zone.store.lock().unwrap().cut.clear();
+        sleep(Duration::from_secs(10)).await;
+        zone.store.lock().unwrap().cut.insert(cut.clone());
+        zone.peers.silent.lock().unwrap().insert(other.clone());
+        zone.changed.send_replace(());
+        sleep(Duration::from_millis(cut_ms)).await;
+        zone.store.lock().unwrap().cut.clear();
+        let spread = zone.time_to_spread("e2", &[other]).await;
+        if spread > RESTORED_LIMIT_MS {
+            late.push(format!("cut for {cut_ms} ms: {spread} ms"));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
 /// The store stops answering both readers of the zone, so no daemon learned that an endpoint leaves.
 #[tokio::test(start_paused = true)]
 async fn a_zone_whose_readers_all_have_silent_watches_still_learns_of_changes() {
