Size a retry budget by the daemons known now, not by those known at its first use

Cause: the share of a daemon in the retries that all may save up was fixed when its pool got its first request. Daemons that start one after another, or slowly, don't know the others then. Change: each use lowers the maximum to the share by the daemons known now, and a budget starts with two retries at most.

--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -7,27 +7,36 @@
 pub struct RetryBudget {
     credit: AtomicU64,
     earn: u64,
-    max: u64,
+    max: AtomicU64,
 }
 
 /// Credit of one retry, in thousandths of a retry.
 const RETRY_CREDIT: u64 = 1_000;
 
 impl RetryBudget {
-    /// Creates a budget that earns `percent` hundredths of a retry for each request, and starts with
-    /// its maximum of `max` retries.
-    pub fn new(percent: u64, max: u64) -> Self {
+    /// Creates a budget that earns `percent` hundredths of a retry for each request, holds `max` retries
+    /// at most, and starts with `first` of them.
+    pub fn new(percent: u64, max: u64, first: u64) -> Self {
         let max = max * RETRY_CREDIT;
         Self {
-            credit: AtomicU64::new(max),
+            credit: AtomicU64::new(max.min(first * RETRY_CREDIT)),
             earn: percent * RETRY_CREDIT / 100,
-            max,
+            max: AtomicU64::new(max),
+        }
+    }
+
+    /// Lowers the maximum to `max` retries, unless it is lower; credit beyond it is lost.
+    pub fn lower_max(&self, max: u64) {
+        let max = max * RETRY_CREDIT;
+        if self.max.fetch_min(max, Ordering::AcqRel) > max {
+            self.credit.fetch_min(max, Ordering::AcqRel);
         }
     }
 
     /// Earns the credit for one request; to be called at its first attempt.
     pub fn earn(&self) {
-        let more = |credit: u64| Some((credit + self.earn).min(self.max));
+        let max = self.max.load(Ordering::Acquire);
+        let more = |credit: u64| Some((credit + self.earn).min(max));
         let _ = self
             .credit
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
@@ -40,7 +49,8 @@
 
     /// Returns the credit of a retry that was not made.
     pub fn refund(&self) {
-        let more = |credit: u64| Some((credit + RETRY_CREDIT).min(self.max));
+        let max = self.max.load(Ordering::Acquire);
+        let more = |credit: u64| Some((credit + RETRY_CREDIT).min(max));
         let _ = self
             .credit
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -23,7 +23,8 @@
 /// Divisor of a daemon's share of `retry_slack`: a daemon that restarts has a full budget again.
 const RESERVE_DIVISOR: u64 = 2;
 
-/// Maximum retries that a daemon saves up for a pool while it knows no other daemon.
+/// Maximum retries that a daemon saves up for a pool while it knows no other daemon, and that it starts
+/// with: it may not know the others yet.
 const LONE_RESERVE: u64 = 2;
 
 /// State that all forwarded requests of a daemon share; a clone shares it by reference count.
@@ -139,17 +140,12 @@
 
     /// Returns the retry budget of `pool`, created at its first use.
     pub fn budget(&self, pool: &str) -> Arc<RetryBudget> {
+        let share = self.retry_share();
         if let Some(budget) = self.inner.budgets.load().get(pool) {
+            budget.lower_max(share);
             return Arc::clone(budget);
         }
-        let options = self.options();
-        let daemons = self.daemons();
-        let share = if daemons > 1 {
-            options.retry_slack / (daemons as u64 * RESERVE_DIVISOR)
-        } else {
-            LONE_RESERVE
-        };
-        let budget = RetryBudget::new(options.retry_percent, share.max(1));
+        let budget = RetryBudget::new(self.options().retry_percent, share, LONE_RESERVE);
         let budget = Arc::new(budget);
         self.inner.budgets.rcu(|old| {
             let mut next = HashMap::clone(old);
@@ -161,6 +157,18 @@
         budgets.get(pool).map_or(budget, Arc::clone)
     }
 
+    /// Returns the maximum retries that this daemon may save up for a pool, by the daemons known now. At
+    /// a start those are few, so the share of a budget shrinks as others become known.
+    fn retry_share(&self) -> u64 {
+        let daemons = self.daemons() as u64;
+        let share = if daemons > 1 {
+            self.options().retry_slack / (daemons * RESERVE_DIVISOR)
+        } else {
+            LONE_RESERVE
+        };
+        share.max(1)
+    }
+
     /// Runs `task` so that a planned stop waits for it; outside of a tokio runtime, drops it unrun.
     pub fn spawn<F>(&self, task: F)
     where
--- a/src/request/shared.rs
+++ b/src/request/shared.rs
@@ -42,7 +42,8 @@
 {
     /// Creates the shared state, with a retry budget for each branch that `board` lists now.
     pub fn new(parts: P, board: Blackboard, counters: Counters, options: PathOptions) -> Self {
-        let budget = || RetryBudget::new(options.retry_percent, options.retry_reserve);
+        let reserve = options.retry_reserve;
+        let budget = || RetryBudget::new(options.retry_percent, reserve, reserve);
         let budgets = board
             .branches
             .load()
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -53,6 +53,7 @@
 mod queues;
 mod replay;
 mod retry;
+mod retry_reserve;
 mod roster_outage;
 mod routing;
 mod service;
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -48,7 +48,7 @@
 
 #[test]
 fn budget_bounds_retries_to_a_share_of_requests() {
-    let budget = RetryBudget::new(20, 3);
+    let budget = RetryBudget::new(20, 3, 3);
     let mut retries = 0;
     for _ in 0..100 {
         budget.earn();
