--- a/tests/feed_path.rs
+++ b/tests/feed_path.rs
@@ -82,10 +82,10 @@
 
 impl Following {
     async fn start(path: &StorePath, clock: MonoClock, seed: u64) -> Self {
-        let (loss, lost) = watch::channel(None);
+        let (loss, state) = watch::channel(None);
         let rng = SmallRng::seed_from_u64(seed);
         let wait = Duration::from_secs(4);
-        let mut follower = FeedFollower::new(LostFeed(lost), clock, "test", wait, rng)
+        let mut follower = FeedFollower::new(LostFeed(state), clock, "test", wait, rng)
             .with_path(StorePath::clone(path));
         follower.next().await;
         let regained = tokio::spawn(async move {
@@ -121,7 +121,7 @@
         for feed in &feeds {
             feed.lose(Some(Loss::Unreachable));
         }
-        sleep(Duration::from_millis(5_000)).await;
+        sleep(Duration::from_secs(5)).await;
         for feed in &feeds {
             feed.lose(None);
         }
@@ -144,7 +144,7 @@
             let (_, [quick, slow]) = start(seed).await;
             quick.lose(Some(Loss::Unreachable));
             slow.lose(Some(loss));
-            sleep(Duration::from_millis(7_000)).await;
+            sleep(Duration::from_secs(7)).await;
             quick.lose(None);
             sleep(Duration::from_millis(800)).await;
             slow.lose(None);
@@ -166,11 +166,11 @@
             let (clock, [quick, slow]) = start(seed).await;
             quick.lose(Some(Loss::Unreachable));
             slow.lose(Some(loss));
-            sleep(Duration::from_millis(7_000)).await;
+            sleep(Duration::from_secs(7)).await;
             quick.lose(None);
-            sleep(Duration::from_millis(1_000)).await;
+            sleep(Duration::from_secs(1)).await;
             quick.lose(Some(loss));
-            sleep(Duration::from_millis(7_000)).await;
+            sleep(Duration::from_secs(7)).await;
             let back = clock.now();
             slow.lose(None);
             let slow = slow.regained.await.unwrap();
@@ -195,7 +195,8 @@
         slow.lose(Some(Loss::Silent));
         let lost = clock.now();
         // The watch ends by its time limit 4.9 s after the start.
-        sleep(Duration::from_millis(4_850) - (lost - Tick::default())).await;
+        let elapsed = lost - Tick::default();
+        sleep(Duration::from_millis(4_850).saturating_sub(elapsed)).await;
         slow.lose(None);
         let back = clock.now();
         let slow = slow.regained.await.unwrap();
