Soak engines that pause, rolling stops and little retry budget, and find streams that break off around stops

The soak could not see it: its streams were over in half a second, no engine paused, and a response that had begun and then broke off counted as answered. Streams have 6 s, so that a paused one can end in time.

--- a/soak/caller.rs
+++ b/soak/caller.rs
@@ -20,10 +20,13 @@
     },
 };
 
-/// Time-out of every route, as the operator configures it.
-pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time-out of the routes for calls, as the operator configures it.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time after which a caller gives up on a request; far above `ROUTE_TIMEOUT`, so that a late
+/// Time-out of the route for streams: more than a long stream takes with one pause of its engine.
+pub const STREAM_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Time after which a caller gives up on a request; far above the time-outs, so that a late
 /// response is still recorded.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -97,7 +100,7 @@
             .uri(path)
             .header("host", "a.example")
             .header("request-id", id)
-            .header("deadline-ms", ROUTE_TIMEOUT.as_millis().to_string())
+            .header("deadline-ms", kind.timeout().as_millis().to_string())
             .header("model", "m")
             .header("token-counts", "100,48")
             .header("prompt-prefix", format!("{:x}:100", self.number))
@@ -148,6 +151,16 @@
     }
 }
 
+impl RouteKind {
+    /// Time-out of the routes of this kind.
+    pub fn timeout(self) -> Duration {
+        match self {
+            Self::Safe | Self::Unsafe => CALL_TIMEOUT,
+            Self::Stream => STREAM_TIMEOUT,
+        }
+    }
+}
+
 /// Opens an HTTP/1.1 connection; `None` if connecting fails or takes longer than 1 s.
 pub async fn connect(address: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
     let stream = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
--- a/soak/command.rs
+++ b/soak/command.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         SoakError,
+        daemon_process::RETRY_SLACK,
         finding::Finding,
-        soak_run::{CALLERS, DAEMONS, SoakPlan, SoakReport},
+        soak_run::{CALLERS, DAEMONS, EVENT_TIME, SoakPlan, SoakReport},
     },
     argh::FromArgs,
     std::{
@@ -41,6 +42,21 @@
     /// number of faults per seed
     #[argh(option, default = "10")]
     faults: usize,
+    /// number of pauses of engines per seed, beside the faults
+    #[argh(option, default = "0")]
+    pauses: usize,
+    /// number of rolling stops of all daemons per seed, beside the faults
+    #[argh(option, default = "0")]
+    rounds: usize,
+    /// number of daemons that a rolling stop stops at a time
+    #[argh(option, default = "3")]
+    together: usize,
+    /// retries that all daemons together may make beyond a fifth of the requests
+    #[argh(option, default = "RETRY_SLACK")]
+    retry_slack: u64,
+    /// milliseconds before each of the 12 events of a stream
+    #[argh(option, default = "EVENT_TIME.as_millis() as u64")]
+    event_ms: u64,
     /// numbers of the faults to inject, such as 2,5; by default all
     #[argh(option, from_str_fn(parse_numbers))]
     only: Option<Vec<usize>>,
@@ -97,6 +113,9 @@
         let mut plan = SoakPlan::new(seed, time, self.faults);
         plan.daemons = self.daemons;
         plan.callers = self.callers;
+        plan.retry_slack = self.retry_slack;
+        plan.event_time = Duration::from_millis(self.event_ms);
+        plan.add_series(time, self.pauses, self.rounds, self.together);
         if let Some(only) = &self.only {
             plan.faults.retain(|fault| only.contains(&fault.number));
         }
@@ -159,13 +178,19 @@
             .map(|fault| fault.number.to_string())
             .collect();
         println!(
-            "seed {} needs: --seed {} --daemons {} --callers {} --seconds {} --faults {} --only {}",
+            "seed {} needs: --seed {} --daemons {} --callers {} --seconds {} --faults {} --pauses {} \
+             --rounds {} --together {} --retry-slack {} --event-ms {} --only {}",
             plan.seed,
             plan.seed,
             self.daemons,
             self.callers,
             self.seconds,
             self.faults,
+            self.pauses,
+            self.rounds,
+            self.together,
+            self.retry_slack,
+            self.event_ms,
             kept.join(",")
         );
         Ok(())
--- a/soak/daemon_process.rs
+++ b/soak/daemon_process.rs
@@ -34,7 +34,7 @@
 /// Grace time of a daemon between a stop signal and its exit, in seconds.
 pub const GRACE_S: u64 = 8;
 
-/// Retries that all daemons together may make beyond the retry ratio.
+/// Default of the retries that all daemons together may make beyond the retry ratio.
 pub const RETRY_SLACK: u64 = 50;
 
 /// A daemon that runs as a process and can be restarted with the same settings.
@@ -54,19 +54,24 @@
 }
 
 impl DaemonProcess {
-    /// Chooses ports and writes the settings of the daemon `name`, whose store is at `store`;
+    /// Chooses ports and writes the settings of the daemon `name`, whose store is at `store`, with `retry_slack`;
     /// does not start the process.
     ///
     /// # Errors
     ///
     /// Fails if a port cannot be bound or the file cannot be written.
-    pub fn prepare(folder: &Path, name: &str, store: SocketAddr) -> io::Result<Self> {
+    pub fn prepare(
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        retry_slack: u64,
+    ) -> io::Result<Self> {
         let [callers, readiness, peers, metrics] = free_ports()?;
         let settings = folder.join(format!("{name}.yaml"));
         let text = format!(
             "host: {name}\nzone: zone-a\nlisten:\n  callers: {callers}\n  readiness: {readiness}\n  \
              peers: {peers}\n  metrics: {metrics}\nstore: {store}\npeer_key: soak\n\
-             grace_s: {GRACE_S}\nretry_slack: {RETRY_SLACK}\n"
+             grace_s: {GRACE_S}\nretry_slack: {retry_slack}\n"
         );
         fs::write(&settings, text)?;
         Ok(Self {
--- a/soak/fault.rs
+++ b/soak/fault.rs
@@ -1,8 +1,14 @@
 use {
-    super::{link_proxy::LinkFault, store_stand_in::StoreFault, worker_fault::WorkerFault},
+    super::{
+        link_proxy::LinkFault,
+        site::{ENGINES, SERVICES},
+        store_stand_in::StoreFault,
+        worker_fault::WorkerFault,
+    },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
         fmt::{Display, Formatter, Result},
+        ops::Range,
         time::Duration,
     },
 };
@@ -13,6 +19,12 @@
 /// Longest duration of a fault, exclusive.
 const MAX_DURATION_MS: u64 = 4_000;
 
+/// Range of the duration of a pause of an engine.
+const PAUSE_MS: Range<u64> = 1_000..3_000;
+
+/// Time for which a daemon of a rolling stop stays down after its exit.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
 /// A fault that a soak injects. Plans print it in one line.
 #[derive(Clone, Debug)]
 pub struct Fault {
@@ -90,11 +102,57 @@
                 kind: draw_kind(&mut rng),
             })
             .collect();
+        Self::order(&mut plan);
+        plan
+    }
+
+    /// Draws `count` pauses of engines from `seed`, which begin from `start` until before `end` and
+    /// may overlap.
+    pub fn pauses(seed: u64, count: usize, start: Duration, end: Duration) -> Vec<Self> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let starts = start.as_millis() as u64..end.as_millis() as u64;
+        let pauses = (0..count).map(|_| Self {
+            number: 0,
+            at: Duration::from_millis(rng.random_range(starts.clone())),
+            duration: Duration::from_millis(rng.random_range(PAUSE_MS)),
+            kind: FaultKind::Worker(
+                SERVICES + rng.random_range(0..ENGINES),
+                WorkerFault::Pausing,
+            ),
+        });
+        pauses.collect()
+    }
+
+    /// Stops each of `daemons` daemons `rounds` times, `together` at a time, evenly from `start`
+    /// until before `end`.
+    pub fn rolling_stops(
+        daemons: usize,
+        rounds: usize,
+        together: usize,
+        start: Duration,
+        end: Duration,
+    ) -> Vec<Self> {
+        let together = together.max(1);
+        let groups = daemons.div_ceil(together);
+        let step = end.saturating_sub(start) / (groups * rounds).max(1) as u32;
+        let stops = (0..rounds * daemons).map(|index| {
+            let (round, daemon) = (index / daemons, index % daemons);
+            Self {
+                number: 0,
+                at: start + step * (round * groups + daemon / together) as u32,
+                duration: DOWN_TIME,
+                kind: FaultKind::Stop(daemon),
+            }
+        });
+        stops.collect()
+    }
+
+    /// Sorts `plan` by start time and numbers its faults.
+    pub fn order(plan: &mut [Self]) {
         plan.sort_by_key(|fault| fault.at);
         for (number, fault) in plan.iter_mut().enumerate() {
             fault.number = number;
         }
-        plan
     }
 
     /// Daemons to which time bounds do not apply while it lasts.
--- a/soak/finding.rs
+++ b/soak/finding.rs
@@ -2,8 +2,6 @@
 
 use {
     super::{
-        caller::ROUTE_TIMEOUT,
-        daemon_process::RETRY_SLACK,
         recorder::{CallerRequest, Disturbance, History, RouteKind},
         worker_stand_in::DRAIN_TIME,
     },
@@ -59,7 +57,7 @@
     Mixed,
     /// A response ends within the time-out of its route.
     Late,
-    /// A request that ran at a worker gets a response.
+    /// A request that ran at a worker gets a response, and around a planned stop a whole one.
     Lost,
     /// Retries stay within the retry budget.
     Budget,
@@ -103,11 +101,13 @@
         Self { guarantee, detail }
     }
 
-    /// Runs all checks on `history`; requests sent from `settled` on must be served.
-    pub fn all(history: &History, settled: Duration) -> Vec<Self> {
+    /// Runs all checks on `history`; requests sent from `settled` on must be served, and all daemons
+    /// together may make `retry_slack` retries beyond the retry ratio.
+    pub fn all(history: &History, settled: Duration, retry_slack: u64) -> Vec<Self> {
         let mut found = history.check_responses();
         found.extend(history.check_repeats());
-        found.extend(history.check_budget());
+        found.extend(history.check_budget(retry_slack));
+        found.extend(history.check_streams());
         found.extend(history.check_orphans());
         found.extend(history.check_drains());
         found.extend(history.check_notices());
@@ -168,7 +168,8 @@
             found.push(Finding::new(guarantee, detail));
         };
         for (id, request) in &self.requests {
-            let deadline = request.sent + ROUTE_TIMEOUT + LATE_SLACK;
+            let limit = request.kind.timeout() + LATE_SLACK;
+            let deadline = request.sent + limit;
             let Some(response) = &request.response else {
                 if request.disconnected.is_none()
                     && self.is_undisturbed(&request.daemon, request.sent, deadline)
@@ -178,9 +179,7 @@
                 continue;
             };
             let elapsed = response.at.saturating_sub(request.sent);
-            if elapsed > ROUTE_TIMEOUT + LATE_SLACK
-                && self.is_undisturbed(&request.daemon, request.sent, deadline)
-            {
+            if elapsed > limit && self.is_undisturbed(&request.daemon, request.sent, deadline) {
                 add(
                     Guarantee::Late,
                     id,
@@ -228,7 +227,7 @@
 
     /// Counts every attempt after a request's first as a retry, per service and window of 10 s
     /// (`RETRY_WINDOW`); reports the first window of each service that exceeds the budget.
-    fn check_budget(&self) -> Vec<Finding> {
+    fn check_budget(&self, slack: u64) -> Vec<Finding> {
         let mut found = Vec::new();
         for service in ["ledger", "models"] {
             let arrivals: Vec<_> = self
@@ -248,7 +247,7 @@
                 let sent = self.requests.values();
                 let sent =
                     sent.filter(|request| request.service == service && in_window(&request.sent));
-                let limit = sent.count() as f64 * RETRY_RATIO + RETRY_SLACK as f64;
+                let limit = sent.count() as f64 * RETRY_RATIO + slack as f64;
                 if retries as f64 > limit {
                     let detail = format!("{retries} of {limit:.0} from {start:?} for {service}");
                     found.push(Finding::new(Guarantee::Budget, detail));
--- a/soak/lib.rs
+++ b/soak/lib.rs
@@ -21,6 +21,8 @@
 mod soak_error;
 mod soak_run;
 mod store_stand_in;
+mod stream_check;
 mod worker_fault;
 mod worker_response;
+mod worker_run;
 mod worker_stand_in;
--- a/soak/link_proxy.rs
+++ b/soak/link_proxy.rs
@@ -87,6 +87,11 @@
         self.state.borrow().fault != LinkFault::None
     }
 
+    /// Returns the number of resets so far.
+    pub fn resets(&self) -> u64 {
+        self.state.borrow().resets
+    }
+
     /// Closes every open connection.
     pub fn reset(&self) {
         self.state.send_modify(|state| state.resets += 1);
--- a/soak/recorder.rs
+++ b/soak/recorder.rs
@@ -29,6 +29,8 @@
     pub drains: HashMap<String, Duration>,
     /// Times for which a worker instance asked a daemon for no further requests.
     pub pauses: Vec<Pause>,
+    /// Stop signals to daemons, by name, in the order of recording.
+    pub stops: Vec<(String, Duration)>,
     /// Periods in which time bounds did not apply to one daemon or to all of them.
     pub disturbances: Vec<Disturbance>,
 }
@@ -44,6 +46,20 @@
     pub began: Duration,
     /// When it ended; `None` while it runs.
     pub ended: Option<Duration>,
+    /// Who ended it.
+    pub end: RunEnd,
+}
+
+/// Who ended a run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The worker, once it had written all that it was to write.
+    Complete,
+    /// The worker or its link, by a fault.
+    Cut,
+    /// The daemon, which closed its connection; also of a run that still goes on.
+    #[default]
+    Dropped,
 }
 
 /// Kind of the route that a request uses.
@@ -189,6 +205,7 @@
             worker: worker.to_owned(),
             began,
             ended: None,
+            end: RunEnd::Dropped,
         });
         RunGuard {
             recorder: self.clone(),
@@ -208,6 +225,12 @@
         }
     }
 
+    /// Records that the daemon `name` gets a stop signal now.
+    pub fn record_stop(&self, name: &str) {
+        let now = self.now();
+        self.history().stops.push((name.to_owned(), now));
+    }
+
     /// Records a disturbance of `daemon`, or of all daemons, from now until the guard is dropped.
     pub fn record_disturbance(
         &self,
@@ -246,6 +269,24 @@
     index: usize,
 }
 
+impl RunGuard {
+    /// Records who ends the run.
+    pub fn end(&self, end: RunEnd) {
+        if let Some(run) = self.recorder.history().runs.get_mut(self.index) {
+            run.end = end;
+        }
+    }
+
+    /// Records that the worker or its link ends the run, unless it is complete.
+    pub fn cut(&self) {
+        if let Some(run) = self.recorder.history().runs.get_mut(self.index)
+            && run.end != RunEnd::Complete
+        {
+            run.end = RunEnd::Cut;
+        }
+    }
+}
+
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let now = self.recorder.now();
--- a/soak/site.rs
+++ b/soak/site.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         SoakError, StoreStandIn,
-        caller::{Caller, ROUTE_TIMEOUT},
+        caller::{CALL_TIMEOUT, Caller, STREAM_TIMEOUT},
         daemon_process::DaemonProcess,
         link_proxy::LinkProxy,
         operator_config,
@@ -19,10 +19,10 @@
 const BODY_BYTES: u64 = 64 * 1024;
 
 /// Number of service workers.
-const SERVICES: usize = 3;
+pub const SERVICES: usize = 3;
 
 /// Number of engines; a third of them start as prefill engines.
-const ENGINES: usize = 6;
+pub const ENGINES: usize = 6;
 
 /// All participants of a soak.
 #[derive(Debug)]
@@ -59,7 +59,15 @@
                 _ if number % 3 == 0 => ("models", Some("prefill")),
                 _ => ("models", Some("decode")),
             };
-            let worker = WorkerStandIn::start(number, service, role, &store, &recorder, &exported);
+            let worker = WorkerStandIn::start(
+                number,
+                service,
+                role,
+                plan.event_time,
+                &store,
+                &recorder,
+                &exported,
+            );
             workers.push(worker.await?);
         }
         let mut site = Self {
@@ -75,7 +83,7 @@
         for number in 0..plan.daemons {
             let link = LinkProxy::start(site.store.address()).await?;
             let name = format!("front-{number}");
-            let daemon = DaemonProcess::prepare(folder, &name, link.address())?;
+            let daemon = DaemonProcess::prepare(folder, &name, link.address(), plan.retry_slack)?;
             daemon.start().await?;
             site.daemons.push(daemon);
             site.links.push(link);
@@ -125,9 +133,14 @@
 }
 
 fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    let timeout = if kind == "stream" {
+        STREAM_TIMEOUT
+    } else {
+        CALL_TIMEOUT
+    };
     json!({
         "Name": name, "Hostname": "a.example", "PathPrefix": prefix, "Kind": kind,
-        "TimeoutMs": ROUTE_TIMEOUT.as_millis() as u64, "TargetLatencyMs": 500, "Priority": 1,
+        "TimeoutMs": timeout.as_millis() as u64, "TargetLatencyMs": 500, "Priority": 1,
         "Service": service, "MaxAttempts": if kind == "unsafe" { 1 } else { 3 },
         "Resumable": kind == "stream", "TargetGapMs": EVENTS * 20,
     })
--- a/soak/soak_run.rs
+++ b/soak/soak_run.rs
@@ -2,7 +2,7 @@
     super::{
         SoakError,
         caller::connect,
-        daemon_process::GRACE_S,
+        daemon_process::{GRACE_S, RETRY_SLACK},
         fault::{Fault, FaultKind, FaultScope},
         finding::{Finding, Guarantee},
         link_proxy::LinkFault,
@@ -35,6 +35,9 @@
 /// Default number of callers per daemon.
 pub const CALLERS: usize = 6;
 
+/// Default pause of an engine before each event of a stream.
+pub const EVENT_TIME: Duration = Duration::from_millis(40);
+
 /// Time from the start of the traffic until the first fault may begin.
 const WARM_UP_TIME: Duration = Duration::from_secs(3);
 
@@ -83,6 +86,10 @@
     pub daemons: usize,
     /// Number of callers per daemon.
     pub callers: usize,
+    /// Retries that all daemons together may make beyond the retry ratio.
+    pub retry_slack: u64,
+    /// Pause of an engine before each event of a stream.
+    pub event_time: Duration,
     /// Faults to inject, in the order of their start times.
     pub faults: Vec<Fault>,
 }
@@ -106,10 +113,23 @@
             seed,
             daemons: DAEMONS,
             callers: CALLERS,
+            retry_slack: RETRY_SLACK,
+            event_time: EVENT_TIME,
             faults: Fault::plan(seed, count, WARM_UP_TIME, WARM_UP_TIME + time),
         }
     }
 
+    /// Adds `pauses` pauses of engines, and rolling stops of all daemons, to the faults of a plan
+    /// that was created for the same `time`: `rounds` times, `together` daemons at a time.
+    pub fn add_series(&mut self, time: Duration, pauses: usize, rounds: usize, together: usize) {
+        let (start, end) = (WARM_UP_TIME, WARM_UP_TIME + time);
+        let faults = &mut self.faults;
+        faults.extend(Fault::pauses(self.seed, pauses, start, end));
+        let stops = Fault::rolling_stops(self.daemons, rounds, together, start, end);
+        faults.extend(stops);
+        Fault::order(faults);
+    }
+
     /// Runs the plan, with the daemons' settings and logs in `folder`.
     ///
     /// # Errors
@@ -149,7 +169,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        found.extend(Finding::all(&history, settled));
+        found.extend(Finding::all(&history, settled, self.retry_slack));
         let responses = history
             .requests
             .values()
@@ -309,6 +329,7 @@
         let daemon = &self.site.daemons[number % self.site.daemons.len()];
         let _permit = daemon.lock_lifecycle().await;
         let from = self.site.recorder.now();
+        self.site.recorder.record_stop(&daemon.name);
         for _ in 0..3 {
             daemon.signal(Signal::TERM);
             sleep(SIGNAL_PAUSE).await;
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -6,7 +6,7 @@
         finding::Finding,
         recorder::{
             Arrival, CallerRequest, CallerResponse, Disturbance, History, Pause, RoleOrder,
-            RouteKind, Run,
+            RouteKind, Run, RunEnd,
         },
     },
     std::time::Duration,
@@ -50,6 +50,7 @@
         worker: worker.to_owned(),
         began: ms(began),
         ended: Some(ms(ended)),
+        end: RunEnd::Complete,
     }
 }
 
@@ -80,7 +81,7 @@
     let last = request(RouteKind::Safe, 101_000, Some(response(101_020, Some(200))));
     history.requests.insert("last".to_owned(), last);
     change(&mut history);
-    let found = Finding::all(&history, SETTLED);
+    let found = Finding::all(&history, SETTLED, 50);
     found.iter().map(ToString::to_string).collect()
 }
 
@@ -172,6 +173,56 @@
     assert_yaml_snapshot!(cases);
 }
 
+#[test]
+fn streams_around_a_stop() {
+    let broken = |sent: u64, at: u64, end: RunEnd| {
+        found(|history| {
+            let half = CallerResponse {
+                complete: false,
+                ..response(at, Some(200))
+            };
+            add_request(history, request(RouteKind::Stream, sent, Some(half)));
+            let ran = run("r1", "w1", sent + 10, at - 5);
+            history.runs.push(Run { end, ..ran });
+            history.stops.push(("front-1".to_owned(), ms(10_000)));
+            let stop = disturbance("front-1", true, 10_000, 18_000);
+            history.disturbances.push(stop);
+        })
+    };
+    let cases = vec![
+        (
+            "broken off before the signal",
+            broken(8_000, 9_900, RunEnd::Dropped),
+        ),
+        (
+            "broken off after it",
+            broken(8_000, 10_600, RunEnd::Dropped),
+        ),
+        ("cut by its worker", broken(8_000, 10_600, RunEnd::Cut)),
+        (
+            "at the time-out of its route",
+            broken(8_000, 14_000, RunEnd::Dropped),
+        ),
+        (
+            "sent after the signal, before the last sixth of the grace",
+            broken(12_900, 16_600, RunEnd::Dropped),
+        ),
+        (
+            "sent after the signal, in the last sixth of the grace",
+            broken(12_900, 16_700, RunEnd::Dropped),
+        ),
+        (
+            "sent over 3 s after the signal, in the last sixth of the grace",
+            broken(13_100, 16_700, RunEnd::Dropped),
+        ),
+        (
+            "over 1 s after the grace",
+            broken(14_000, 19_100, RunEnd::Dropped),
+        ),
+    ];
+    assert_yaml_snapshot!(cases);
+}
+
 #[test]
 fn runs() {
     let repeated = |kind| {
--- a/soak/worker_fault.rs
+++ b/soak/worker_fault.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::recorder::RunEnd, std::time::Duration};
 
 /// Factor on the times of a slow worker.
 const SLOWNESS: u32 = 5;
@@ -20,9 +20,19 @@
     Slow,
     /// Rejects every request as if all its slots were taken.
     Full,
+    /// Writes no event of its streams until the fault ends, and then goes on with each of them.
+    Pausing,
 }
 
 impl WorkerFault {
+    /// Who ends a run that is short under this fault.
+    pub fn run_end(self) -> RunEnd {
+        match self {
+            Self::Mute | Self::Garbled => RunEnd::Cut,
+            _ => RunEnd::Complete,
+        }
+    }
+
     /// Time that an operation takes under this fault, if it takes `time` without one.
     pub fn scale(self, time: Duration) -> Duration {
         if self == Self::Slow {
--- a/soak/worker_response.rs
+++ b/soak/worker_response.rs
@@ -1,4 +1,5 @@
 use {
+    super::{recorder::RunEnd, worker_run::WorkerRun},
     bytes::Bytes,
     futures_util::stream::{self, BoxStream, StreamExt},
     http::{HeaderMap, HeaderValue, Response},
@@ -19,25 +20,31 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-/// Streams the events after event `last`, with `pause` before each; keeps `held` until the stream
-/// ends or is dropped.
-pub fn events<H>(
+/// Streams the events after event `last`, each after `pause` and no sooner than `ready` completes;
+/// keeps `held` until the stream
+/// ends or is dropped, and completes its run after the last event.
+pub fn events<P, F>(
     id: String,
     last: u64,
     pause: Duration,
-    held: H,
+    held: (WorkerRun, P),
+    ready: impl Fn() -> F + Send + 'static,
 ) -> BoxStream<'static, io::Result<Frame<Bytes>>>
 where
-    H: Send + 'static,
+    P: Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
 {
     let start = (last + 1, held);
     stream::unfold(start, move |(number, held)| {
         let id = id.clone();
+        let ready = ready();
         async move {
             if number > EVENTS {
+                held.0.end(RunEnd::Complete);
                 return None;
             }
             sleep(pause).await;
+            ready.await;
             let frame = Frame::data(Bytes::from(event(&id, number)));
             Some((Ok(frame), (number + 1, held)))
         }
--- a/soak/worker_stand_in.rs
+++ b/soak/worker_stand_in.rs
@@ -8,6 +8,7 @@
             WorkerResponse, events, full_response, header, rejection, stamped_response,
             truncated_response,
         },
+        worker_run::WorkerRun,
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Request},
@@ -24,9 +25,6 @@
     tokio::{net::TcpListener, sync::watch, time::sleep},
 };
 
-/// Pause before each event of a stream.
-const EVENT_TIME: Duration = Duration::from_millis(40);
-
 /// Time that a service call takes.
 const CALL_TIME: Duration = Duration::from_millis(15);
 
@@ -36,6 +34,9 @@
 /// Requests that a worker runs at once; further ones are rejected.
 const SLOTS: usize = 24;
 
+/// Pause between two checks whether an engine goes on with its streams.
+const PAUSE_POLL: Duration = Duration::from_millis(20);
+
 /// Time that an engine takes to change its role.
 const ROLE_SWITCH_TIME: Duration = Duration::from_millis(1_500);
 
@@ -56,6 +57,8 @@
     pub number: usize,
     /// Service that it belongs to: `ledger` or `models`.
     pub service: &'static str,
+    /// Pause before each event of a stream.
+    event_time: Duration,
     link: Arc<LinkProxy>,
     store: StoreStandIn,
     recorder: Recorder,
@@ -85,7 +88,7 @@
 
 impl WorkerStandIn {
     /// Starts a worker of `service` on a free loopback port and registers it. An engine has a
-    /// `role`; a service has `None`.
+    /// `role`, and pauses for `event_time` before each event of a stream; a service has `None`.
     ///
     /// # Errors
     ///
@@ -94,6 +97,7 @@
         number: usize,
         service: &'static str,
         role: Option<&'static str>,
+        event_time: Duration,
         store: &StoreStandIn,
         recorder: &Recorder,
         exported: &ExportedHandles,
@@ -103,6 +107,7 @@
         let worker = Self {
             number,
             service,
+            event_time,
             link: Arc::new(link),
             store: store.clone(),
             recorder: recorder.clone(),
@@ -145,6 +150,11 @@
         Ok(worker)
     }
 
+    /// Returns how often it has ended, and how often its link was reset.
+    pub fn breaks(&self) -> (u64, u64) {
+        (*self.generation.borrow(), self.link.resets())
+    }
+
     /// The proxy through which daemons reach it.
     pub fn link(&self) -> &LinkProxy {
         &self.link
@@ -277,8 +287,9 @@
         let Some((_slot, fault)) = self.acquire_slot() else {
             return Ok(self.turn_away(&id, instance));
         };
-        let _run = self.recorder.record_run(&id, instance);
+        let run = self.record_run(&id, instance);
         sleep(fault.scale(CALL_TIME)).await;
+        run.end(fault.run_end());
         let stamp = format!("{instance}.{id}");
         match fault {
             WorkerFault::Failing => Ok(full_response(500, &stamp, "failed")),
@@ -312,21 +323,37 @@
             sleep(fault.scale(PREFILL_TIME)).await;
             return Ok(self.export_handle(instance));
         }
-        let run = self.recorder.record_run(&id, instance);
+        let run = self.record_run(&id, instance);
         let stamp = format!("{instance}.{id}");
-        match fault {
-            WorkerFault::Failing => return Ok(full_response(500, &stamp, "failed")),
-            WorkerFault::Mute => return Err(io::ErrorKind::ConnectionReset.into()),
-            WorkerFault::Garbled => return Ok(truncated_response(&stamp)),
-            _ => {}
+        let single = match fault {
+            WorkerFault::Failing => Some(Ok(full_response(500, &stamp, "failed"))),
+            WorkerFault::Mute => Some(Err(io::ErrorKind::ConnectionReset.into())),
+            WorkerFault::Garbled => Some(Ok(truncated_response(&stamp))),
+            _ => None,
+        };
+        if let Some(response) = single {
+            run.end(fault.run_end());
+            return response;
         }
         let last: u64 = header(head, "last-event-id").parse().unwrap_or(0);
-        let pause = fault.scale(EVENT_TIME);
-        let events = events(id, last, pause, (run, slot));
+        let pause = fault.scale(self.event_time);
+        let worker = self.clone();
+        let ready = move || worker.clone().wait_unpaused();
+        let events = events(id, last, pause, (run, slot), ready);
         let body = BodyExt::boxed_unsync(StreamBody::new(events));
         Ok(stamped_response(200, &stamp, "text/event-stream", body))
     }
 
+    async fn wait_unpaused(self) {
+        while self.state().fault == WorkerFault::Pausing {
+            sleep(PAUSE_POLL).await;
+        }
+    }
+
+    fn record_run(&self, id: &str, instance: &str) -> WorkerRun {
+        WorkerRun::new(self.recorder.record_run(id, instance), self)
+    }
+
     fn record_arrival(&self, id: &str, instance: &str) {
         self.recorder.record_arrival(Arrival {
             service: self.service,
