Share between the feeds of a daemon what one learns about its path to the store

Cause: each feed learnt about the daemon's own path by itself.

Change: StorePath, one value that all feeds of a daemon write. The first answer of the store to one of them wakes the others from their delay, and ends an outage for them if it is not older than what they know to have failed.

Tests: feed_path::.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -1,4 +1,5 @@
 use {
+    super::StorePath,
     crate::{
         board::{FeedLog, Tick, Writer},
         decide::{Backoff, jitter, record_changes, record_listing},
@@ -71,6 +72,8 @@
     outage_end: Option<Tick>,
     /// When the store was last seen to have come back from a copy; `None` if it never was.
     restored: Option<Tick>,
+    /// What this feed and the others of the daemon know about the path to the store.
+    path: StorePath,
     /// Log from which other daemons read, if there is one.
     log: Option<Writer<FeedLog<F::Item>>>,
 }
@@ -86,10 +89,18 @@
 }
 
 impl FeedOutage {
-    /// Returns when the store came back at the latest, as far as a result at `now` tells.
-    fn end(&self, now: Tick) -> Tick {
-        self.failed
-            .map_or(now, |failed| now.min(failed + RETURN_SLACK))
+    /// Returns when the store came back at the latest, as far as a result at `now` and the answers to the
+    /// other feeds tell.
+    fn end(&self, now: Tick, path: &StorePath) -> Tick {
+        // An answer proves the path whole at its time, so it ends only what was known to fail before.
+        let answered = path
+            .whole_since()
+            .filter(|whole| *whole >= self.since && Some(*whole) >= self.failed);
+        let returned = self.failed.map(|failed| failed + RETURN_SLACK);
+        [answered, returned]
+            .into_iter()
+            .flatten()
+            .fold(now, Tick::min)
     }
 }
 
@@ -130,6 +141,7 @@
             outage: None,
             outage_end: None,
             restored: None,
+            path: StorePath::default(),
             log: None,
         }
     }
@@ -143,6 +155,12 @@
         }
     }
 
+    /// Sets what the feeds of the daemon share about its path to the store.
+    #[must_use]
+    pub fn with_path(self, path: StorePath) -> Self {
+        Self { path, ..self }
+    }
+
     /// Sets the pause after each change, so that changes in quick succession cost one call to the
     /// store. Changes that another daemon returned have been collected there already.
     #[must_use]
@@ -225,7 +243,7 @@
             log::warn!(kind = self.kind, era = listing.revision.era, revision = listing.revision.number, before = self.revision.number; "the store came back from a copy; what only its lost history held is dropped");
             let now = self.clock.now();
             let outage = self.outage.as_ref();
-            self.restored = Some(outage.map_or(now, |outage| outage.end(now)));
+            self.restored = Some(outage.map_or(now, |outage| outage.end(now, &self.path)));
         }
         self.revision = listing.revision;
         self.listed = true;
@@ -294,10 +312,13 @@
     /// Ends an outage with a result from `origin`.
     fn record_success(&mut self, origin: FeedOrigin) {
         self.backoff.succeed();
+        let now = self.clock.now();
+        if origin == FeedOrigin::Store {
+            self.path.answered(now);
+        }
         let Some(mut outage) = self.outage.take() else {
             return;
         };
-        let now = self.clock.now();
         if let FeedOrigin::Peer {
             failed_ago: Some(ago),
         } = origin
@@ -308,7 +329,7 @@
         }
         let store = outage.failed.is_some();
         if store && now - outage.since >= MIN_EXPIRY_OUTAGE {
-            self.outage_end = Some(outage.end(now));
+            self.outage_end = Some(outage.end(now, &self.path));
         }
         log::info!(dependency = "store", kind = self.kind, revision = self.revision.number, store; "regained");
     }
@@ -329,6 +350,13 @@
             _ => self.clock.now(),
         };
         let failed = self.failed_at(error);
+        if let Some(failed) = failed {
+            self.path.failed(match error {
+                FeedError::Refused(_) => failed,
+                // A call that began before the path was restored says nothing about the time since.
+                _ => failed.min(self.called.before(STALE_TIME)),
+            });
+        }
         let before = self.outage.take();
         self.outage = Some(FeedOutage {
             since: before.as_ref().map_or(since, |outage| outage.since),
@@ -339,7 +367,10 @@
         self.listed = false;
         self.withdraw_log(failed);
         let wait = self.retry_delay(error);
-        self.clock.sleep(wait).await;
+        tokio::select! {
+            () = self.clock.sleep(wait) => {}
+            () = self.path.restored_after(self.called) => {}
+        }
         FeedUpdate::Unavailable
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -41,6 +41,7 @@
     sheet_store_error::SheetStoreError,
     sheet_submit::{Acceptance, Submission},
     stage_controller::{StageController, StageParts},
+    store_path::StorePath,
     suspect_controller::{SuspectController, SuspectHandle},
 };
 
@@ -100,5 +101,6 @@
 mod sheet_store_error;
 mod sheet_submit;
 mod stage_controller;
+mod store_path;
 mod suspect_controller;
 mod waiter;
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -6,7 +6,7 @@
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
             FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
             ReadinessController, ReadinessParts, Registration, RelayedFeed, RosterController,
-            RoutingController, StageController, StageParts,
+            RoutingController, StageController, StageParts, StorePath,
         },
         key::name_hash,
         port::{
@@ -186,10 +186,12 @@
             endpoints: endpoints_log,
             members: members_log,
         };
+        let path = StorePath::default();
         let routing = rng("routing");
         let feed =
             RelayedFeed::new(ports.routing, links.clone()).with_spread_limit(settings.spread_limit);
         let follower = FeedFollower::new(feed, clock, "routing", settings.watch, routing)
+            .with_path(path.clone())
             .with_log(routing_writer);
         tasks.spawn(RoutingController::new(follower, writers.routing).run());
         let roster = rng("endpoints");
@@ -197,6 +199,7 @@
             .with_spread_limit(settings.spread_limit);
         let follower = FeedFollower::new(feed, clock, "endpoints", settings.watch, roster)
             .with_pause(ENDPOINT_PAUSE)
+            .with_path(path.clone())
             .with_log(endpoints_writer);
         tasks.spawn(RosterController::new(follower, clock, writers.fleet, reachable).run());
         let (controller, health) = ReadinessController::new(ReadinessParts {
@@ -230,6 +233,7 @@
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
             .with_pause(MEMBER_PAUSE)
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
+            .with_path(path)
             .with_log(members_writer);
         let roster = MemberRosterParts {
             clock,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -20,6 +20,7 @@
 mod fault_schedule;
 mod feed_changes;
 mod feed_follower;
+mod feed_path;
 mod feed_relay;
 mod feed_restored;
 mod feed_zone;
