Let the soak see how a daemon exits, and give no port out twice

A process that fails or is killed in a planned stop could not be told from one that stops. The soak now reports as Ended a stop that ends with a failure or by a signal.

--- a/soak/daemon_process.rs
+++ b/soak/daemon_process.rs
@@ -3,6 +3,7 @@
     rand::RngExt,
     rustix::process::{Pid, Signal, kill_process},
     std::{
+        collections::BTreeSet,
         env,
         fs::{self, File, OpenOptions},
         io,
@@ -10,7 +11,10 @@
         ops::Range,
         path::{Path, PathBuf},
         process::Stdio,
-        sync::atomic::{AtomicI32, Ordering},
+        sync::{
+            PoisonError,
+            atomic::{AtomicI32, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -37,6 +41,15 @@
 /// Default of the retries that all daemons together may make beyond the retry ratio.
 pub const RETRY_SLACK: u64 = 50;
 
+/// How a daemon's process has exited.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Exit {
+    /// With success, as after a stop signal, or before.
+    Orderly,
+    /// With a failure or by a signal, as this text says.
+    Failed(String),
+}
+
 /// A daemon that runs as a process and can be restarted with the same settings.
 #[derive(Debug)]
 pub struct DaemonProcess {
@@ -148,18 +161,20 @@
         }
     }
 
-    /// Waits up to `limit` until the process has exited; returns whether it has.
-    pub async fn wait_exit(&self, limit: Duration) -> bool {
+    /// Waits up to `limit` until the process has exited; `None` if it has not.
+    pub async fn wait_exit(&self, limit: Duration) -> Option<Exit> {
         let mut child = self.child.lock().await;
         let Some(running) = child.as_mut() else {
-            return true;
+            return Some(Exit::Orderly);
         };
-        let exited = timeout(limit, running.wait()).await.is_ok();
-        if exited {
-            self.pid.store(0, Ordering::Relaxed);
-            *child = None;
-        }
-        exited
+        let status = timeout(limit, running.wait()).await.ok()?;
+        self.pid.store(0, Ordering::Relaxed);
+        *child = None;
+        Some(match status {
+            Ok(status) if status.success() => Exit::Orderly,
+            Ok(status) => Exit::Failed(status.to_string()),
+            Err(e) => Exit::Failed(e.to_string()),
+        })
     }
 
     /// Whether the process has exited while no task waits for its exit; `true` only once per exit.
@@ -178,12 +193,17 @@
     }
 }
 
-/// Loopback addresses with ports that are free now, outside the ephemeral range: otherwise an
-/// outgoing connection could take the port of a daemon that is down for a while.
+/// Loopback addresses with ports that are free now and that no other daemon of this process has, outside the
+/// ephemeral range: otherwise an outgoing connection could take the port of a daemon that is down for a while.
 fn free_ports() -> io::Result<[SocketAddr; 4]> {
+    static TAKEN: std::sync::Mutex<BTreeSet<u16>> = std::sync::Mutex::new(BTreeSet::new());
+    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
     let mut listeners = Vec::new();
     while listeners.len() < 4 {
         let port = rand::rng().random_range(PORT_RANGE);
+        if !taken.insert(port) {
+            continue;
+        }
         match TcpListener::bind(("127.0.0.1", port)) {
             Ok(listener) => listeners.push(listener),
             Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
--- a/soak/soak_run.rs
+++ b/soak/soak_run.rs
@@ -2,7 +2,7 @@
     super::{
         SoakError,
         caller::connect,
-        daemon_process::{GRACE_S, RETRY_SLACK},
+        daemon_process::{Exit, GRACE_S, RETRY_SLACK},
         fault::{Fault, FaultKind, FaultScope},
         finding::{Finding, Guarantee},
         link_proxy::LinkFault,
@@ -335,21 +335,28 @@
             sleep(SIGNAL_PAUSE).await;
         }
         let grace = Duration::from_secs(GRACE_S) + STOP_SLACK;
-        if !daemon.wait_exit(grace).await {
-            let now = self.site.recorder.now();
-            let must_stop =
-                self.site
-                    .recorder
-                    .history()
-                    .is_free_of_unplanned(&daemon.name, from, now);
-            if must_stop {
-                self.report(
-                    Guarantee::Slow,
-                    format!("{} did not stop in time", daemon.name),
-                );
+        match daemon.wait_exit(grace).await {
+            Some(Exit::Orderly) => {}
+            Some(Exit::Failed(status)) => {
+                let detail = format!("{} ended in a planned stop: {status}", daemon.name);
+                self.report(Guarantee::Ended, detail);
+            }
+            None => {
+                let now = self.site.recorder.now();
+                let must_stop =
+                    self.site
+                        .recorder
+                        .history()
+                        .is_free_of_unplanned(&daemon.name, from, now);
+                if must_stop {
+                    self.report(
+                        Guarantee::Slow,
+                        format!("{} did not stop in time", daemon.name),
+                    );
+                }
+                daemon.signal(Signal::KILL);
+                daemon.wait_exit(grace).await;
             }
-            daemon.signal(Signal::KILL);
-            daemon.wait_exit(grace).await;
         }
         sleep(time).await;
         daemon.start().await?;
