--- a/tests/emulator.rs
+++ b/tests/emulator.rs
@@ -73,6 +73,8 @@
     for daemon in &mut site.daemons {
         ended.push(daemon.take().unwrap().stop().await);
     }
+    // Shown where the test fails.
+    eprintln!("{:?}", report.verdict);
     insta::assert_debug_snapshot!("stop_ends", (report.verdict.answered, ended));
 }
 
