Write the last log lines of a process before it ends

Cause: BoundedOutput::flush did nothing, and the process waited 50 ms for the writer thread, which gets no processor for longer on such a machine. Evidence: a_flush_that_succeeds_leaves_no_line_behind found 0 of 50 lines written on the code before, all of them now.

--- a/src/border/bounded_output.rs
+++ b/src/border/bounded_output.rs
@@ -21,6 +21,9 @@
 /// Maximum number of lines that wait for the writer thread; further lines are dropped.
 const MAX_QUEUED_LINES: usize = 1_024;
 
+/// Longest wait of a flush: an output that blocks must not keep the process from its end.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
 /// Minimum time between two lines that report how many were dropped.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -32,13 +35,22 @@
 #[derive(Debug)]
 pub struct BoundedOutput {
     layout: JsonLayout,
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<Entry>,
     /// Lines dropped since the last report.
     dropped: Arc<AtomicU64>,
     budget: TokenBucket,
     start: Instant,
 }
 
+/// What the writer thread takes from its queue.
+#[derive(Debug)]
+enum Entry {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Tells the receiver that everything before it was written.
+    Flush(SyncSender<()>),
+}
+
 impl BoundedOutput {
     /// Starts the thread that writes to `output`; lines below the level of a warning are limited to
     /// `rate` per second.
@@ -48,7 +60,7 @@
     where
         W: Write + Send + 'static,
     {
-        let (lines, queue) = sync_channel(MAX_QUEUED_LINES);
+        let (entries, queue) = sync_channel(MAX_QUEUED_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let writer_dropped = Arc::clone(&dropped);
         thread::Builder::new()
@@ -56,7 +68,7 @@
             .spawn(move || write_lines(output, &queue, &writer_dropped))?;
         Ok(Self {
             layout: JsonLayout::default(),
-            lines,
+            entries,
             dropped,
             budget: TokenBucket::new(rate, rate),
             start: Instant::now(),
@@ -79,34 +91,42 @@
         }
         let mut line = self.layout.format(record, diags)?;
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.entries.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
+    /// Waits until the lines so far are written, for at most `FLUSH_LIMIT`.
     fn flush(&self) -> Result<(), Error> {
+        let (written, done) = sync_channel(1);
+        let flushed = self.entries.try_send(Entry::Flush(written));
+        if flushed.is_err() || done.recv_timeout(FLUSH_LIMIT).is_err() {
+            return Err(Error::new("log lines are still waiting for the output"));
+        }
         Ok(())
     }
 }
 
-/// Writes queued lines in order until the appender is dropped.
+/// Writes queued lines in order until the appender is dropped, and confirms flushes.
 ///
 /// After the first write error nothing more is written, but lines are still taken from the queue.
-fn write_lines<W>(mut output: W, queue: &Receiver<Vec<u8>>, dropped: &AtomicU64)
+fn write_lines<W>(mut output: W, queue: &Receiver<Entry>, dropped: &AtomicU64)
 where
     W: Write,
 {
     let mut open = true;
     let mut last_report = Instant::now();
     loop {
-        let line = match queue.recv_timeout(REPORT_INTERVAL) {
-            Ok(line) => Some(line),
-            Err(RecvTimeoutError::Timeout) => None,
+        match queue.recv_timeout(REPORT_INTERVAL) {
+            Ok(Entry::Line(line)) => open = open && output.write_all(&line).is_ok(),
+            Ok(Entry::Flush(written)) => {
+                open = open && output.flush().is_ok();
+                // The flush may have ended at its limit.
+                let _ = written.send(());
+            }
+            Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
-        };
-        if let Some(line) = line {
-            open = open && output.write_all(&line).is_ok();
         }
         if last_report.elapsed() >= REPORT_INTERVAL {
             last_report = Instant::now();
--- a/tests/bounded_output.rs
+++ b/tests/bounded_output.rs
@@ -13,6 +13,7 @@
             Arc, Condvar, Mutex,
             mpsc::{Receiver, Sender, channel},
         },
+        thread,
         time::Duration,
     },
 };
@@ -46,6 +47,22 @@
     }
 }
 
+/// An output that takes a millisecond for each write, then sends it to a channel.
+struct Slow(Sender<String>);
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        thread::sleep(Duration::from_millis(1));
+        let text = String::from_utf8_lossy(buf).into_owned();
+        self.0.send(text).map_err(io::Error::other)?;
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// An output whose every write fails with `BrokenPipe`.
 struct Closed;
 
@@ -118,3 +135,15 @@
     let output = BoundedOutput::start(Closed, 10_000).unwrap();
     write(&output, Level::Error, LINES);
 }
+
+/// The last lines of a daemon that stopped on a busy machine were missing.
+#[test]
+fn a_flush_that_succeeds_leaves_no_line_behind() {
+    let (sender, lines) = channel();
+    let output = BoundedOutput::start(Slow(sender), 100).unwrap();
+    write(&output, Level::Warn, 50);
+    // It may fail at its time limit.
+    let flushed = output.flush().is_ok();
+    let written = lines.try_iter().count();
+    assert!(!flushed || written == 50, "{written}");
+}
