Log which crashes count under a cause, and when a daemon learns that it is refused

The log of the daemon that counts could not tell a crash that was counted from one that was taken for part of an earlier one, and no line said when another daemon learnt that requests are refused. The crash lines now name each cause with its number of counted crashes; causes are hexadecimal. No decision changes.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -200,13 +200,13 @@
             RunEnd::Unknown => {}
             RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
             RunEnd::Crashed => {
+                self.record_crash(&end.pool, &end.engine, &end.causes, now);
                 log::info!(
                     id = end.id,
                     endpoint = end.engine.as_str(),
-                    causes = cause_list(&end.causes);
+                    crashes = self.crash_counts(&end.causes);
                     "engine broke off early in a response; crash recorded"
                 );
-                self.record_crash(&end.pool, &end.engine, &end.causes, now);
             }
         }
         if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
@@ -224,13 +224,13 @@
                 // Nobody asks before a call is sent: one that is refused came from a daemon that did not
                 // know so, or after the time was over.
                 self.crashes.record_placement(&end.causes, now);
+                self.record_crash(&end.pool, &end.endpoint, &end.causes, now);
                 log::info!(
                     pool = end.pool.as_str(),
                     endpoint = end.endpoint.as_str(),
-                    causes = cause_list(&end.causes);
+                    crashes = self.crash_counts(&end.causes);
                     "endpoint broke off a call; crash recorded"
                 );
-                self.record_crash(&end.pool, &end.endpoint, &end.causes, now);
             }
         }
         CallVerdict {
@@ -251,6 +251,14 @@
         }
     }
 
+    /// Returns `causes` as text, each with the number of its crashes that count.
+    fn crash_counts(&self, causes: &[CauseKey]) -> String {
+        let counts = causes
+            .iter()
+            .map(|cause| format!("{cause}={}", self.crashes.count(*cause)));
+        counts.collect::<Vec<_>>().join(",")
+    }
+
     /// Queues a request and marks the engines that its sender cannot reach.
     fn enqueue(&mut self, request: PlacementRequest, reply: oneshot::Sender<PlacementReply>) {
         let now = self.clock.now();
@@ -446,6 +454,6 @@
 
 /// Returns the keys of `causes` for a log line.
 fn cause_list(causes: &[CauseKey]) -> String {
-    let keys = causes.iter().map(|cause| cause.0.to_string());
+    let keys = causes.iter().map(CauseKey::to_string);
     keys.collect::<Vec<_>>().join(",")
 }
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -182,8 +182,18 @@
         if refused.is_empty() && !known.contains_key(pool) {
             return;
         }
+        let now = self.clock.now();
         let mut causes = RefusedCauses::default();
-        causes.merge(refused, self.clock.now());
+        causes.merge(refused, now);
+        for (cause, left) in refused {
+            let known = known
+                .get(pool)
+                .and_then(|known| known.remaining(&[*cause], now));
+            if known.is_none() {
+                let left_ms = left.as_millis() as u64;
+                log::info!(pool, cause:% = cause, left_ms; "requests with this cause are refused here from now on");
+            }
+        }
         insert_copy(&self.state.refused, &pool.to_owned(), &causes);
     }
 
--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -175,11 +175,11 @@
             Some(_) => ANSWERED_REFUSE_LIMIT,
             None => limit,
         };
-        self.crashes(cause) >= limit
+        self.count(cause) >= limit
     }
 
-    /// Returns the number of crashes under `cause` since its last answer.
-    fn crashes(&self, cause: CauseKey) -> usize {
+    /// Returns the number of crashes under `cause` that count since its last answer.
+    pub fn count(&self, cause: CauseKey) -> usize {
         let crashes = self.causes.get(&cause);
         crashes.map_or(0, |crashes| crashes.engines.len())
     }
--- a/src/key/cause_key.rs
+++ b/src/key/cause_key.rs
@@ -1,6 +1,7 @@
 use {
     super::name_hash,
     serde::{Deserialize, Serialize},
+    std::fmt::{self, Display, Formatter},
 };
 
 /// Identifier of what may crash engines: a request by its fingerprint, or a part of its prompt.
@@ -13,3 +14,9 @@
         Self(name_hash(name))
     }
 }
+
+impl Display for CauseKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
