--- a/src/key/cause_key.rs
+++ b/src/key/cause_key.rs
@@ -9,6 +9,11 @@
 pub struct CauseKey(pub u64);
 
 impl CauseKey {
+    /// Returns the key of a complete request with the fingerprint `hash`.
+    pub fn of_request(hash: u64) -> Self {
+        Self(hash)
+    }
+
     /// Returns the key of the part `name` of a prompt.
     pub fn of_part(name: &str) -> Self {
         Self(name_hash(name))
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -209,7 +209,7 @@
 fn fingerprint(request: &ForwardRequest) -> CauseKey {
     let mut hasher = DefaultHasher::new();
     (&request.host, &request.target, &request.body).hash(&mut hasher);
-    CauseKey(hasher.finish())
+    CauseKey::of_request(hasher.finish())
 }
 
 /// Logs that the caller disconnected if it is dropped while `open`.
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -9,8 +9,8 @@
         decide::CrashRecord,
         key::CauseKey,
         port::{
-            MonoClock, PeerCall, PlacementEnd, PlacementOutcome, PlacementReply, PlacementRequest,
-            PlacerHandover, RunEnd,
+            CallEnd, CallVerdict, MonoClock, PeerCall, PlacementEnd, PlacementOutcome,
+            PlacementReply, PlacementRequest, PlacerHandover, RunEnd,
         },
     },
     std::time::Duration,
@@ -71,6 +71,17 @@
         (id, causes, reply)
     }
 
+    /// Reports that a call at a plain service crashed endpoint `number`.
+    async fn crash_call(&self, number: usize) -> CallVerdict {
+        let end = CallEnd {
+            pool: "models".to_owned(),
+            endpoint: format!("d{number}"),
+            causes: vec![CauseKey::of_request(7)],
+            run: RunEnd::Crashed,
+        };
+        self.handle.end_call(end).await.expect("the placer runs")
+    }
+
     /// Runs a stream with `parts` to the end `run`; returns whether it was placed.
     async fn run(&mut self, parts: &[CauseKey], engine: &str, run: RunEnd) -> &'static str {
         let (id, causes, reply) = self.place(parts).await;
@@ -231,3 +242,26 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+/// A day on which a call that crashes each endpoint comes every two seconds: probes went on all day, and each
+/// crashed one more endpoint.
+#[tokio::test(start_paused = true)]
+async fn over_a_day_a_request_that_crashes_endpoints_reaches_them_three_more_times_at_most() {
+    let placer = Placer::start();
+    let mut reached = 0;
+    let mut refused_until = Instant::now();
+    let end = Instant::now() + Duration::from_hours(24);
+    while Instant::now() < end {
+        if Instant::now() >= refused_until {
+            reached += 1;
+            let verdict = placer.crash_call(reached).await;
+            let left = verdict.refused.first().map(|(_, left)| *left);
+            refused_until = Instant::now() + left.unwrap_or_default();
+        }
+        sleep(Duration::from_secs(2)).await;
+    }
+    assert!(
+        reached <= 3 + 3,
+        "{reached} requests reached endpoints, three of them before it could be known"
+    );
+}
