Count crashes under at-most-once calls, and refuse those that crash endpoints

Callers saw orders of others fail with 502 while one order that crashes each endpoint came again and again: such calls were neither counted nor refused, as they are not retried by a daemon. Their crashes are now reported like those of repeatable calls, without waiting for the verdict, and the refusal (503, not run) holds for them too. Its test still fails, because daemons that never saw the call do not know that it is refused.

--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -7,7 +7,8 @@
 /// Watches whether a call at a plain service crashes the endpoints that run it.
 ///
 /// One daemon sees few of the calls that are alike, so the crashes are counted by the daemon that also
-/// chooses the placements of streams. Only calls that may be repeated are watched, as no others are retried.
+/// chooses the placements of streams. At-most-once calls are counted too: they are not retried, but come again
+/// from their callers.
 #[derive(Debug)]
 pub struct CrashWatch<'a, P>
 where
@@ -28,9 +29,6 @@
 
     /// Returns the time for which calls like this one are refused; `None` if they are not.
     pub fn refused(&self) -> Option<Duration> {
-        if self.call.is_at_most_once() {
-            return None;
-        }
         let placer = self.shared.parts().placer();
         placer.refused(&self.call.pool, &self.call.causes)
     }
@@ -39,33 +37,40 @@
     /// unless calls like this one were answered lately: a lost response says nothing then.
     pub async fn attempt_failed(self, hold: &EndpointHold, error: &UpstreamError) {
         let broken = matches!(error, UpstreamError::Broken(_));
-        if !broken || self.call.is_at_most_once() || self.was_answered_lately() {
+        if !broken || self.was_answered_lately() {
             return;
         }
         self.call.crashed = true;
         let end = self.end(hold, RunEnd::Crashed);
-        let suspect = self.shared.parts().placer().end_call(end).await;
-        self.call.suspect |= suspect;
+        if self.call.is_at_most_once() {
+            // There is no retry that depends on the verdict.
+            self.report(end);
+        } else {
+            let suspect = self.shared.parts().placer().end_call(end).await;
+            self.call.suspect |= suspect;
+        }
     }
 
     /// Records that the endpoint of `hold` answered, so that the call does not crash endpoints.
     pub fn answered(self, hold: &EndpointHold) {
-        if self.call.is_at_most_once() {
-            return;
-        }
         let now = self.shared.now();
         for cause in &self.call.causes {
             self.shared.answered_calls().record(*cause, now);
         }
         if self.call.crashed {
             let end = self.end(hold, RunEnd::Answered);
-            let placer = self.shared.parts().placer().clone();
-            self.shared.spawn(async move {
-                placer.end_call(end).await;
-            });
+            self.report(end);
         }
     }
 
+    /// Reports the end of a run without waiting for the verdict.
+    fn report(&self, end: CallEnd) {
+        let placer = self.shared.parts().placer().clone();
+        self.shared.spawn(async move {
+            placer.end_call(end).await;
+        });
+    }
+
     fn was_answered_lately(&self) -> bool {
         let now = self.shared.now();
         let answered = self.shared.answered_calls();
