Count a crash of the next attempt although it follows the last one closely

An attempt of the same complete request that began after the last crash cannot have failed together with it, so its crash counts now; reports carry the time for which the attempt ran. Crashes of attempts that ran at once, and of parts that prompts share, still count as one within the interval. New test: 3 counted one after the other, 1 at once.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         board::{Blackboard, Endpoint, Role, Tick},
-        decide::{CrashRecord, EngineLimits, Ledger, Placement, WaitBudget},
+        decide::{Crash, CrashRecord, EngineLimits, Ledger, Placement, WaitBudget},
         key::CauseKey,
         port::{
             CallEnd, CallVerdict, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
@@ -200,7 +200,7 @@
             RunEnd::Unknown => {}
             RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
             RunEnd::Crashed => {
-                self.record_crash(&end.pool, &end.engine, &end.causes, now);
+                self.record_crash(&end.pool, &end.engine, &end.causes, end.ran_for);
                 log::info!(
                     id = end.id,
                     endpoint = end.engine.as_str(),
@@ -224,7 +224,7 @@
                 // Nobody asks before a call is sent: one that is refused came from a daemon that did not
                 // know so, or after the time was over.
                 self.crashes.record_placement(&end.causes, now);
-                self.record_crash(&end.pool, &end.endpoint, &end.causes, now);
+                self.record_crash(&end.pool, &end.endpoint, &end.causes, end.ran_for);
                 log::info!(
                     pool = end.pool.as_str(),
                     endpoint = end.endpoint.as_str(),
@@ -240,8 +240,14 @@
     }
 
     /// Records a crash, and logs the causes that are refused from now on.
-    fn record_crash(&mut self, pool: &str, endpoint: &str, causes: &[CauseKey], now: Tick) {
-        let refused = self.crashes.record_crash(causes, endpoint, now);
+    fn record_crash(&mut self, pool: &str, endpoint: &str, causes: &[CauseKey], ran_for: Duration) {
+        let now = self.clock.now();
+        let crash = Crash {
+            engine: endpoint.to_owned(),
+            started: now.before(ran_for),
+            ended: now,
+        };
+        let refused = self.crashes.record_crash(causes, &crash, now);
         if !refused.is_empty() {
             log::warn!(
                 pool,
--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -12,7 +12,8 @@
 const ANSWERED_REFUSE_LIMIT: usize = 5;
 
 /// Crashes of a cause within this time count as one: engines or connections that fail together are
-/// not brought down by a prompt.
+/// not brought down by a prompt. A complete request whose next attempt began after the last crash is
+/// another matter, however soon that one crashes its engine.
 const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time after which a further crash of the same engine counts, as it has started again meanwhile.
@@ -50,11 +51,22 @@
     refused: RefusedCauses,
 }
 
+/// Crash of an engine that ran a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Crash {
+    /// Name of the engine.
+    pub engine: String,
+    /// When the attempt was sent to it.
+    pub started: Tick,
+    /// When the response broke off.
+    pub ended: Tick,
+}
+
 /// Crashes under one cause since a request with it was last answered.
 #[derive(Clone, Debug)]
 struct Crashes {
-    /// Engines that crashed.
-    engines: Vec<String>,
+    /// Crashes that count, in order of time.
+    counted: Vec<Crash>,
     /// When the last crash was counted.
     last: Tick,
     /// Time for which requests with the cause were last refused; `None` if they were not.
@@ -64,39 +76,46 @@
 impl Crashes {
     fn new(now: Tick) -> Self {
         Self {
-            engines: Vec::new(),
+            counted: Vec::new(),
             last: now,
             refuse_time: None,
         }
     }
 
-    /// Counts a crash of `engine`, unless it or another one was counted just before.
-    fn count(&mut self, engine: &str, now: Tick) {
-        let known = self.engines.iter().any(|known| known == engine);
-        let interval = if known {
-            RESTART_TIME
-        } else {
-            MIN_CRASH_INTERVAL
+    /// Counts `crash` under `cause`, unless it belongs to one that counts already.
+    fn count(&mut self, cause: CauseKey, crash: &Crash) {
+        if self.is_further(cause, crash) && self.counted.len() < ANSWERED_REFUSE_LIMIT {
+            self.counted.push(crash.clone());
+            self.last = crash.ended;
+        }
+    }
+
+    /// Whether `crash` is no consequence of what caused the last one.
+    fn is_further(&self, cause: CauseKey, crash: &Crash) -> bool {
+        let Some(last) = self.counted.last() else {
+            return true;
         };
-        let apart = self.engines.is_empty() || now - self.last >= interval;
-        if apart && self.engines.len() < ANSWERED_REFUSE_LIMIT {
-            self.engines.push(engine.to_owned());
-            self.last = now;
+        let since = crash.ended - last.ended;
+        let mut counted = self.counted.iter();
+        if counted.any(|counted| counted.engine == crash.engine) {
+            return since >= RESTART_TIME;
         }
+        let began_after = cause.is_request() && crash.started >= last.ended;
+        began_after || since >= MIN_CRASH_INTERVAL
     }
 }
 
 impl CrashRecord {
-    /// Records that `engine` broke off early while it ran a request with `causes`.
+    /// Records a crash of an engine that ran a request with `causes`.
     ///
     /// Returns the causes that are refused from now on and were not before.
-    pub fn record_crash(&mut self, causes: &[CauseKey], engine: &str, now: Tick) -> Vec<CauseKey> {
+    pub fn record_crash(&mut self, causes: &[CauseKey], crash: &Crash, now: Tick) -> Vec<CauseKey> {
         self.forget(now);
         for cause in causes {
             if self.causes.contains_key(cause) || self.causes.len() < MAX_CAUSES {
                 let crashes = self.causes.entry(*cause);
                 let crashes = crashes.or_insert_with(|| Crashes::new(now));
-                crashes.count(engine, now);
+                crashes.count(*cause, crash);
             }
         }
         let crashed = causes.iter().copied();
@@ -181,7 +200,7 @@
     /// Returns the number of crashes under `cause` that count since its last answer.
     pub fn count(&self, cause: CauseKey) -> usize {
         let crashes = self.causes.get(&cause);
-        crashes.map_or(0, |crashes| crashes.engines.len())
+        crashes.map_or(0, |crashes| crashes.counted.len())
     }
 
     fn forget(&mut self, now: Tick) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,7 +6,7 @@
     call_class::CallClass,
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ClaimGroup, ClaimTable, ClaimTime, MAX_RESPONSE_BYTES, claim_key, record_bytes},
-    crash_record::CrashRecord,
+    crash_record::{Crash, CrashRecord},
     endpoint_choice::{EndpointOption, choose_endpoint},
     endpoint_load::EndpointLoad,
     engine_limits::EngineLimits,
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -139,6 +139,8 @@
     pub causes: Vec<CauseKey>,
     /// How the run ended.
     pub run: RunEnd,
+    /// Time for which it ran.
+    pub ran_for: Duration,
 }
 
 /// Reply to the end of a call.
@@ -163,6 +165,8 @@
     pub causes: Vec<CauseKey>,
     /// How the run ended.
     pub run: RunEnd,
+    /// Time since the placement.
+    pub ran_for: Duration,
     /// Whether the run generated the complete output.
     pub complete: bool,
     /// Number of tokens generated.
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -1,6 +1,9 @@
 use {
     super::{EndpointHold, ForwardCall, ForwardParts, ForwardShared},
-    crate::port::{CallEnd, Placer, RunEnd, UpstreamError},
+    crate::{
+        board::Tick,
+        port::{CallEnd, Placer, RunEnd, UpstreamError},
+    },
     std::time::Duration,
 };
 
@@ -33,15 +36,15 @@
         placer.refused(&self.call.pool, &self.call.causes)
     }
 
-    /// Records that the attempt at `hold` failed with `error`. A response that broke off counts as a crash,
+    /// Records that the attempt at `hold`, which was sent at `sent`, failed with `error`. A response that broke off counts as a crash,
     /// unless calls like this one were answered lately: a lost response says nothing then.
-    pub async fn attempt_failed(self, hold: &EndpointHold, error: &UpstreamError) {
+    pub async fn attempt_failed(self, hold: &EndpointHold, error: &UpstreamError, sent: Tick) {
         let broken = matches!(error, UpstreamError::Broken(_));
         if !broken || self.was_answered_lately() {
             return;
         }
         self.call.crashed = true;
-        let end = self.end(hold, RunEnd::Crashed);
+        let end = self.end(hold, RunEnd::Crashed, self.shared.now() - sent);
         if self.call.is_at_most_once() {
             // There is no retry that depends on the verdict.
             self.report(end);
@@ -58,7 +61,7 @@
             self.shared.answered_calls().record(*cause, now);
         }
         if self.call.crashed {
-            let end = self.end(hold, RunEnd::Answered);
+            let end = self.end(hold, RunEnd::Answered, Duration::ZERO);
             self.report(end);
         }
     }
@@ -78,12 +81,13 @@
         causes.any(|cause| answered.is_recent(*cause, now))
     }
 
-    fn end(&self, hold: &EndpointHold, run: RunEnd) -> CallEnd {
+    fn end(&self, hold: &EndpointHold, run: RunEnd, ran_for: Duration) -> CallEnd {
         CallEnd {
             pool: self.call.pool.clone(),
             endpoint: hold.name.clone(),
             causes: self.call.causes.clone(),
             run,
+            ran_for,
         }
     }
 }
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -58,6 +58,7 @@
         };
         ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
+        let sent = shared.now();
         match run_attempt(shared, call, &hold).await {
             Attempted::Ended(Ok(response)) if response.status < FIRST_SERVER_ERROR => {
                 hold.record_end(false);
@@ -78,7 +79,7 @@
             Attempted::Ended(Err(error)) => {
                 hold.record_failure(shared, &error);
                 let watch = CrashWatch::new(shared, call);
-                watch.attempt_failed(&hold, &error).await;
+                watch.attempt_failed(&hold, &error, sent).await;
                 let past_deadline = shared.left(call.deadline).is_zero();
                 let verdict = call.after_failure(&error, past_deadline, &shared.budget(&call.pool));
                 let next = NextStep::from_verdict(verdict, &error);
--- a/src/request/placement_hold.rs
+++ b/src/request/placement_hold.rs
@@ -20,6 +20,7 @@
 {
     shared: ForwardShared<P>,
     end: PlacementEnd,
+    placed: Tick,
     first: Option<Tick>,
     events: u64,
 }
@@ -38,11 +39,13 @@
                 engine: engine.to_owned(),
                 causes: call.causes.clone(),
                 run: RunEnd::Unknown,
+                ran_for: Duration::ZERO,
                 complete: false,
                 generated_tokens: 0,
                 decode_time: Duration::ZERO,
                 prefill_time: Duration::ZERO,
             },
+            placed: shared.now(),
             first: None,
             events: 0,
         }
@@ -88,6 +91,7 @@
     P: ForwardParts,
 {
     fn drop(&mut self) {
+        self.end.ran_for = self.shared.now() - self.placed;
         self.shared.parts().placer().end(self.end.clone());
     }
 }
--- a/tests/burst.rs
+++ b/tests/burst.rs
@@ -99,6 +99,7 @@
         engine: decode.to_owned(),
         causes: Vec::new(),
         run: RunEnd::Answered,
+        ran_for: Duration::ZERO,
         complete: false,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -6,7 +6,7 @@
     lentillead::{
         board::{Blackboard, Role, Tick, Writers},
         control::{AllocationController, AllocationHandle},
-        decide::CrashRecord,
+        decide::{Crash, CrashRecord},
         key::CauseKey,
         port::{
             CallEnd, CallVerdict, MonoClock, PeerCall, PlacementEnd, PlacementOutcome,
@@ -78,6 +78,7 @@
             endpoint: format!("d{number}"),
             causes: vec![CauseKey::of_request(7)],
             run: RunEnd::Crashed,
+            ran_for: Duration::from_millis(60),
         };
         self.handle.end_call(end).await.expect("the placer runs")
     }
@@ -93,6 +94,7 @@
                     engine: engine.to_owned(),
                     causes,
                     run,
+                    ran_for: Duration::ZERO,
                     complete: false,
                     generated_tokens: 0,
                     decode_time: Duration::ZERO,
@@ -118,13 +120,22 @@
 ) -> Vec<Vec<CauseKey>> {
     let crash = |(second, number): (u64, u64)| {
         let now = at(start + second);
-        record.record_crash(causes, &format!("d{number}"), now);
+        record.record_crash(causes, &crash_of(&format!("d{number}"), now), now);
         let refused = record.refused().list(now).into_iter();
         refused.map(|(cause, _)| cause).collect()
     };
     (0..).zip(engines).map(crash).collect()
 }
 
+/// Returns the crash of `engine` at `now` in a run that began just before.
+fn crash_of(engine: &str, now: Tick) -> Crash {
+    Crash {
+        engine: engine.to_owned(),
+        started: now.before(Duration::from_millis(10)),
+        ended: now,
+    }
+}
+
 fn at(second: u64) -> Tick {
     Tick::default() + Duration::from_secs(second)
 }
@@ -201,7 +212,8 @@
     for outage in 0..4 {
         for engine in 0..9 {
             let causes = [FIRST, CauseKey(100 + engine)];
-            let crashed = record.record_crash(&causes, &format!("d{engine}"), at(outage));
+            let crash = crash_of(&format!("d{engine}"), at(outage));
+            let crashed = record.record_crash(&causes, &crash, at(outage));
             refused += crashed.len();
         }
         record.record_answer(&[FIRST], at(outage));
@@ -236,7 +248,7 @@
     let mut record = CrashRecord::default();
     let mut seen = Vec::new();
     for (second, engine) in [(0, "a"), (1, "a"), (2, "b"), (3, "b"), (8, "b")] {
-        record.record_crash(&[DEADLY], engine, at(second));
+        record.record_crash(&[DEADLY], &crash_of(engine, at(second)), at(second));
         let refused = record.refused().remaining(&[DEADLY], at(second));
         seen.push((second, engine, refused.map(|left| left.as_secs())));
     }
@@ -265,3 +277,26 @@
         "{reached} requests reached endpoints, three of them before it could be known"
     );
 }
+
+#[test]
+fn a_request_whose_next_attempt_began_after_the_last_crash_counts_however_soon_it_crashes() {
+    let request = [CauseKey::of_request(7)];
+    let millis = |ms| Tick::default() + Duration::from_millis(ms);
+    let mut seen = Vec::new();
+    for (name, attempts) in [
+        ("one after the other", [(0, 80), (81, 160), (165, 240)]),
+        ("at once", [(0, 80), (10, 80), (20, 81)]),
+    ] {
+        let mut record = CrashRecord::default();
+        for (number, (started, ended)) in attempts.into_iter().enumerate() {
+            let crash = Crash {
+                engine: format!("d{number}"),
+                started: millis(started),
+                ended: millis(ended),
+            };
+            record.record_crash(&request, &crash, millis(ended));
+        }
+        seen.push((name, record.count(request[0])));
+    }
+    assert_yaml_snapshot!(seen);
+}
--- a/tests/forward_path.rs
+++ b/tests/forward_path.rs
@@ -8,7 +8,7 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Fleet, Health, Role, Routing, StopPhase, Tick, section},
-        decide::{CrashRecord, merge_described},
+        decide::{Crash, CrashRecord, merge_described},
         key::CauseKey,
         port::PlacementOutcome,
     },
@@ -134,7 +134,13 @@
     for (second, fingerprint) in [(0, 7), (1, 8), (2, 7), (200, 9)] {
         let engine = format!("engine-{second}");
         let causes = [CauseKey(fingerprint)];
-        record.record_crash(&causes, &engine, Tick(second * 1_000_000));
+        let now = Tick(second * 1_000_000);
+        let crash = Crash {
+            engine,
+            started: now,
+            ended: now,
+        };
+        record.record_crash(&causes, &crash, now);
         seen.push((
             second,
             [7, 8, 9].map(|fingerprint| record.is_suspect(&[CauseKey(fingerprint)])),
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -174,6 +174,7 @@
         engine: String::new(),
         causes: Vec::new(),
         run: RunEnd::Unknown,
+        ran_for: Duration::ZERO,
         complete: false,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
@@ -202,6 +203,7 @@
             ledger.place(&placement_request(id, 100, 4_000), at(id * 10));
             let end = PlacementEnd {
                 run: RunEnd::Answered,
+                ran_for: Duration::ZERO,
                 complete: true,
                 generated_tokens: (4_000.0 * ratio) as u64,
                 ..prefilled_in(id, Duration::ZERO)
@@ -280,6 +282,7 @@
         engine: String::new(),
         causes: Vec::new(),
         run: RunEnd::Unknown,
+        ran_for: Duration::ZERO,
         complete: false,
         generated_tokens: 0,
         decode_time: Duration::ZERO,
