--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -19,23 +19,35 @@
 /// Time after which a further crash of the same engine counts, as it has started again meanwhile.
 const RESTART_TIME: Duration = Duration::from_secs(5);
 
-/// Time for which a cause is refused before one request with it is let through as a probe.
-const REFUSE_TIME: Duration = Duration::from_secs(20);
+/// Time for which a cause is refused at last, with no further probes.
+const FINAL_REFUSE_TIME: Duration = Duration::from_hours(24);
 
-/// The same for a cause under which requests were answered lately.
-const ANSWERED_REFUSE_TIME: Duration = Duration::from_secs(2);
+/// Times for which a part of a prompt is refused before each probe, one request that is let through.
+const REFUSE_TIMES: [Duration; 3] = [
+    Duration::from_secs(20),
+    Duration::from_mins(1),
+    FINAL_REFUSE_TIME,
+];
 
-/// Factor by which the time grows with each probe.
-const REFUSE_TIME_FACTOR: u32 = 3;
+/// The same for a part under which requests were answered lately.
+const ANSWERED_REFUSE_TIMES: [Duration; 4] = [
+    Duration::from_secs(2),
+    Duration::from_secs(6),
+    Duration::from_secs(18),
+    FINAL_REFUSE_TIME,
+];
 
-/// Longest time between two probes.
-const MAX_REFUSE_TIME: Duration = Duration::from_mins(20);
+/// The same for a complete request, which has no probe: an identical one would crash the next endpoint.
+const REQUEST_REFUSE_TIMES: [Duration; 1] = [FINAL_REFUSE_TIME];
 
 /// Time after the last crash of a cause at which its crashes are forgotten.
 const RETENTION: Duration = Duration::from_mins(2);
 
-/// The same for a cause that was refused.
-const REFUSED_RETENTION: Duration = Duration::from_hours(1);
+/// The same for a complete request; a caller may send it again after minutes.
+const REQUEST_RETENTION: Duration = Duration::from_mins(30);
+
+/// The same for a cause that was refused; longer than it is refused.
+const REFUSED_RETENTION: Duration = Duration::from_hours(25);
 
 /// Most causes that are remembered.
 const MAX_CAUSES: usize = 10_000;
@@ -71,6 +83,8 @@
     last: Tick,
     /// Time for which requests with the cause were last refused; `None` if they were not.
     refuse_time: Option<Duration>,
+    /// Whether requests with the cause were answered lately when it was refused.
+    answered: bool,
 }
 
 impl Crashes {
@@ -79,14 +93,43 @@
             counted: Vec::new(),
             last: now,
             refuse_time: None,
+            answered: false,
+        }
+    }
+
+    /// Returns the times for which `cause` is refused, the first one first.
+    fn refuse_times(&self, cause: CauseKey) -> &'static [Duration] {
+        if cause.is_request() {
+            &REQUEST_REFUSE_TIMES
+        } else if self.answered {
+            &ANSWERED_REFUSE_TIMES
+        } else {
+            &REFUSE_TIMES
         }
     }
 
-    /// Counts `crash` under `cause`, unless it belongs to one that counts already.
+    /// Returns the shortest time for which `cause` is refused that satisfies `condition`.
+    fn refuse_time<F>(&self, cause: CauseKey, condition: F) -> Duration
+    where
+        F: Fn(Duration) -> bool,
+    {
+        let mut times = self.refuse_times(cause).iter().copied();
+        times
+            .find(|time| condition(*time))
+            .unwrap_or(FINAL_REFUSE_TIME)
+    }
+
+    /// Counts `crash` under `cause`, unless it belongs to one that counts already. Crashes may be reported
+    /// in any order.
     fn count(&mut self, cause: CauseKey, crash: &Crash) {
-        if self.is_further(cause, crash) && self.counted.len() < ANSWERED_REFUSE_LIMIT {
-            self.counted.push(crash.clone());
-            self.last = crash.ended;
+        let mut all = std::mem::take(&mut self.counted);
+        all.push(crash.clone());
+        all.sort_by_key(|crash| crash.ended);
+        for crash in all {
+            if self.is_further(cause, &crash) && self.counted.len() < ANSWERED_REFUSE_LIMIT {
+                self.last = self.last.max(crash.ended);
+                self.counted.push(crash);
+            }
         }
     }
 
@@ -112,6 +155,10 @@
     pub fn record_crash(&mut self, causes: &[CauseKey], crash: &Crash, now: Tick) -> Vec<CauseKey> {
         self.forget(now);
         for cause in causes {
+            let answered = self.answers.last(*cause);
+            if answered.is_some_and(|answered| answered > crash.ended) {
+                continue;
+            }
             if self.causes.contains_key(cause) || self.causes.len() < MAX_CAUSES {
                 let crashes = self.causes.entry(*cause);
                 let crashes = crashes.or_insert_with(|| Crashes::new(now));
@@ -130,11 +177,8 @@
             if let Some(crashes) = self.causes.get_mut(cause)
                 && crashes.refuse_time.is_none()
             {
-                let time = if answered {
-                    ANSWERED_REFUSE_TIME
-                } else {
-                    REFUSE_TIME
-                };
+                crashes.answered = answered;
+                let time = crashes.refuse_time(*cause, |_| true);
                 crashes.refuse_time = Some(time);
                 self.refused.refuse(*cause, time, now);
                 refused.push(*cause);
@@ -144,8 +188,18 @@
     }
 
     /// Records that a request with `causes` was answered, so that none of them crashes engines.
-    pub fn record_answer(&mut self, causes: &[CauseKey], now: Tick) {
+    ///
+    /// Returns the causes that were refused until now.
+    pub fn record_answer(&mut self, causes: &[CauseKey], now: Tick) -> Vec<CauseKey> {
         self.answers.record(causes, now);
+        let is_refused = |cause: &CauseKey| self.refused.remaining(&[*cause], now).is_some();
+        let cleared = causes.iter().copied().filter(is_refused).collect();
+        self.clear(causes);
+        cleared
+    }
+
+    /// Forgets the crashes under `causes`, and refuses them no longer.
+    pub fn clear(&mut self, causes: &[CauseKey]) {
         for cause in causes {
             self.causes.remove(cause);
             self.refused.clear(*cause);
@@ -159,7 +213,7 @@
             if let Some(crashes) = self.causes.get_mut(cause)
                 && let Some(time) = crashes.refuse_time
             {
-                let time = (time * REFUSE_TIME_FACTOR).min(MAX_REFUSE_TIME);
+                let time = crashes.refuse_time(*cause, |next| next > time);
                 crashes.refuse_time = Some(time);
                 self.refused.refuse(*cause, time, now);
             }
@@ -182,7 +236,8 @@
         for (cause, left) in refused {
             let crashes = self.causes.entry(*cause);
             let crashes = crashes.or_insert_with(|| Crashes::new(now));
-            crashes.refuse_time.get_or_insert(REFUSE_TIME.max(*left));
+            let time = crashes.refuse_time(*cause, |time| time >= *left);
+            crashes.refuse_time.get_or_insert(time);
         }
         self.refused.merge(refused, now);
     }
@@ -204,9 +259,10 @@
     }
 
     fn forget(&mut self, now: Tick) {
-        self.causes.retain(|_, crashes| {
+        self.causes.retain(|cause, crashes| {
             let time = match crashes.refuse_time {
                 Some(_) => REFUSED_RETENTION,
+                None if cause.is_request() => REQUEST_RETENTION,
                 None => RETENTION,
             };
             now - crashes.last < time
