Notify all daemons of what crashes endpoints, and hand what was counted to the next daemon that counts

The class: a limit on the whole system is enforced where its evidence happens to be.

One mechanism carries both now. The daemon that counts publishes each decision in a section (Refusals); RefusalController sends it to every daemon that was not notified of that version, and again to one that did not reply or has started since; nothing is sent while nothing was ever refused. Each daemon keeps the crashes that it reported for 30 minutes and hands them to the daemon that counts next. A daemon that reaches none of two counts what it sees by itself. What an answer clears travels the same way.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -22,6 +22,7 @@
     owners::{Owners, Ownership},
     pool::Pool,
     refusal::Refusal,
+    refusals::{PoolRefusals, Refusals},
     removed_endpoints::RemovedEndpoints,
     request_rate::RequestRate,
     request_slots::RequestSlots,
@@ -56,6 +57,7 @@
 mod owners;
 mod pool;
 mod refusal;
+mod refusals;
 mod removed_endpoints;
 mod request_rate;
 mod request_slots;
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -1,11 +1,11 @@
 use {
+    super::crash_counter::CrashCounter,
     crate::{
-        board::{Blackboard, Endpoint, Role, Tick},
-        decide::{Crash, CrashRecord, EngineLimits, Ledger, Placement, WaitBudget},
-        key::CauseKey,
+        board::{Blackboard, Endpoint, Refusals, Role, Section, Tick},
+        decide::{EngineLimits, Ledger, Placement, WaitBudget},
         port::{
             CallEnd, CallVerdict, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
-            PlacementReply, PlacementRequest, PlacerHandover, RunEnd,
+            PlacementReply, PlacementRequest, PlacerHandover, RefusalUpdate, ReportedCrash, RunEnd,
         },
     },
     std::{collections::HashMap, time::Duration},
@@ -36,13 +36,14 @@
     waiting: Vec<WaitingRequest>,
     unreachable: HashMap<String, Tick>,
     limits: EngineLimits,
-    crashes: CrashRecord,
+    crashes: CrashCounter,
 }
 
 /// Handle with which requests reach the allocation controller.
 #[derive(Clone, Debug)]
 pub struct AllocationHandle {
     mailbox: mpsc::Sender<Message>,
+    refusals: Section<Refusals>,
 }
 
 /// Message to the controller.
@@ -52,6 +53,7 @@
     Adopt(PlacerHandover),
     End(PlacementEnd),
     EndCall(CallEnd, oneshot::Sender<CallVerdict>),
+    Refuse(RefusalUpdate),
 }
 
 /// A placement request that waits for free engines.
@@ -82,6 +84,10 @@
                 Some(verdict) => PeerReply::CallVerdict(verdict),
                 None => PeerReply::Failed("this daemon is overloaded or stopping".to_owned()),
             },
+            PeerCall::RefuseCauses(update) => {
+                self.refuse(update);
+                PeerReply::Done
+            }
             _ => {
                 PeerReply::Failed("call not supported: this daemon only places requests".to_owned())
             }
@@ -123,6 +129,20 @@
         verdict.await.ok()
     }
 
+    /// Takes over what another daemon refuses.
+    pub fn refuse(&self, update: RefusalUpdate) {
+        if self.mailbox.try_send(Message::Refuse(update)).is_err() {
+            log::warn!(
+                "allocation controller overloaded or stopped; refused causes not taken over"
+            );
+        }
+    }
+
+    /// Returns the section with the decisions of this daemon on what crashes endpoints.
+    pub fn refusals(&self) -> Section<Refusals> {
+        self.refusals.clone()
+    }
+
     /// Ends a placement and frees what it holds in the ledger.
     pub fn end(&self, end: PlacementEnd) {
         if self.mailbox.try_send(Message::End(end)).is_err() {
@@ -140,6 +160,7 @@
     /// Creates the controller and its handle.
     pub fn new(board: Blackboard, clock: C) -> (Self, AllocationHandle) {
         let (sender, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
+        let (crashes, refusals) = CrashCounter::new();
         let controller = Self {
             board,
             clock,
@@ -148,9 +169,13 @@
             waiting: Vec::new(),
             unreachable: HashMap::new(),
             limits: EngineLimits::default(),
-            crashes: CrashRecord::default(),
+            crashes,
+        };
+        let handle = AllocationHandle {
+            mailbox: sender,
+            refusals,
         };
-        (controller, AllocationHandle { mailbox: sender })
+        (controller, handle)
     }
 
     /// Runs until every handle has been dropped.
@@ -168,6 +193,7 @@
                 Some(Message::Place(request, reply)) => self.enqueue(request, reply),
                 Some(Message::Adopt(handover)) => self.adopt(&handover),
                 Some(Message::End(end)) => self.end(&end),
+                Some(Message::Refuse(update)) => self.refuse(&update),
                 Some(Message::EndCall(end, reply)) => {
                     // A requester that has left needs no verdict.
                     let _ = reply.send(self.end_call(&end));
@@ -178,16 +204,29 @@
         }
     }
 
-    /// Enters placements that another daemon has made, and refuses what it refuses.
+    /// Refuses what another daemon refuses, and no longer what it has cleared.
+    fn refuse(&mut self, update: &RefusalUpdate) {
+        let now = self.clock.now();
+        for pool in &update.pools {
+            self.crashes.merge(&pool.refused, &pool.cleared, now);
+        }
+    }
+
+    /// Enters placements that another daemon has made, and takes over the crashes that it saw and what it
+    /// refuses.
     fn adopt(&mut self, handover: &PlacerHandover) {
         let now = self.clock.now();
         for placement in &handover.placements {
             self.ledger(&placement.request.pool, now)
                 .add_remote(placement, now);
         }
-        self.crashes.merge(&handover.refused, now);
+        self.crashes.merge(&handover.refused, &[], now);
+        for crash in &handover.crashes {
+            self.crashes.record_crash(&handover.pool, crash, now);
+        }
         log::info!(
             runs = handover.placements.len(),
+            crashes = handover.crashes.len(),
             refused = handover.refused.len();
             "placements taken over from another daemon"
         );
@@ -196,19 +235,7 @@
     /// Releases a placement and records how its run ended.
     fn end(&mut self, end: &PlacementEnd) {
         let now = self.clock.now();
-        match end.run {
-            RunEnd::Unknown => {}
-            RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
-            RunEnd::Crashed => {
-                self.record_crash(&end.pool, &end.engine, &end.causes, end.ran_for);
-                log::info!(
-                    id = end.id,
-                    endpoint = end.engine.as_str(),
-                    crashes = self.crash_counts(&end.causes);
-                    "engine broke off early in a response; crash recorded"
-                );
-            }
-        }
+        self.record_end(&end.pool, end.run, &end.crash(), now);
         if let Some(ledger) = self.ledgers.get_mut(&end.pool) {
             ledger.end(end, now);
         }
@@ -217,54 +244,27 @@
     /// Records how a call at a plain service ended, and returns what that means for calls like it.
     fn end_call(&mut self, end: &CallEnd) -> CallVerdict {
         let now = self.clock.now();
-        match end.run {
-            RunEnd::Unknown => {}
-            RunEnd::Answered => self.crashes.record_answer(&end.causes, now),
-            RunEnd::Crashed => {
-                // Nobody asks before a call is sent: one that is refused came from a daemon that did not
-                // know so, or after the time was over.
-                self.crashes.record_placement(&end.causes, now);
-                self.record_crash(&end.pool, &end.endpoint, &end.causes, end.ran_for);
-                log::info!(
-                    pool = end.pool.as_str(),
-                    endpoint = end.endpoint.as_str(),
-                    crashes = self.crash_counts(&end.causes);
-                    "endpoint broke off a call; crash recorded"
-                );
-            }
+        if end.run == RunEnd::Crashed {
+            // Nobody asks before a call is sent: one that is refused came from a daemon that did not know
+            // so, or after the time was over.
+            self.crashes.record_placement(&end.causes, now);
         }
+        self.record_end(&end.pool, end.run, &end.crash(), now);
         CallVerdict {
             suspect: self.crashes.is_suspect(&end.causes),
             refused: self.crashes.refused().list(now),
         }
     }
 
-    /// Records a crash, and logs the causes that are refused from now on.
-    fn record_crash(&mut self, pool: &str, endpoint: &str, causes: &[CauseKey], ran_for: Duration) {
-        let now = self.clock.now();
-        let crash = Crash {
-            engine: endpoint.to_owned(),
-            started: now.before(ran_for),
-            ended: now,
-        };
-        let refused = self.crashes.record_crash(causes, &crash, now);
-        if !refused.is_empty() {
-            log::warn!(
-                pool,
-                causes = cause_list(&refused);
-                "several engines crashed under the same cause; requests with it are refused"
-            );
+    /// Records what the end of a run tells of what crashes endpoints; `crash` holds, if it is one.
+    fn record_end(&mut self, pool: &str, run: RunEnd, crash: &ReportedCrash, now: Tick) {
+        match run {
+            RunEnd::Unknown => {}
+            RunEnd::Answered => self.crashes.record_answer(pool, &crash.causes, now),
+            RunEnd::Crashed => self.crashes.record_crash(pool, crash, now),
         }
     }
 
-    /// Returns `causes` as text, each with the number of its crashes that count.
-    fn crash_counts(&self, causes: &[CauseKey]) -> String {
-        let counts = causes
-            .iter()
-            .map(|cause| format!("{cause}={}", self.crashes.count(*cause)));
-        counts.collect::<Vec<_>>().join(",")
-    }
-
     /// Queues a request and marks the engines that its sender cannot reach.
     fn enqueue(&mut self, request: PlacementRequest, reply: oneshot::Sender<PlacementReply>) {
         let now = self.clock.now();
@@ -457,9 +457,3 @@
         ledger
     }
 }
-
-/// Returns the keys of `causes` for a log line.
-fn cause_list(causes: &[CauseKey]) -> String {
-    let keys = causes.iter().map(CauseKey::to_string);
-    keys.collect::<Vec<_>>().join(",")
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,6 +30,7 @@
     queue_controller::QueueController,
     queue_handle::QueueHandle,
     readiness_controller::{ReadinessController, ReadinessParts, STOP_NOTICE_TIME},
+    refusal_controller::RefusalController,
     registration::Registration,
     relayed_feed::{FeedLinks, RelayedFeed},
     roster_controller::RosterController,
@@ -53,6 +54,7 @@
 mod claim_resolver;
 mod claim_router;
 mod claim_settings;
+mod crash_counter;
 mod deadlines;
 mod digest_controller;
 mod endpoint_view;
@@ -87,6 +89,7 @@
 mod queue_snapshot;
 mod queue_state;
 mod readiness_controller;
+mod refusal_controller;
 mod registration;
 mod relay_state;
 mod relayed_feed;
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -1,12 +1,13 @@
 use {
     super::{AllocationHandle, avoided_hosts::AvoidedHosts},
     crate::{
-        board::{Members, Section, Tick},
+        board::{Members, Refusals, Section, Tick},
         decide::{RefusedCauses, placer_order},
         key::{CauseKey, HostKey},
         port::{
             ActivePlacement, CallEnd, CallVerdict, Clock, Peer, PeerCall, PeerReply, PlacementEnd,
             PlacementOutcome, PlacementReply, PlacementRequest, Placer, PlacerHandover,
+            RefusalUpdate, ReportedCrash, RunEnd,
         },
     },
     arc_swap::ArcSwap,
@@ -28,6 +29,10 @@
 /// Interval at which the router checks whether another daemon now places requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which a reported crash is remembered, and most crashes of a pool that are.
+const CRASH_RETENTION: Duration = Duration::from_mins(30);
+const MAX_CRASHES: usize = 64;
+
 /// Most daemons that are called for one request.
 const MAX_TRIED_DAEMONS: usize = 2;
 
@@ -39,6 +44,7 @@
     clock: C,
     members: Section<Members>,
     own: AllocationHandle,
+    own_refusals: Section<Refusals>,
     state: Arc<RouterState<C>>,
 }
 
@@ -50,10 +56,19 @@
     placed: ArcSwap<HashMap<u64, PlacedRequest>>,
     /// Causes of crashes whose requests are refused, by the name of the pool.
     refused: ArcSwap<HashMap<String, RefusedCauses>>,
+    /// Crashes that this daemon reported, by the name of the pool.
+    crashes: ArcSwap<HashMap<String, Vec<SeenCrash>>>,
     /// Daemon and its incarnation that last received the placements of a pool, by the pool's name.
     notified: ArcSwap<HashMap<String, (HostKey, u64)>>,
 }
 
+/// A crash that this daemon reported.
+#[derive(Clone, Debug)]
+struct SeenCrash {
+    crash: ReportedCrash,
+    at: Tick,
+}
+
 /// A request of this daemon that has been placed.
 #[derive(Clone, Debug)]
 struct PlacedRequest {
@@ -73,12 +88,14 @@
             avoided: AvoidedHosts::new(clock.clone()),
             placed: ArcSwap::default(),
             refused: ArcSwap::default(),
+            crashes: ArcSwap::default(),
             notified: ArcSwap::default(),
         };
         Self {
             peer,
             clock,
             members,
+            own_refusals: own.refusals(),
             own,
             state: Arc::new(state),
         }
@@ -144,10 +161,12 @@
         let refused = self.state.refused.load();
         let refused = refused.get(pool).map(|refused| refused.list(now));
         let handover = PlacerHandover {
+            pool: pool.to_owned(),
             placements,
             refused: refused.unwrap_or_default(),
+            crashes: self.seen_crashes(pool, now),
         };
-        if handover != PlacerHandover::default() {
+        if !handover.is_empty() {
             // Without a reply the daemon is avoided, and the next one receives the handover.
             self.call(host, PeerCall::AdoptPlacements(handover)).await;
         }
@@ -162,10 +181,12 @@
             self.clock.sleep(CHECK_INTERVAL).await;
             let placed = self.state.placed.load_full();
             let refused = self.state.refused.load_full();
+            let crashes = self.state.crashes.load_full();
             let pools: BTreeSet<_> = placed
                 .values()
                 .map(|placed| placed.request.pool.as_str())
                 .chain(refused.keys().map(String::as_str))
+                .chain(crashes.keys().map(String::as_str))
                 .collect();
             for pool in pools {
                 if let Some(host) = self.ranked(pool).first() {
@@ -184,17 +205,52 @@
         }
         let now = self.clock.now();
         let mut causes = RefusedCauses::default();
+        log_new(pool, known.get(pool).unwrap_or(&causes), refused, now);
         causes.merge(refused, now);
-        for (cause, left) in refused {
-            let known = known
-                .get(pool)
-                .and_then(|known| known.remaining(&[*cause], now));
-            if known.is_none() {
-                let left_ms = left.as_millis() as u64;
-                log::info!(pool, cause:% = cause, left_ms; "requests with this cause are refused here from now on");
+        insert_copy(&self.state.refused, &pool.to_owned(), &causes);
+    }
+
+    /// Refuses what another daemon refuses, and no longer what it has cleared.
+    pub fn refuse(&self, update: &RefusalUpdate) {
+        for pool in &update.pools {
+            let now = self.clock.now();
+            let known = self.state.refused.load();
+            let mut causes = known.get(&pool.pool).cloned().unwrap_or_default();
+            log_new(&pool.pool, &causes, &pool.refused, now);
+            causes.merge(&pool.refused, now);
+            for cause in &pool.cleared {
+                causes.clear(*cause);
             }
+            insert_copy(&self.state.refused, &pool.pool, &causes);
         }
-        insert_copy(&self.state.refused, &pool.to_owned(), &causes);
+    }
+
+    /// Remembers a crash for the daemons that take over the pool.
+    fn record_crash(&self, pool: &str, crash: ReportedCrash) {
+        let at = self.clock.now();
+        let seen = SeenCrash { crash, at };
+        self.state.crashes.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            let crashes = next.entry(pool.to_owned()).or_default();
+            crashes.retain(|seen| at - seen.at < CRASH_RETENTION);
+            let surplus = (crashes.len() + 1).saturating_sub(MAX_CRASHES);
+            crashes.drain(..surplus);
+            crashes.push(seen.clone());
+            next
+        });
+    }
+
+    /// Returns the crashes that this daemon reported.
+    fn seen_crashes(&self, pool: &str, now: Tick) -> Vec<ReportedCrash> {
+        let crashes = self.state.crashes.load();
+        let seen = crashes.get(pool).into_iter().flatten();
+        let recent = seen.filter(|seen| now - seen.at < CRASH_RETENTION);
+        recent
+            .map(|seen| ReportedCrash {
+                age: now - seen.at,
+                ..seen.crash.clone()
+            })
+            .collect()
     }
 
     /// Remembers a placement for the daemons that take over the pool.
@@ -248,6 +304,9 @@
         let hosts: Vec<_> = hosts.collect();
         let router = self.clone();
         tokio::spawn(async move {
+            if end.run == RunEnd::Crashed {
+                router.record_crash(&end.pool, end.crash());
+            }
             for host in hosts {
                 let call = router.call(host, PeerCall::EndPlacement(end.clone()));
                 if call.await.is_some() {
@@ -263,16 +322,37 @@
             self.send_placements(host, &end.pool).await;
             let reply = self.call(host, PeerCall::EndCall(end.clone())).await;
             if let Some(PeerReply::CallVerdict(CallVerdict { suspect, refused })) = reply {
+                if end.run == RunEnd::Crashed {
+                    self.record_crash(&end.pool, end.crash());
+                }
                 self.record_refused(&end.pool, &refused);
                 return suspect;
             }
         }
-        false
+        // Without a daemon that counts for all, this one counts what it sees.
+        let verdict = self.own.end_call(end).await;
+        verdict.is_some_and(|verdict| verdict.suspect)
     }
 
     fn refused(&self, pool: &str, causes: &[CauseKey]) -> Option<Duration> {
+        let now = self.clock.now();
         let refused = self.state.refused.load();
-        refused.get(pool)?.remaining(causes, self.clock.now())
+        let known = refused.get(pool);
+        let by_others = known.and_then(|refused| refused.remaining(causes, now));
+        by_others.or_else(|| self.own_refusals.load().remaining(pool, causes, now))
+    }
+}
+
+/// Logs those of `refused` that are not in `known`.
+fn log_new(pool: &str, known: &RefusedCauses, refused: &[(CauseKey, Duration)], now: Tick) {
+    for (cause, left) in refused {
+        if known.remaining(&[*cause], now).is_none() {
+            let left_ms = left.as_millis() as u64;
+            log::info!(
+                pool, cause:% = cause, left_ms;
+                "requests with this cause are refused here from now on"
+            );
+        }
     }
 }
 
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -67,6 +67,7 @@
             | PeerCall::AdoptPlacements(_)
             | PeerCall::EndPlacement(_)
             | PeerCall::EndCall(_)
+            | PeerCall::RefuseCauses(_)
             | PeerCall::ReadFeed(_) => PeerReply::Failed(
                 "this daemon does not forward by routes and accepts no placement or feed calls"
                     .to_owned(),
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -5,8 +5,8 @@
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
             FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
-            ReadinessController, ReadinessParts, Registration, RelayedFeed, RosterController,
-            RoutingController, StageController, StageParts, StorePath,
+            ReadinessController, ReadinessParts, RefusalController, Registration, RelayedFeed,
+            RosterController, RoutingController, StageController, StageParts, StorePath,
         },
         key::name_hash,
         port::{
@@ -135,6 +135,7 @@
 #[derive(Clone, Debug)]
 pub struct ForwardDispatch {
     allocation: AllocationHandle,
+    placer: PlacementRouter<PeerClient, MonoClock>,
     relay: FeedRelay<MonoClock>,
 }
 
@@ -142,6 +143,11 @@
     async fn handle(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
+            PeerCall::RefuseCauses(update) => {
+                self.placer.refuse(&update);
+                self.allocation.refuse(update);
+                PeerReply::Done
+            }
             call => self.allocation.handle(call).await,
         }
     }
@@ -245,6 +251,9 @@
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
         let members = board.members.clone();
+        let refusals = allocation.refusals();
+        let refusals = RefusalController::new(ports.peer.clone(), clock, members.clone(), refusals);
+        tasks.spawn(refusals.run());
         let placer = PlacementRouter::new(ports.peer, clock, members, allocation.clone());
         tasks.spawn(placer.clone().sync_placers());
         let daemon_parts = ForwardDaemonParts {
@@ -269,6 +278,7 @@
     pub fn dispatch(&self) -> ForwardDispatch {
         ForwardDispatch {
             allocation: self.allocation.clone(),
+            placer: self.entry.shared().parts().placer.clone(),
             relay: self.relay.clone(),
         }
     }
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -24,7 +24,8 @@
     },
     placer::{
         ActivePlacement, CallEnd, CallVerdict, PlacementEnd, PlacementOutcome, PlacementReply,
-        PlacementRequest, Placer, PlacerHandover, RunEnd, StatedLimit,
+        PlacementRequest, Placer, PlacerHandover, PoolUpdate, RefusalUpdate, ReportedCrash, RunEnd,
+        StatedLimit,
     },
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
     request_log::RequestLog,
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallEnd, CallVerdict, FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest,
-        PlacerHandover,
+        PlacerHandover, RefusalUpdate,
     },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
@@ -46,6 +46,8 @@
     ReadFeed(FeedRead),
     /// Reports how the run of a call at a plain service ended.
     EndCall(CallEnd),
+    /// Notifies the receiver of the causes of crashes that the sender refuses.
+    RefuseCauses(RefusalUpdate),
 }
 
 /// Reply to a `PeerCall`.
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -76,10 +76,45 @@
 /// What a daemon that begins to choose the placements of a pool takes over from another one.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlacerHandover {
+    /// Name of the pool.
+    pub pool: String,
     /// Requests of the other daemon that are placed.
     pub placements: Vec<ActivePlacement>,
     /// Causes of crashes whose requests the other daemon refuses, each with the time left.
     pub refused: Vec<(CauseKey, Duration)>,
+    /// Crashes of the pool's endpoints that the other daemon saw.
+    pub crashes: Vec<ReportedCrash>,
+}
+
+/// Crash of an endpoint that a daemon saw and reported.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReportedCrash {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// What may have crashed it.
+    pub causes: Vec<CauseKey>,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Time for which the attempt had run.
+    pub ran_for: Duration,
+}
+
+/// Decisions of a daemon on what crashes endpoints, for all other daemons.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RefusalUpdate {
+    /// Decisions on the requests of each pool.
+    pub pools: Vec<PoolUpdate>,
+}
+
+/// Decisions on the requests of one pool.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PoolUpdate {
+    /// Name of the pool.
+    pub pool: String,
+    /// Causes of crashes whose requests are refused, each with the time left.
+    pub refused: Vec<(CauseKey, Duration)>,
+    /// Causes that were refused and no longer are.
+    pub cleared: Vec<CauseKey>,
 }
 
 /// Outcome of a request for a placement.
@@ -176,3 +211,34 @@
     /// Time that the prefill engine took for the prompt; zero if none was used.
     pub prefill_time: Duration,
 }
+
+impl CallEnd {
+    /// Returns the crash that the end is, if it is one.
+    pub fn crash(&self) -> ReportedCrash {
+        ReportedCrash {
+            endpoint: self.endpoint.clone(),
+            causes: self.causes.clone(),
+            age: Duration::ZERO,
+            ran_for: self.ran_for,
+        }
+    }
+}
+
+impl PlacementEnd {
+    /// Returns the crash that the end is, if it is one.
+    pub fn crash(&self) -> ReportedCrash {
+        ReportedCrash {
+            endpoint: self.engine.clone(),
+            causes: self.causes.clone(),
+            age: Duration::ZERO,
+            ran_for: self.ran_for,
+        }
+    }
+}
+
+impl PlacerHandover {
+    /// Returns whether there is nothing to take over.
+    pub fn is_empty(&self) -> bool {
+        self.placements.is_empty() && self.refused.is_empty() && self.crashes.is_empty()
+    }
+}
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -174,8 +174,9 @@
     let (.., reply) = first.place(&[FIRST]).await;
     let mut next = Placer::start();
     let handover = PlacerHandover {
-        placements: Vec::new(),
+        pool: "models".to_owned(),
         refused: reply.refused,
+        ..PlacerHandover::default()
     };
     next.handle
         .handle(PeerCall::AdoptPlacements(handover))
