Add organisations, their quotas and the admission of callers

A configuration may declare organisations with access keys, priorities and quotas. This adds the types that the parts of this work share: Organisation, Quota, OrganisationKey, Routing::organisations, Routing::authenticate, PathRoute::public, and the organisation and priority of a ForwardCall.

Access keys are kept as BLAKE3 digests under a random salt, compared in constant time. Daemons pass the routing on with digests and salt, so the version of the encoding of peer messages rises to 2. A request is admitted when it arrives, and again before an attempt is sent if the routing has changed since. No adapter declares organisations or decodes keys yet, so nothing changes for callers.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: sections with exactly one writer each, read through snapshots and atomics.
 
 pub use self::{
+    access_keys::{AccessKeys, KeyDigest, KeySalt},
     answered_calls::AnsweredCalls,
     arena::Arena,
     blackboard::{Blackboard, Writers},
@@ -19,8 +20,12 @@
     loaded_models::LoadedModels,
     members::Members,
     orders::{OrderStatus, Orders},
+    organisation::Organisation,
+    organisation_fault::OrganisationFault,
+    organisation_list::{DeclaredOrganisation, OrganisationList},
     owners::{Owners, Ownership},
     pool::Pool,
+    quota::{Quota, QuotaUnit},
     refusal::Refusal,
     removed_endpoints::RemovedEndpoints,
     request_rate::RequestRate,
@@ -35,6 +40,7 @@
     tick::Tick,
 };
 
+mod access_keys;
 mod answered_calls;
 mod arena;
 mod blackboard;
@@ -53,8 +59,12 @@
 mod loaded_models;
 mod members;
 mod orders;
+mod organisation;
+mod organisation_fault;
+mod organisation_list;
 mod owners;
 mod pool;
+mod quota;
 mod refusal;
 mod removed_endpoints;
 mod request_rate;
--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -41,11 +41,17 @@
     Stopping,
     /// The response broke off after part of it had been sent to the caller.
     Truncated,
+    /// The request has no access key, and its route is not public.
+    AccessKeyMissing,
+    /// The request has credentials of another form than one access key.
+    AccessKeyMalformed,
+    /// The access key of the request belongs to no organisation.
+    AccessKeyUnknown,
 }
 
 impl Refusal {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 21] = [
         Self::UnknownBranch,
         Self::UnknownKind,
         Self::BadRequest,
@@ -64,6 +70,9 @@
         Self::NotReady,
         Self::Stopping,
         Self::Truncated,
+        Self::AccessKeyMissing,
+        Self::AccessKeyMalformed,
+        Self::AccessKeyUnknown,
     ];
 
     /// Returns the name of the reason, which stays the same in every release.
@@ -87,6 +96,9 @@
             Self::NotReady => "not-ready",
             Self::Stopping => "stopping",
             Self::Truncated => "truncated",
+            Self::AccessKeyMissing => "access-key-missing",
+            Self::AccessKeyMalformed => "access-key-malformed",
+            Self::AccessKeyUnknown => "access-key-unknown",
         }
     }
 }
--- a/src/board/routing.rs
+++ b/src/board/routing.rs
@@ -1,10 +1,17 @@
 use {
-    super::{Arena, Repeat},
-    crate::key::RouteKey,
+    super::{
+        AccessKeys, Arena, DeclaredOrganisation, Organisation, OrganisationFault, OrganisationList,
+        Repeat,
+    },
+    crate::key::{OrganisationKey, RouteKey},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
 };
 
+/// Maximum number of faults that are kept of one configuration, so that a large one with an error in every
+/// entry stays small in memory and in messages.
+const MAX_FAULTS: usize = 64;
+
 /// The routes in force for forwarded requests, and the limits on what callers send.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(from = "RoutingParts", into = "RoutingParts")]
@@ -19,6 +26,13 @@
     pub pools: HashMap<String, PoolConfig>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
+    /// Organisations by name; their keys are valid within this version only.
+    pub organisations: Arena<OrganisationKey, Organisation>,
+    /// Access keys of the organisations; `None` if the configuration declares no organisations, so that no
+    /// request needs a key.
+    pub access: Option<AccessKeys>,
+    /// What is wrong with the configuration of the organisations, at most 64 faults.
+    pub faults: Vec<OrganisationFault>,
 }
 
 /// One route: which requests it matches and how they are served.
@@ -45,6 +59,8 @@
     pub attempts: u16,
     /// Priority, 0 is the most urgent.
     pub priority: u8,
+    /// Whether requests need no access key.
+    pub public: bool,
 }
 
 /// How a response is delivered.
@@ -105,18 +121,25 @@
     routes: Vec<PathRoute>,
     pools: HashMap<String, PoolConfig>,
     limits: CallerLimits,
+    organisations: Option<OrganisationList>,
 }
 
 impl From<RoutingParts> for Routing {
     fn from(parts: RoutingParts) -> Self {
-        Self::new(parts.version, parts.routes, parts.pools, parts.limits)
+        let routing = Self::new(parts.version, parts.routes, parts.pools, parts.limits);
+        match parts.organisations {
+            Some(organisations) => routing.with_organisations(organisations),
+            None => routing,
+        }
     }
 }
 
 impl From<Routing> for RoutingParts {
     fn from(routing: Routing) -> Self {
+        let organisations = routing.organisation_list();
         let routes = routing.routes.iter();
         Self {
+            organisations,
             version: routing.version,
             routes: routes.map(|(_, route)| route.clone()).collect(),
             pools: routing.pools,
@@ -156,6 +179,69 @@
         routing
     }
 
+    /// Adds the organisations, after which requests need an access key. Of organisations with the same name
+    /// or the same key, the first one counts; `faults` names both.
+    #[must_use]
+    pub fn with_organisations(mut self, list: OrganisationList) -> Self {
+        self.faults = list.faults;
+        let mut digests = Vec::new();
+        for entry in list.entries {
+            let name = entry.organisation.name.clone();
+            let key = if let Some(key) = self.organisations.find(&name) {
+                self.add_fault(OrganisationFault::Repeated(name));
+                key
+            } else {
+                self.organisations.insert(&name, entry.organisation)
+            };
+            digests.extend(entry.digests.into_iter().map(|digest| (digest, key)));
+        }
+        let (access, repeated) = AccessKeys::new(list.salt, digests);
+        for (first, second) in repeated {
+            if first != second {
+                let name = |key| self.organisations.get(key).map(|found| found.name.clone());
+                let names = name(first).zip(name(second));
+                if let Some((first, second)) = names {
+                    self.add_fault(OrganisationFault::SharedKey(first, second));
+                }
+            }
+        }
+        let organisations = self.organisations.iter();
+        let without = organisations.filter(|(key, _)| access.of(*key).next().is_none());
+        let without: Vec<_> = without.map(|(_, found)| found.name.clone()).collect();
+        for name in without {
+            self.add_fault(OrganisationFault::NoKeys(name));
+        }
+        self.access = Some(access);
+        self
+    }
+
+    /// Returns the organisation that the access key `key` belongs to, or `None` if it is unknown.
+    pub fn authenticate(&self, key: &str) -> Option<OrganisationKey> {
+        self.access.as_ref()?.find(key)
+    }
+
+    /// Returns the organisations in the form in which daemons exchange them.
+    fn organisation_list(&self) -> Option<OrganisationList> {
+        let access = self.access.as_ref()?;
+        let entries = self.organisations.iter();
+        let entries = entries.map(|(key, organisation)| DeclaredOrganisation {
+            organisation: organisation.clone(),
+            digests: access.of(key).collect(),
+        });
+        Some(OrganisationList {
+            salt: access.salt(),
+            entries: entries.collect(),
+            faults: self.faults.clone(),
+        })
+    }
+
+    /// Adds `fault`, unless a daemon that passed the configuration on has already found it.
+    fn add_fault(&mut self, fault: OrganisationFault) {
+        if self.faults.len() < MAX_FAULTS && !self.faults.contains(&fault) {
+            self.faults.push(fault);
+        }
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`, or `None` if no route
     /// matches.
     pub fn find(&self, host: &str, path: &str) -> Option<(RouteKey, &PathRoute)> {
--- a/src/border/peer_wire.rs
+++ b/src/border/peer_wire.rs
@@ -15,7 +15,7 @@
 /// Increase it whenever the fields or variants of a message in `src/port` change. A variant that is
 /// added at the end of `PeerCall` or `PeerReply` needs no new version: an earlier release refuses
 /// the call.
-pub const WIRE_VERSION: u8 = 1;
+pub const WIRE_VERSION: u8 = 2;
 
 /// Maximum length of one message in bytes: a complete sheet of 1 MB and as much again.
 pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
--- a/src/border/problem.rs
+++ b/src/border/problem.rs
@@ -65,7 +65,10 @@
 /// Returns the HTTP status of a refusal.
 fn status(reason: Refusal) -> StatusCode {
     match reason {
-        Refusal::UnknownBranch => StatusCode::UNAUTHORIZED,
+        Refusal::UnknownBranch
+        | Refusal::AccessKeyMissing
+        | Refusal::AccessKeyMalformed
+        | Refusal::AccessKeyUnknown => StatusCode::UNAUTHORIZED,
         Refusal::UnknownKind => StatusCode::NOT_FOUND,
         Refusal::BadRequest | Refusal::KeyMissing => StatusCode::BAD_REQUEST,
         Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Pure decision functions and state machines: no I/O, no clock, no wire types.
 
 pub use self::{
+    admission::{CallOrganisation, CallerAdmission, admit_caller},
     attempt_state::AttemptState,
     backoff::{Backoff, jitter},
     call_class::CallClass,
@@ -56,6 +57,7 @@
     waiting::Waiting,
 };
 
+mod admission;
 mod attempt_state;
 mod backoff;
 mod call_class;
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -8,6 +8,7 @@
     grant_key::GrantKey,
     host_key::HostKey,
     name_hash::name_hash,
+    organisation_key::OrganisationKey,
     pool_key::PoolKey,
     request_id::RequestId,
     route_key::RouteKey,
@@ -23,6 +24,7 @@
 mod grant_key;
 mod host_key;
 mod name_hash;
+mod organisation_key;
 mod pool_key;
 mod request_id;
 mod route_key;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -32,8 +32,9 @@
     roster_entry::RosterEntry,
     service::{Service, ServiceCall, ServiceResponse},
     upstream::{
-        CacheHandle, EndpointNotice, ForwardRequest, Noticed, Reservation, ResponseBody,
-        ResponseEvent, TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+        CacheHandle, CallerIdentity, Credentials, EndpointNotice, ForwardRequest, Noticed,
+        Reservation, ResponseBody, ResponseEvent, TokenCounts, Upstream, UpstreamError,
+        UpstreamRequest, UpstreamResponse,
     },
 };
 
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -1,5 +1,5 @@
 use {
-    crate::board::{ReportedLoad, RequestRate},
+    crate::board::{ReportedLoad, RequestRate, Secret},
     bytes::Bytes,
     http::{HeaderMap, Method},
     std::{sync::Arc, time::Duration},
@@ -99,6 +99,32 @@
     pub shared_parts: Vec<String>,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// What the caller presented to show which organisation it belongs to.
+    pub credentials: Credentials,
+}
+
+/// What a caller presented to show which organisation it belongs to.
+#[derive(Clone, Debug, Default)]
+pub enum Credentials {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// Something other than one access key.
+    Malformed,
+    /// An access key, which is not checked yet.
+    AccessKey(Secret),
+}
+
+/// As whom an endpoint gets to know the caller of a request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum CallerIdentity {
+    /// No organisations are configured: the caller's own headers say it, whatever they hold.
+    #[default]
+    Unchecked,
+    /// The caller of a public route who presented no valid access key.
+    Anonymous,
+    /// The organisation of this name.
+    Organisation(String),
 }
 
 /// Numbers of tokens of a model request.
@@ -153,6 +179,8 @@
     pub reservation: Option<Reservation>,
     /// Number of the last event that need not be sent again, if the attempt resumes a stream.
     pub resume_after: Option<u64>,
+    /// As whom the endpoint gets to know the caller.
+    pub identity: CallerIdentity,
 }
 
 /// KV cache of a prompt that a prefill engine keeps until it is fetched.
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, Refused, RetryPermit, forward_log::NextStep, forward_refusal,
+        ForwardShared, Refused, RetryPermit, caller_check, forward_log::NextStep, forward_refusal,
         forward_response::ForwardResponse,
     },
     crate::{
@@ -56,6 +56,7 @@
             }
             hold
         };
+        caller_check::admit_again(shared, call)?;
         ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
         match run_attempt(shared, call, &hold).await {
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -2,9 +2,11 @@
     super::{EndpointHold, ForwardParts, ForwardShared, stream_times::StreamTimes},
     crate::{
         board::{PathRoute, Repeat, Tick},
-        decide::{AttemptState, Chance, Failure, RetryBudget, Verdict, after_failure},
+        decide::{
+            AttemptState, CallOrganisation, Chance, Failure, RetryBudget, Verdict, after_failure,
+        },
         key::{CauseKey, EndpointKey},
-        port::{ForwardRequest, UpstreamError, UpstreamRequest},
+        port::{CallerIdentity, ForwardRequest, UpstreamError, UpstreamRequest},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -18,6 +20,14 @@
     pub route: PathRoute,
     /// Version of the routing configuration that holds the route.
     pub version: u64,
+    /// Version of the routing configuration by which the caller was last admitted.
+    pub admitted_by: u64,
+    /// Organisation that the request belongs to, if one is known.
+    pub organisation: Option<CallOrganisation>,
+    /// Priority, 0 is the most urgent; that of the organisation goes before that of the route.
+    pub priority: u8,
+    /// As whom an endpoint gets to know the caller.
+    pub identity: CallerIdentity,
     /// Name of the pool that the request goes to.
     pub pool: String,
     /// Time of arrival.
@@ -73,6 +83,7 @@
             cache: None,
             reservation: None,
             resume_after: None,
+            identity: self.identity.clone(),
         }
     }
 
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
+        EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused, caller_check,
         forward_buffered, forward_log::log_refused, forward_response::ForwardResponse,
         opened_stream::OpenedStream, stream_times::StreamTimes,
     },
@@ -123,6 +123,7 @@
         let Some((_, route)) = routing.find(&request.host, request.path()) else {
             return Err(self.no_route(&routing, request));
         };
+        let admission = caller_check::admit(&self.shared, &routing, route, request)?;
         let route = route.clone();
         // A caller that retries states how much of its time is left.
         let late = timeout.is_some_and(|timeout| timeout + route.target <= route.timeout);
@@ -132,6 +133,10 @@
             pool: self.draw_pool(&route),
             route,
             version: routing.version,
+            admitted_by: routing.version,
+            organisation: admission.organisation,
+            priority: admission.priority,
+            identity: admission.identity,
             arrived,
             deadline,
             late,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -51,6 +51,7 @@
 mod acquire;
 mod cache_hold;
 mod call;
+mod caller_check;
 mod completion;
 mod completion_grants;
 mod completion_run;
--- a/src/request/stream_attempts.rs
+++ b/src/request/stream_attempts.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CacheHold, EndpointHold, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused,
-        ReservationHold,
+        ReservationHold, caller_check,
         forward_log::NextStep,
         forward_refusal,
         overdue_wait::{Awaited, OverdueWait},
@@ -132,6 +132,7 @@
                 mut placement,
                 prefill,
             } = found;
+            caller_check::admit_again(&self.shared, &mut self.call)?;
             if let Some(prefill) = prefill {
                 prefills += 1;
                 let start = self.shared.now();
@@ -148,6 +149,7 @@
                 ForwardLog::new(&self.shared, &self.call).left_before_sent(&hold);
                 continue;
             }
+            caller_check::admit_again(&self.shared, &mut self.call)?;
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
             let reserved = reservation.as_ref().and_then(ReservationHold::handle);
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -12,9 +12,9 @@
         decide::merge_described,
         key::CauseKey,
         port::{
-            CacheHandle, CallEnd, EndpointNotice, ForwardRequest, MonoClock, Noticed, PlacementEnd,
-            PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody, ResponseEvent,
-            TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+            CacheHandle, CallEnd, Credentials, EndpointNotice, ForwardRequest, MonoClock, Noticed,
+            PlacementEnd, PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody,
+            ResponseEvent, TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
         },
         request::{
             ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
@@ -389,6 +389,7 @@
             }),
             shared_parts: Vec::new(),
             resume_after: None,
+            credentials: Credentials::default(),
         };
         let received = match self.entry.forward(request, limit).await {
             ForwardReply::Complete(response) => format!("status {}", response.status),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -22,6 +22,7 @@
         target: Duration::from_millis(300),
         attempts: 2,
         priority: 1,
+        public: false,
     }
 }
 
