--- a/src/request/caller_check.rs
+++ b/src/request/caller_check.rs
@@ -26,7 +26,7 @@
 {
     admit_caller(routing, route, &request.credentials).map_err(|reason| {
         if !shared.board().health.load().store_reachable {
-            let detail = "no known organisation has the access key, and the store is unavailable; send the request again";
+            let detail = "the known configuration does not admit the caller, and the store is unavailable; send the request again";
             let wait = shared.options().retry_after;
             return Refused::not_run(Refusal::NotReady, detail).after(wait);
         }
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -5,6 +5,7 @@
         decide::Verdict,
         port::UpstreamError,
     },
+    log::Level,
 };
 
 /// Writes the log lines and counters about the decisions on one forwarded request.
@@ -141,6 +142,7 @@
         log::info!(
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
+            organisation = self.organisation(),
             status,
             ran = self.call.ran,
             came_late = self.call.late,
@@ -157,6 +159,7 @@
         log::info!(
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
+            organisation = self.organisation(),
             endpoint,
             status,
             events,
@@ -179,6 +182,7 @@
         log::warn!(
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
+            organisation = self.organisation(),
             version = self.call.version,
             reason = reason.as_str(),
             ran = self.call.ran,
@@ -205,6 +209,12 @@
         );
     }
 
+    /// Name of the organisation that the request belongs to, if one is known.
+    fn organisation(&self) -> Option<&str> {
+        let organisation = self.call.organisation.as_ref();
+        organisation.map(|organisation| organisation.name.as_str())
+    }
+
     /// Milliseconds from its arrival within which the request should be answered.
     fn target_ms(&self) -> u64 {
         self.call.route.target.as_millis() as u64
@@ -273,7 +283,14 @@
     shared.counters().count_refusal(refused.reason);
     let version = shared.board().routing.load().version;
     let reason = refused.reason.as_str();
-    log::warn!(request, version, reason; "refused: {}", refused.detail);
+    // Lines below a warning are limited per second; callers without a valid key must not fill the log.
+    let level = match refused.reason {
+        Refusal::AccessKeyMissing | Refusal::AccessKeyMalformed | Refusal::AccessKeyUnknown => {
+            Level::Info
+        }
+        _ => Level::Warn,
+    };
+    log::log!(level, request, version, reason; "refused: {}", refused.detail);
 }
 
 /// Reason to count for a retry after `error`.
