--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Refusal, RetryReason},
+    super::{OrganisationFault, Refusal, RetryReason},
     prometheus_client::{
         metrics::{
             counter::Counter,
@@ -53,6 +53,7 @@
     pub placement_time: Histogram,
     refusals: [Counter; Refusal::ALL.len()],
     retries: [Counter; RetryReason::ALL.len()],
+    organisation_faults: [Counter; OrganisationFault::KINDS.len()],
 }
 
 impl Counters {
@@ -60,6 +61,7 @@
     pub fn new(registry: &mut Registry) -> Self {
         let refusals = Family::<ReasonLabel, Counter>::default();
         let retries = Family::<ReasonLabel, Counter>::default();
+        let faults = Family::<ReasonLabel, Counter>::default();
         let counters = Self {
             requests: Counter::default(),
             answered: Counter::default(),
@@ -78,9 +80,17 @@
             retries: from_fn(|i| {
                 retries.get_or_create_owned(&reason_label(RetryReason::ALL[i].as_str()))
             }),
+            organisation_faults: from_fn(|i| {
+                faults.get_or_create_owned(&reason_label(OrganisationFault::KINDS[i]))
+            }),
         };
         registry.register("refusals", "Requests refused, by reason", refusals);
         registry.register("retries", "Further attempts, by reason", retries);
+        registry.register(
+            "organisation_faults",
+            "Faults in the organisations of configurations that came into force, by reason",
+            faults,
+        );
         counters.register(registry);
         counters
     }
@@ -99,6 +109,14 @@
         }
     }
 
+    /// Counts a fault in the organisations of a configuration.
+    pub fn count_organisation_fault(&self, fault: &OrganisationFault) {
+        let kind = fault.kind();
+        if let Some(i) = OrganisationFault::KINDS.iter().position(|k| *k == kind) {
+            self.organisation_faults[i].inc();
+        }
+    }
+
     fn register(&self, registry: &mut Registry) {
         let counters = [
             ("requests", "Requests accepted from callers", &self.requests),
--- a/src/board/routing.rs
+++ b/src/board/routing.rs
@@ -183,7 +183,9 @@
     /// or the same key, the first one counts; `faults` names both.
     #[must_use]
     pub fn with_organisations(mut self, list: OrganisationList) -> Self {
-        self.faults = list.faults;
+        for fault in list.faults {
+            self.add_fault(fault);
+        }
         let mut digests = Vec::new();
         for entry in list.entries {
             let name = entry.organisation.name.clone();
--- a/src/control/routing_controller.rs
+++ b/src/control/routing_controller.rs
@@ -1,11 +1,14 @@
 use {
     super::{FeedFollower, FeedUpdate},
     crate::{
-        board::{Routing, Writer},
+        board::{Counters, Routing, Writer},
         port::{Change, Clock, Feed},
     },
 };
 
+/// Maximum number of faults in one log line.
+const MAX_LOGGED_FAULTS: usize = 8;
+
 /// Writes the `routing` section from a feed; a version is never replaced by an older one.
 #[derive(Debug)]
 pub struct RoutingController<F, C>
@@ -14,6 +17,7 @@
 {
     follower: FeedFollower<F, C>,
     writer: Writer<Routing>,
+    counters: Counters,
 }
 
 impl<F, C> RoutingController<F, C>
@@ -22,8 +26,12 @@
     C: Clock,
 {
     /// Creates the controller; `follower` reads the routing.
-    pub fn new(follower: FeedFollower<F, C>, writer: Writer<Routing>) -> Self {
-        Self { follower, writer }
+    pub fn new(follower: FeedFollower<F, C>, writer: Writer<Routing>, counters: Counters) -> Self {
+        Self {
+            follower,
+            writer,
+            counters,
+        }
     }
 
     /// Runs until the task is dropped.
@@ -46,7 +54,9 @@
         match change {
             Change::Put(_, next) if next.version > current => {
                 let routes = next.routes.len();
-                log::info!(version = next.version, before = current, revision, routes; "routing in force");
+                let organisations = next.organisations.len();
+                log::info!(version = next.version, before = current, revision, routes, organisations; "routing in force");
+                self.report_faults(&next);
                 self.writer.publish(next);
             }
             Change::Put(_, next) => {
@@ -60,4 +70,17 @@
             }
         }
     }
+
+    /// Counts what is wrong with the organisations of `routing`, and logs the first faults in one line.
+    fn report_faults(&self, routing: &Routing) {
+        for fault in &routing.faults {
+            self.counters.count_organisation_fault(fault);
+        }
+        let faults = routing.faults.len();
+        if faults > 0 {
+            let first = routing.faults.iter().take(MAX_LOGGED_FAULTS);
+            let first: Vec<_> = first.map(ToString::to_string).collect();
+            log::warn!(version = routing.version, faults; "organisations are not configured correctly: {}", first.join("; "));
+        }
+    }
 }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -193,7 +193,7 @@
         let follower = FeedFollower::new(feed, clock, "routing", settings.watch, routing)
             .with_path(path.clone())
             .with_log(routing_writer);
-        tasks.spawn(RoutingController::new(follower, writers.routing).run());
+        tasks.spawn(RoutingController::new(follower, writers.routing, counters.clone()).run());
         let roster = rng("endpoints");
         let feed = RelayedFeed::new(ports.endpoints, links.clone())
             .with_spread_limit(settings.spread_limit);
--- a/src/port/feed_read.rs
+++ b/src/port/feed_read.rs
@@ -101,7 +101,7 @@
     }
 
     fn encoded_len(&self) -> usize {
-        self.routes.len() * 100
+        self.routes.len() * 100 + self.organisations.len() * 200
     }
 }
 
