Send the damaged message of the peer test in the present encoding

The encoding of peer messages has version 2 since the routing holds organisations. The test's damaged message began with version 1, so it was refused for its version rather than as damaged.

Measured: the peer listener's tests pass.

--- a/tests/peer_listener.rs
+++ b/tests/peer_listener.rs
@@ -103,7 +103,7 @@
         post(&address, Bytes::new()).await,
         post(&address, Bytes::from(vec![1; MAX_MESSAGE_BYTES + 1])).await,
         post(&address, Bytes::from(long)).await,
-        post(&address, Bytes::from(vec![1, 250])).await,
+        post(&address, Bytes::from(vec![2, 250])).await,
         {
             status[0] = 9;
             post(&address, Bytes::from(status)).await
