--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -12,9 +12,10 @@
         decide::merge_described,
         key::CauseKey,
         port::{
-            CacheHandle, CallEnd, Credentials, EndpointNotice, ForwardRequest, MonoClock, Noticed,
-            PlacementEnd, PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody,
-            ResponseEvent, TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+            CacheHandle, CallEnd, CallerIdentity, Credentials, EndpointNotice, ForwardRequest,
+            MonoClock, Noticed, PlacementEnd, PlacementOutcome, PlacementRequest, Placer,
+            Reservation, ResponseBody, ResponseEvent, TokenCounts, Upstream, UpstreamError,
+            UpstreamRequest, UpstreamResponse,
         },
         request::{
             ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
@@ -52,6 +53,8 @@
     pub calls: Arc<Mutex<Vec<String>>>,
     /// Names of the endpoints that runs were sent to.
     pub runs: Arc<Mutex<Vec<String>>>,
+    /// As whom the callers of prefills and runs were presented.
+    identities: Arc<Mutex<Vec<CallerIdentity>>>,
 }
 
 impl Script {
@@ -76,6 +79,15 @@
         }
     }
 
+    /// Returns as whom the callers of prefills and runs were presented, in order.
+    pub fn identities(&self) -> Vec<String> {
+        let identities = self.identities.lock().unwrap();
+        identities
+            .iter()
+            .map(|found| format!("{found:?}"))
+            .collect()
+    }
+
     pub fn record(&self, call: &str) {
         self.calls.lock().unwrap().push(call.to_owned());
     }
@@ -141,6 +153,7 @@
         request: UpstreamRequest,
     ) -> Result<UpstreamResponse<Body>, UpstreamError> {
         self.runs.lock().unwrap().push(request.endpoint);
+        self.identities.lock().unwrap().push(request.identity);
         let cache = request
             .cache
             .map_or(String::new(), |cache| format!(" from {}", cache.handle));
@@ -169,6 +182,7 @@
         &self,
         request: UpstreamRequest,
     ) -> Result<Noticed<CacheHandle>, UpstreamError> {
+        self.identities.lock().unwrap().push(request.identity);
         self.act("prefill".into()).await?;
         Ok(Noticed {
             value: CacheHandle {
@@ -337,6 +351,7 @@
         acts: Arc::new(Mutex::new(acts.into())),
         calls: Arc::default(),
         runs: Arc::default(),
+        identities: Arc::default(),
     };
     let placer = FixedPlacer {
         outcomes: Arc::new(Mutex::new(placements.into())),
@@ -374,41 +389,78 @@
         path: &str,
         limit: Option<Duration>,
     ) -> (String, Vec<String>, u128) {
-        let start = Instant::now();
-        let request = ForwardRequest {
-            id: "r-1".to_owned(),
-            method: Method::POST,
-            host: "a.example".to_owned(),
-            target: format!("{path}x?y=1"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            token_counts: Some(TokenCounts {
-                prompt: 5_000,
-                max_output: 1_000,
-                output_hint: None,
-            }),
-            shared_parts: Vec::new(),
-            resume_after: None,
-            credentials: Credentials::default(),
-        };
-        let received = match self.entry.forward(request, limit).await {
-            ForwardReply::Complete(response) => format!("status {}", response.status),
-            ForwardReply::Refused(reason) => refused(&reason),
-            ForwardReply::Events(_, mut relay) => {
-                let mut received = Vec::new();
-                while let Some(next) = relay.next().await {
-                    received.push(match next {
-                        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-                        Err(reason) => refused(&reason),
-                    });
-                }
-                received.join(", ")
-            }
-        };
-        let took = start.elapsed().as_millis();
-        self.entry.shared().wait_for_tasks().await;
-        (received, self.script.calls.lock().unwrap().clone(), took)
+        send_request(&self.entry, &self.script, request(path), limit).await
     }
+
+    /// Sends a request of a caller with `credentials`.
+    pub async fn send_as(
+        &self,
+        path: &str,
+        credentials: Credentials,
+    ) -> (String, Vec<String>, u128) {
+        send(&self.entry, &self.script, path, credentials).await
+    }
+}
+
+/// Returns a request for `path`.
+fn request(path: &str) -> ForwardRequest {
+    ForwardRequest {
+        id: "r-1".to_owned(),
+        method: Method::POST,
+        host: "a.example".to_owned(),
+        target: format!("{path}x?y=1"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        token_counts: Some(TokenCounts {
+            prompt: 5_000,
+            max_output: 1_000,
+            output_hint: None,
+        }),
+        shared_parts: Vec::new(),
+        resume_after: None,
+        credentials: Credentials::default(),
+    }
+}
+
+/// Sends a request of a caller with `credentials` to `entry`, whose endpoints follow `script`.
+pub async fn send(
+    entry: &ForwardEntry<Ports>,
+    script: &Script,
+    path: &str,
+    credentials: Credentials,
+) -> (String, Vec<String>, u128) {
+    let request = ForwardRequest {
+        credentials,
+        ..request(path)
+    };
+    send_request(entry, script, request, None).await
+}
+
+/// Sends `request`; returns what the caller received, the endpoint calls and the time in ms.
+async fn send_request(
+    entry: &ForwardEntry<Ports>,
+    script: &Script,
+    request: ForwardRequest,
+    limit: Option<Duration>,
+) -> (String, Vec<String>, u128) {
+    let start = Instant::now();
+    let received = match entry.forward(request, limit).await {
+        ForwardReply::Complete(response) => format!("status {}", response.status),
+        ForwardReply::Refused(reason) => refused(&reason),
+        ForwardReply::Events(_, mut relay) => {
+            let mut received = Vec::new();
+            while let Some(next) = relay.next().await {
+                received.push(match next {
+                    Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+                    Err(reason) => refused(&reason),
+                });
+            }
+            received.join(", ")
+        }
+    };
+    let took = start.elapsed().as_millis();
+    entry.shared().wait_for_tasks().await;
+    (received, script.calls.lock().unwrap().clone(), took)
 }
 
 pub fn placed() -> PlacementOutcome {
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -37,6 +37,7 @@
 mod operations_page;
 mod operator_listener;
 mod orders;
+mod organisations;
 mod output_lengths;
 mod overdue;
 mod owner_choice;
