--- a/src/board/organisation_fault.rs
+++ b/src/board/organisation_fault.rs
@@ -78,7 +78,7 @@
             Self::BadQuota(name) => {
                 write!(
                     f,
-                    "the quota of `{}` is not a number, so it has no limit",
+                    "the quota of `{}` is negative or not a number, so it has no limit",
                     short(name)
                 )
             }
--- a/src/board/routing.rs
+++ b/src/board/routing.rs
@@ -183,35 +183,33 @@
     /// or the same key, the first one counts; `faults` names both.
     #[must_use]
     pub fn with_organisations(mut self, list: OrganisationList) -> Self {
-        for fault in list.faults {
-            self.add_fault(fault);
-        }
         let mut digests = Vec::new();
+        let mut repeated = Vec::new();
         for entry in list.entries {
             let name = entry.organisation.name.clone();
             let key = if let Some(key) = self.organisations.find(&name) {
-                self.add_fault(OrganisationFault::Repeated(name));
+                repeated.push(OrganisationFault::Repeated(name));
                 key
             } else {
                 self.organisations.insert(&name, entry.organisation)
             };
             digests.extend(entry.digests.into_iter().map(|digest| (digest, key)));
         }
-        let (access, repeated) = AccessKeys::new(list.salt, digests);
-        for (first, second) in repeated {
-            if first != second {
-                let name = |key| self.organisations.get(key).map(|found| found.name.clone());
-                let names = name(first).zip(name(second));
-                if let Some((first, second)) = names {
-                    self.add_fault(OrganisationFault::SharedKey(first, second));
-                }
-            }
-        }
+        let (access, pairs) = AccessKeys::new(list.salt, digests);
+        let name = |key| self.organisations.get(key).map(|found| found.name.clone());
+        let shared = pairs.into_iter().filter(|(first, second)| first != second);
+        let shared = shared.filter_map(|(first, second)| {
+            Some(OrganisationFault::SharedKey(name(first)?, name(second)?))
+        });
         let organisations = self.organisations.iter();
         let without = organisations.filter(|(key, _)| access.of(*key).next().is_none());
-        let without: Vec<_> = without.map(|(_, found)| found.name.clone()).collect();
-        for name in without {
-            self.add_fault(OrganisationFault::NoKeys(name));
+        let without = without.map(|(_, found)| OrganisationFault::NoKeys(found.name.clone()));
+        // Shared keys come first: the log names the first faults only, and these concern two organisations.
+        for fault in shared.chain(list.faults).chain(repeated).chain(without) {
+            // A daemon that passed the configuration on may have found the same.
+            if self.faults.len() < MAX_FAULTS && !self.faults.contains(&fault) {
+                self.faults.push(fault);
+            }
         }
         self.access = Some(access);
         self
@@ -237,13 +235,6 @@
         })
     }
 
-    /// Adds `fault`, unless a daemon that passed the configuration on has already found it.
-    fn add_fault(&mut self, fault: OrganisationFault) {
-        if self.faults.len() < MAX_FAULTS && !self.faults.contains(&fault) {
-            self.faults.push(fault);
-        }
-    }
-
     /// Returns the route of `host` with the longest prefix of `path`, or `None` if no route
     /// matches.
     pub fn find(&self, host: &str, path: &str) -> Option<(RouteKey, &PathRoute)> {
