--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -261,9 +261,9 @@
         sleep(after).await;
         site.writers.routing.publish(routing);
     };
-    let send = crate::forward_site::send(&entry, &script, "/stream/", access_key("key-1"));
-    let (sent, ()) = join!(send, change);
-    sent
+    let request = crate::forward_site::send(&entry, &script, "/stream/", access_key("key-1"));
+    let (received, ()) = join!(request, change);
+    received
 }
 
 // A key that was taken away while the request waited must not be served; one that was given must be.
