State that keys of organisations are valid in one version only

Every version of the routing builds a new arena, so a key kept over a change may lead to another organisation.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -18,7 +18,8 @@
 /// Organisation that a request belongs to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallOrganisation {
-    /// Key within the version of the routing by which the request was admitted.
+    /// Key within the version of the routing by which the request was admitted; in another version it may
+    /// lead to another organisation.
     pub key: OrganisationKey,
     /// Name, which is the same in every version.
     pub name: String,
