Let a list take longer while it is being received

The follower of a feed ended every list after 900 ms as a whole. Hundreds of daemons that start at once share the store's link, so that their lists of 3,000 endpoints would take 2.4 s by calculation; each was broken off and begun again. A feed now counts the blocks of 64 KiB that it has received, and a list ends after 900 ms without one, or after 10 s. Lists below 64 KiB keep the limit of 900 ms.

--- a/src/border/bounded_body.rs
+++ b/src/border/bounded_body.rs
@@ -18,12 +18,26 @@
 /// Reads the body of `response`, of at most `limit` bytes.
 ///
 /// Fails as soon as the body is longer or breaks off; dropping the response closes its connection.
-pub async fn bounded_body(mut response: Response, limit: usize) -> Result<Bytes, BoundedBodyError> {
+pub async fn bounded_body(response: Response, limit: usize) -> Result<Bytes, BoundedBodyError> {
+    observed_body(response, limit, |_| {}).await
+}
+
+/// Reads the body of `response` like `bounded_body`, and calls `observe` with the length of each part of
+/// it as it arrives.
+pub async fn observed_body<O>(
+    mut response: Response,
+    limit: usize,
+    observe: O,
+) -> Result<Bytes, BoundedBodyError>
+where
+    O: Fn(usize),
+{
     let mut body = BytesMut::new();
     while let Some(data) = response.chunk().await? {
         if body.len() + data.len() > limit {
             return Err(BoundedBodyError::TooLong(limit));
         }
+        observe(data.len());
         body.extend_from_slice(&data);
     }
     Ok(body.freeze())
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -2,7 +2,7 @@
 //! daemons, the formats of settings and sheets, and log output.
 
 pub use self::{
-    bounded_body::{BoundedBodyError, bounded_body},
+    bounded_body::{BoundedBodyError, bounded_body, observed_body},
     bounded_output::BoundedOutput,
     budgeted_platform::BudgetedPlatform,
     call_counters::CallCounters,
--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -4,16 +4,21 @@
         board::{FeedLog, Tick, Writer},
         decide::{Backoff, jitter, record_changes, record_listing},
         key::StoreRevision,
-        port::{Change, Clock, Feed, FeedError, FeedOrigin, Freshness},
+        port::{Change, Clock, Feed, FeedError, FeedOrigin, Freshness, Listing},
     },
     rand::rngs::SmallRng,
-    std::time::Duration,
+    std::{pin::pin, time::Duration},
     tokio::time::timeout,
 };
 
-/// Time limit of a response, on top of the time for which the call itself waits.
+/// Time limit of a response, on top of the time for which the call itself waits; for a list, of each part
+/// that counts as progress.
 const RESPONSE_LIMIT: Duration = Duration::from_millis(900);
 
+/// Time limit of a list that is still being received. Hundreds of daemons that start at once need 2.4 s of the
+/// store's link for 3,000 endpoints each.
+const LIST_LIMIT: Duration = Duration::from_secs(10);
+
 /// Delay after the first failed call; it doubles up to `MAX_RETRY_DELAY`.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -229,9 +234,7 @@
         } else {
             Freshness::Latest
         };
-        self.called = self.clock.now();
-        let listing = timeout(RESPONSE_LIMIT, self.feed.list(freshness)).await;
-        let listing = listing.unwrap_or(Err(FeedError::TimedOut))?;
+        let listing = self.read_list(freshness).await?;
         if listing.revision < self.revision {
             let reason = format!(
                 "it returned revision {}, older than the known revision {}",
@@ -254,6 +257,28 @@
         Ok(FeedUpdate::Listing(listing.items))
     }
 
+    /// Reads a list; it may take longer than `RESPONSE_LIMIT` while it is being received.
+    ///
+    /// A list that is broken off is read again from the beginning, so that a time limit for the whole of
+    /// it would keep a crowded link busy with lists that never end.
+    async fn read_list(&mut self, freshness: Freshness) -> Result<Listing<F::Item>, FeedError> {
+        self.called = self.clock.now();
+        let end = self.called + LIST_LIMIT;
+        let mut list = pin!(self.feed.list(freshness));
+        loop {
+            let progress = self.feed.list_progress();
+            if let Ok(listing) = timeout(RESPONSE_LIMIT, list.as_mut()).await {
+                return listing;
+            }
+            let now = self.clock.now();
+            if self.feed.list_progress() == progress || now >= end {
+                return Err(FeedError::TimedOut);
+            }
+            // The source has answered since, so only the time from now on may count as without an answer.
+            self.called = now;
+        }
+    }
+
     async fn watch(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
         let wait = self.feed.watch_wait(self.wait);
         self.called = self.clock.now();
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -364,4 +364,8 @@
             longest
         }
     }
+
+    fn list_progress(&self) -> u64 {
+        self.feed.list_progress()
+    }
 }
--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -31,6 +31,12 @@
     fn watch_wait(&self, longest: Duration) -> Duration {
         longest
     }
+
+    /// Returns how many blocks of 64 KiB have been received so far, by which a list that is still
+    /// being received differs from one whose source has gone silent.
+    fn list_progress(&self) -> u64 {
+        0
+    }
 }
 
 /// How fresh a list must be.
