End the endless lists of followers whose readers listed apart

The store's revision also counts objects of other kinds, so the two readers of a zone can list the same objects at different revisions. A follower listed at the one with the smaller revision, was told by the other one that its changes since then are not known, and listed at the first one again: one complete list after each RETRY_DELAY until an object of the feed changed. The list after such a reply is now read from the daemon that gave it, whose revision satisfies both.

--- a/src/control/relay_state.rs
+++ b/src/control/relay_state.rs
@@ -1,7 +1,11 @@
 use {
     super::avoided_hosts::AvoidedHosts,
-    crate::{board::Tick, key::StoreRevision, port::Clock},
-    arc_swap::ArcSwap,
+    crate::{
+        board::Tick,
+        key::{HostKey, StoreRevision},
+        port::Clock,
+    },
+    arc_swap::{ArcSwap, ArcSwapOption},
     std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
@@ -12,6 +16,9 @@
     pub(super) avoided: AvoidedHosts<C>,
     /// Number of reads so far, by which the readers of the zone take turns.
     pub(super) turn: AtomicUsize,
+    /// Daemon that said last that the changes since a revision are no longer stored. The next list is
+    /// read from it, since an older one of another daemon would lead to the same reply again.
+    pub(super) expired: ArcSwapOption<HostKey>,
     /// Whether another daemon replied to the last read, so that the next one may wait there.
     pub(super) replied: AtomicBool,
     /// Who returned the last result.
@@ -33,6 +40,7 @@
         Self {
             avoided: AvoidedHosts::new(clock),
             turn: AtomicUsize::new(0),
+            expired: ArcSwapOption::empty(),
             replied: AtomicBool::new(false),
             source: ArcSwap::from_pointee(Source::Unknown),
             revision: ArcSwap::default(),
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -136,11 +136,15 @@
 
     /// Returns the daemons to ask in this read. The readers take turns: one whose own connection to
     /// the store has gone silent reports no change for seconds, which the other one makes up for.
-    fn next_hosts(&self) -> Vec<HostKey> {
+    ///
+    /// A list is read from the daemon that had no changes for the read before, if there is one.
+    fn next_hosts(&self, since: Option<StoreRevision>) -> Vec<HostKey> {
         let mut hosts = self.hosts();
         let turn = self.state.turn.fetch_add(1, Ordering::AcqRel);
+        let expired = self.state.expired.swap(None).filter(|_| since.is_none());
+        let first = expired.and_then(|host| hosts.iter().position(|key| *key == *host));
         if !hosts.is_empty() {
-            let first = turn % hosts.len();
+            let first = first.unwrap_or(turn % hosts.len());
             hosts.rotate_left(first);
         }
         hosts
@@ -180,7 +184,7 @@
         max_silent: usize,
     ) -> Result<PeerRead<F::Item>, FeedError> {
         let mut asked = Vec::new();
-        let turn = self.next_hosts();
+        let turn = self.next_hosts(since);
         let mut silent = 0;
         let mut outage = false;
         while asked.len() < MAX_TRIED_HOSTS && silent < max_silent {
@@ -208,7 +212,10 @@
                     }
                     self.avoid(host, SILENT_TIME, "the reply holds objects of another feed");
                 }
-                Ok(FeedReply::Expired) => return Err(FeedError::HistoryExpired),
+                Ok(FeedReply::Expired) => {
+                    self.state.expired.store(Some(Arc::new(host)));
+                    return Err(FeedError::HistoryExpired);
+                }
                 Ok(FeedReply::TooLarge) => return Ok(PeerRead::TooLarge),
                 Ok(FeedReply::NotReading) => {}
                 Ok(FeedReply::Outage) => outage = true,
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -13,6 +13,7 @@
     },
     std::{
         collections::{BTreeSet, HashMap},
+        sync::atomic::Ordering,
         time::Duration,
     },
     tokio::time::sleep,
@@ -36,6 +37,22 @@
     assert_yaml_snapshot!(calls);
 }
 
+/// The readers list at different revisions although the feed has not changed, since the store's revision also
+/// counts other objects. Followers listed at one reader, were told by the other one to list again, and so on
+/// without end.
+#[tokio::test(start_paused = true)]
+async fn followers_list_once_although_the_readers_listed_at_different_revisions() {
+    let mut seen = Vec::new();
+    for pause_ms in [0, 20, 100] {
+        let zone = Zone::start_apart(30, Duration::from_millis(pause_ms)).await;
+        let lists = zone.peers.lists.load(Ordering::Acquire);
+        sleep(Duration::from_mins(1)).await;
+        let later = zone.peers.lists.load(Ordering::Acquire) - lists;
+        seen.push(format!("{pause_ms} ms apart: {later} lists in a minute"));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_change_reaches_every_daemon_soon_while_readers_fail() {
     let faults = ["dead", "suspended", "cut off from the store"];
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -16,7 +16,10 @@
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -61,6 +64,8 @@
     pub events: Vec<(u64, Change<RosterEntry>)>,
     /// Number of times that it has come back from a copy.
     pub era: u64,
+    /// Revision at which an object of another kind last changed.
+    pub other: u64,
     /// Changes up to this revision are no longer kept.
     pub forgotten: u64,
     pub calls: usize,
@@ -72,7 +77,8 @@
 
 impl Store {
     pub fn revision(&self) -> u64 {
-        self.events.last().map_or(0, |event| event.0)
+        let last = self.events.last().map_or(0, |event| event.0);
+        last.max(self.other)
     }
 
     fn full_revision(&self) -> StoreRevision {
@@ -111,6 +117,11 @@
         self.events.push((revision, change));
     }
 
+    /// Changes an object of another kind, which the feed does not show.
+    pub fn change_other(&mut self) {
+        self.other = self.revision() + 1;
+    }
+
     /// Returns the changes after `revision`.
     pub fn since(&self, revision: u64) -> Vec<Change<RosterEntry>> {
         let events = self.events.iter().filter(|event| event.0 > revision);
@@ -201,6 +212,8 @@
     pub relays: Arc<Mutex<HashMap<String, FeedRelay<TestClock>>>>,
     /// Hosts that accept calls but do not reply.
     pub silent: Arc<Mutex<BTreeSet<String>>>,
+    /// Number of complete lists that were requested.
+    pub lists: Arc<AtomicUsize>,
 }
 
 impl Peer for Peers {
@@ -211,6 +224,9 @@
         let PeerCall::ReadFeed(read) = call else {
             panic!("only feeds are read");
         };
+        if read.since.is_none() {
+            self.lists.fetch_add(1, Ordering::AcqRel);
+        }
         let reply = relay.handle(read).await;
         // A host that was suspended during the call does not reply either.
         self.wait_while_silent(address).await;
@@ -281,6 +297,12 @@
 impl Zone {
     /// Starts `count` daemons at once; the store holds one endpoint.
     pub async fn start(count: usize) -> Self {
+        Self::start_apart(count, Duration::ZERO).await
+    }
+
+    /// Starts `count` daemons one after another, `pause` apart; between them, objects of another kind
+    /// change.
+    pub async fn start_apart(count: usize, pause: Duration) -> Self {
         let mut zone = Self {
             store: Arc::default(),
             changed: watch::channel(()).0,
@@ -292,6 +314,10 @@
         let names: Vec<_> = (0..count).map(|number| format!("host-{number}")).collect();
         for name in &names {
             zone.start_daemon(&names, name);
+            if !pause.is_zero() {
+                sleep(pause).await;
+                zone.store.lock().unwrap().change_other();
+            }
         }
         sleep(Duration::from_secs(10)).await;
         zone
