Let a daemon without any list call the store each second

A daemon whose first list had failed asked its readers first and, as they had failed as well, waited 0.5 s and then 4 s between calls. Daemons that start at once fail together and so returned together. A daemon that has never had a result now calls once a second, and its lists stay at a tenth of the price (Recent) until it has one: nothing older is in use, and the watch that follows returns what such a list lacks.

--- a/src/control/feed_follower.rs
+++ b/src/control/feed_follower.rs
@@ -226,10 +226,10 @@
     }
 
     async fn list(&mut self) -> Result<FeedUpdate<F::Item>, FeedError> {
-        // The first list may be old: nothing older is in use, and the watch that follows at once
-        // returns what it lacks.
+        // The first list may be old, also after failures: nothing older is in use, and the watch that
+        // follows at once returns what it lacks. The store answers such a list at a tenth of the price.
         let first = self.revision == StoreRevision::default();
-        let freshness = if first && self.outage.is_none() {
+        let freshness = if first {
             Freshness::Recent
         } else {
             Freshness::Latest
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -273,6 +273,7 @@
                 || feed_sources(&members, |_| false).is_empty()
                 || self.hosts().is_empty(),
             outage,
+            starting: **state.revision.load() == StoreRevision::default(),
             searching: now.since(started),
             called_ago: (called > Tick::default()).then(|| now.since(called)),
         };
--- a/src/decide/store_call.rs
+++ b/src/decide/store_call.rs
@@ -17,6 +17,8 @@
     pub reader: bool,
     /// Whether a reader said that it cannot reach the store.
     pub outage: bool,
+    /// Whether it has never had a result, so that it has nothing to go on with.
+    pub starting: bool,
     /// Time since it found no other daemon to read from for the first time.
     pub searching: Duration,
     /// Time since its last call to the store as one that is not a reader; `None` before the first.
@@ -27,16 +29,18 @@
 ///
 /// For the load of an outage, in which the calls of hundreds of daemons would change nothing: the
 /// readers go on trying, the others wait and then try now and then, in case the store answers them
-/// alone.
+/// alone. A daemon that has never had a result does not wait: it cannot serve until it has one, and the
+/// readers may have failed under the load of a start of all daemons.
 pub fn may_call_store(call: StoreCall) -> bool {
     if call.reader {
         return true;
     }
-    let interval = if call.outage {
+    let outage = call.outage && !call.starting;
+    let interval = if outage {
         OUTAGE_CALL_INTERVAL
     } else {
         CALL_INTERVAL
     };
     let rested = call.called_ago.is_none_or(|ago| ago >= interval);
-    rested && (!call.outage || call.searching >= OUTAGE_WAIT)
+    rested && (!outage || call.searching >= OUTAGE_WAIT)
 }
--- a/tests/store_call.rs
+++ b/tests/store_call.rs
@@ -6,9 +6,13 @@
     std::time::Duration,
 };
 
-/// Seconds after the last failure of the readers at which a daemon calls the store, in the first
-/// 10 s; it decides 20 times a second.
+/// Seconds after the last failure of the readers at which a daemon that has listed before calls the store, in
+/// the first 10 s; it decides 20 times a second.
 fn call_times(reader: bool, outage: bool) -> Vec<f64> {
+    times_of(reader, outage, false)
+}
+
+fn times_of(reader: bool, outage: bool, starting: bool) -> Vec<f64> {
     let mut calls = Vec::new();
     let mut called = None;
     for step in 0..200 {
@@ -16,6 +20,7 @@
         let call = StoreCall {
             reader,
             outage,
+            starting,
             searching: now,
             called_ago: called.map(|called| now.saturating_sub(called)),
         };
@@ -40,3 +45,9 @@
     assert_eq!(call_times(true, true).len(), 200);
     assert_eq!(call_times(true, false).len(), 200);
 }
+
+/// All daemons that started at once failed together, and then waited 4 s together.
+#[test]
+fn a_daemon_that_has_never_listed_does_not_wait_for_the_end_of_an_outage() {
+    assert_yaml_snapshot!(times_of(false, true, true));
+}
