Compare lists between daemons instead of sending them again

A daemon whose first list is older than that of its reader was told to list again, and got the whole list again; one of more than 128 KB came from the store at the full price. A daemon that has a list of 64 objects or more now sends one digest for each part of it (PeerCall::CompareFeed, at the end of the enum), and gets the objects of the parts that differ, from which it puts the other daemon's list together. The rest of the follower sees a list as before, also across eras of the store. A daemon of an earlier release refuses the call and is asked for the whole list. Routes are not compared.

--- a/src/board/host_list.rs
+++ b/src/board/host_list.rs
@@ -28,7 +28,7 @@
 }
 
 /// An endpoint of the platform's host list.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct ListedEndpoint {
     /// Unique name.
     pub name: String,
--- a/src/control/feed_relay.rs
+++ b/src/control/feed_relay.rs
@@ -1,8 +1,10 @@
 use {
     crate::{
         board::{FeedLog, Routing, Section},
-        decide::{FeedQuestion, feed_reply},
-        port::{Clock, FeedItem, FeedKind, FeedRead, FeedReply, MemberEntry, RosterEntry},
+        decide::{FeedQuestion, compare_reply, feed_reply},
+        port::{
+            Clock, FeedCompare, FeedItem, FeedKind, FeedRead, FeedReply, MemberEntry, RosterEntry,
+        },
     },
     std::time::Duration,
 };
@@ -36,6 +38,33 @@
         }
     }
 
+    /// Replies with what differs from the list of another daemon.
+    pub fn compare(&self, compare: &FeedCompare) -> FeedReply {
+        match compare.kind {
+            FeedKind::Routing => self.difference(&self.routing, compare),
+            FeedKind::Endpoints => self.difference(&self.endpoints, compare),
+            FeedKind::Members => self.difference(&self.members, compare),
+        }
+    }
+
+    fn difference<T>(&self, log: &Section<FeedLog<T>>, compare: &FeedCompare) -> FeedReply
+    where
+        T: FeedItem,
+    {
+        if !log.is_open() {
+            return FeedReply::NotReading;
+        }
+        let current = log.snapshot();
+        let now = self.clock.now();
+        let question = FeedQuestion {
+            since: None,
+            waited: true,
+            now: self.clock.since_boot(),
+            failed_ago: current.failed.map(|failed| now - failed),
+        };
+        compare_reply(&current, &compare.digests, question)
+    }
+
     async fn reply<T>(&self, mut log: Section<FeedLog<T>>, read: FeedRead) -> FeedReply
     where
         T: FeedItem,
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -4,12 +4,14 @@
         relay_state::{RelayState, Source},
     },
     crate::{
-        board::{Members, Section, Tick},
-        decide::{StoreCall, feed_sources, has_followers, may_call_store},
+        board::{FeedLog, Members, Section, Tick},
+        decide::{
+            StoreCall, feed_digests, feed_sources, has_followers, may_call_store, merge_difference,
+        },
         key::{HostKey, StoreRevision},
         port::{
-            Change, Changes, Clock, Feed, FeedError, FeedItem, FeedOrigin, FeedRead, FeedReply,
-            Freshness, Listing, Peer, PeerCall, PeerError, PeerReply,
+            Change, Changes, Clock, Feed, FeedCompare, FeedError, FeedItem, FeedOrigin, FeedRead,
+            FeedReply, Freshness, Listing, Peer, PeerCall, PeerError, PeerReply,
         },
     },
     std::{
@@ -57,12 +59,17 @@
 /// Feed that is read from other daemons of the zone where possible, so that the number of calls to
 /// the store does not grow with the number of daemons.
 #[derive(Clone, Debug)]
-pub struct RelayedFeed<F, P, C> {
+pub struct RelayedFeed<F, P, C>
+where
+    F: Feed,
+{
     feed: F,
     links: FeedLinks<P, C>,
     state: Arc<RelayState<C>>,
     /// Longest watch while other daemons read from this one.
     shared_wait: Duration,
+    /// Objects that this daemon has read before, if they are kept.
+    known: Option<Section<FeedLog<F::Item>>>,
 }
 
 /// What the feeds of a daemon need to read from other daemons.
@@ -113,6 +120,17 @@
             links,
             state: Arc::new(state),
             shared_wait: Duration::MAX,
+            known: None,
+        }
+    }
+
+    /// Sets the log of what this daemon has read. A list of another daemon is then compared with it, and
+    /// only what differs is sent.
+    #[must_use]
+    pub fn with_known(self, known: Section<FeedLog<F::Item>>) -> Self {
+        Self {
+            known: Some(known),
+            ..self
         }
     }
 
@@ -217,7 +235,7 @@
                     return Err(FeedError::HistoryExpired);
                 }
                 Ok(FeedReply::TooLarge) => return Ok(PeerRead::TooLarge),
-                Ok(FeedReply::NotReading) => {}
+                Ok(FeedReply::NotReading | FeedReply::Difference { .. }) => {}
                 Ok(FeedReply::Outage) => outage = true,
                 Err((time, cause)) => {
                     self.state.replied.store(false, Ordering::Release);
@@ -229,29 +247,77 @@
         Ok(PeerRead::Nothing { outage })
     }
 
-    /// Asks `host`; fails with the cause, and the time for which to avoid the host, if it does not
-    /// reply.
+    /// Asks `host`, for a list by what differs from the known one if possible; fails with the cause, and
+    /// the time for which to avoid the host, if it does not reply.
     async fn ask(
         &self,
         host: HostKey,
         since: Option<StoreRevision>,
     ) -> Result<FeedReply, (Duration, String)> {
-        let members = self.links.members.snapshot();
-        let Some(member) = members.hosts.get(host) else {
-            return Ok(FeedReply::NotReading);
-        };
+        if since.is_none()
+            && let Some(reply) = self.compare(host).await?
+        {
+            return Ok(reply);
+        }
         let wait = self.wait(since);
         let read = FeedRead {
             kind: F::Item::KIND,
             since,
             wait,
         };
-        let call = self
-            .links
-            .peer
-            .call(&member.address, PeerCall::ReadFeed(read));
+        self.call(host, PeerCall::ReadFeed(read), wait).await
+    }
+
+    /// Requests the list of `host` by what differs from the known one; `None` if it has to be requested
+    /// as a whole, since there is none to compare or the host is of an earlier release.
+    async fn compare(&self, host: HostKey) -> Result<Option<FeedReply>, (Duration, String)> {
+        let Some(known) = self.known.as_ref().map(Section::snapshot) else {
+            return Ok(None);
+        };
+        let Some(digests) = feed_digests(&known) else {
+            return Ok(None);
+        };
+        let count = digests.len();
+        let compare = FeedCompare {
+            kind: F::Item::KIND,
+            digests,
+        };
+        let call = PeerCall::CompareFeed(compare);
+        Ok(match self.call(host, call, Duration::ZERO).await? {
+            FeedReply::Difference {
+                parts,
+                objects,
+                revision,
+                failed_ago,
+            } => F::Item::unwrap(objects).map(|objects| FeedReply::Objects {
+                objects: F::Item::wrap(merge_difference(&known, count, &parts, objects)),
+                revision,
+                failed_ago,
+            }),
+            FeedReply::Expired => None,
+            reply => Some(reply),
+        })
+    }
+
+    /// Calls `host`, and waits for its reply for `wait` and `REPLY_LIMIT`. A host of an earlier release
+    /// refuses a comparison, which counts as `Expired`.
+    async fn call(
+        &self,
+        host: HostKey,
+        call: PeerCall,
+        wait: Duration,
+    ) -> Result<FeedReply, (Duration, String)> {
+        let members = self.links.members.snapshot();
+        let Some(member) = members.hosts.get(host) else {
+            return Ok(FeedReply::NotReading);
+        };
+        let compares = matches!(call, PeerCall::CompareFeed(_));
+        let call = self.links.peer.call(&member.address, call);
         match timeout(wait + REPLY_LIMIT, call).await {
             Ok(Ok(PeerReply::Feed(reply))) => Ok(reply),
+            Ok(Ok(PeerReply::Failed(_)) | Err(PeerError::Refused(_))) if compares => {
+                Ok(FeedReply::Expired)
+            }
             Ok(Ok(_)) => Err((SILENT_TIME, "the reply is of another kind".to_owned())),
             Ok(Err(e @ PeerError::Unsent(_))) => Err((UNCONNECTED_TIME, e.to_string())),
             Ok(Err(e)) => Err((SILENT_TIME, e.to_string())),
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -67,7 +67,8 @@
             | PeerCall::AdoptPlacements(_)
             | PeerCall::EndPlacement(_)
             | PeerCall::EndCall(_)
-            | PeerCall::ReadFeed(_) => PeerReply::Failed(
+            | PeerCall::ReadFeed(_)
+            | PeerCall::CompareFeed(_) => PeerReply::Failed(
                 "this daemon does not forward by routes and accepts no placement or feed calls"
                     .to_owned(),
             ),
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -142,6 +142,7 @@
     async fn handle(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
+            PeerCall::CompareFeed(compare) => PeerReply::Feed(self.relay.compare(&compare)),
             call => self.allocation.handle(call).await,
         }
     }
@@ -196,7 +197,8 @@
         tasks.spawn(RoutingController::new(follower, writers.routing).run());
         let roster = rng("endpoints");
         let feed = RelayedFeed::new(ports.endpoints, links.clone())
-            .with_spread_limit(settings.spread_limit);
+            .with_spread_limit(settings.spread_limit)
+            .with_known(relay.endpoints.clone());
         let follower = FeedFollower::new(feed, clock, "endpoints", settings.watch, roster)
             .with_pause(ENDPOINT_PAUSE)
             .with_path(path.clone())
@@ -229,7 +231,7 @@
             strength: settings.strength,
         };
         let members = rng("members");
-        let feed = RelayedFeed::new(ports.members, links.clone());
+        let feed = RelayedFeed::new(ports.members, links.clone()).with_known(relay.members.clone());
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
             .with_pause(MEMBER_PAUSE)
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
--- a/src/decide/feed_reply.rs
+++ b/src/decide/feed_reply.rs
@@ -39,16 +39,8 @@
 where
     T: FeedItem,
 {
-    let lost_history = question
-        .since
-        .is_some_and(|since| since.era > log.revision.era);
-    if !log.direct || question.now >= log.valid_until || lost_history {
-        let failed = question.failed_ago.is_some_and(|ago| ago < OUTAGE_TIME);
-        return Some(if failed {
-            FeedReply::Outage
-        } else {
-            FeedReply::NotReading
-        });
+    if let Some(reply) = unusable_reply(log, question) {
+        return Some(reply);
     }
     let Some(objects) = changes_since(log, question.since) else {
         return Some(FeedReply::Expired);
@@ -56,7 +48,7 @@
     if objects.is_empty() && question.since.is_some() && !question.waited {
         return None;
     }
-    if objects.iter().map(encoded_len).sum::<usize>() > MAX_REPLY_BYTES {
+    if is_reply_too_large(&objects) {
         return Some(FeedReply::TooLarge);
     }
     Some(FeedReply::Objects {
@@ -66,6 +58,30 @@
     })
 }
 
+/// Returns the reply of a daemon whose log other daemons are not to rely on; `None` if they may.
+pub(super) fn unusable_reply<T>(log: &FeedLog<T>, question: FeedQuestion) -> Option<FeedReply> {
+    let lost_history = question
+        .since
+        .is_some_and(|since| since.era > log.revision.era);
+    if log.direct && question.now < log.valid_until && !lost_history {
+        return None;
+    }
+    let failed = question.failed_ago.is_some_and(|ago| ago < OUTAGE_TIME);
+    Some(if failed {
+        FeedReply::Outage
+    } else {
+        FeedReply::NotReading
+    })
+}
+
+/// Returns whether these objects are too large for one reply.
+pub(super) fn is_reply_too_large<T>(objects: &[Change<T>]) -> bool
+where
+    T: FeedItem,
+{
+    objects.iter().map(encoded_len).sum::<usize>() > MAX_REPLY_BYTES
+}
+
 fn encoded_len<T>(change: &Change<T>) -> usize
 where
     T: FeedItem,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
     engine_plan::EnginePlan,
     fair_share::{FairShare, HALF_LIFE},
     feed_changes::{changes_since, record_changes, record_listing},
+    feed_compare::{compare_reply, feed_digests, merge_difference},
     feed_reply::{FeedQuestion, feed_reply},
     feed_sources::{feed_sources, has_followers},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
@@ -68,6 +69,7 @@
 mod engine_plan;
 mod fair_share;
 mod feed_changes;
+mod feed_compare;
 mod feed_reply;
 mod feed_sources;
 mod fleet_merge;
--- a/src/port/engine.rs
+++ b/src/port/engine.rs
@@ -142,7 +142,7 @@
 }
 
 /// Description of an endpoint; its load is in `LoadReport`.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Description {
     /// Role of the endpoint.
     pub role: Role,
--- a/src/port/feed_read.rs
+++ b/src/port/feed_read.rs
@@ -2,7 +2,11 @@
     super::{Change, MemberEntry, RosterEntry},
     crate::{board::Routing, key::StoreRevision},
     serde::{Deserialize, Serialize},
-    std::{fmt::Debug, time::Duration},
+    std::{
+        fmt::Debug,
+        hash::{DefaultHasher, Hash, Hasher},
+        time::Duration,
+    },
 };
 
 /// Request to another daemon for what it has read from a feed of the store.
@@ -16,6 +20,15 @@
     pub wait: Duration,
 }
 
+/// Request to another daemon for what differs in its list of a feed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FeedCompare {
+    /// Feed to compare.
+    pub kind: FeedKind,
+    /// Digests of the parts into which the sender's list is divided by the names of the objects.
+    pub digests: Vec<u64>,
+}
+
 /// Kind of the objects of a feed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FeedKind {
@@ -47,6 +60,17 @@
     NotReading,
     /// The sender has lately failed to read the store.
     Outage,
+    /// What differs in the sender's list; the reply to a `FeedCompare` only.
+    Difference {
+        /// Numbers of the parts that differ.
+        parts: Vec<u32>,
+        /// All objects of these parts.
+        objects: FeedObjects,
+        /// Revision up to which the sender knows the objects.
+        revision: StoreRevision,
+        /// Time since a call of the sender to the store last failed; `None` if none did.
+        failed_ago: Option<Duration>,
+    },
 }
 
 /// Objects of one of the feeds.
@@ -73,6 +97,12 @@
 
     /// Approximate length of the encoded object in bytes.
     fn encoded_len(&self) -> usize;
+
+    /// Returns a digest of the contents, the same in every daemon of a release; `None` if lists of the
+    /// feed are not compared.
+    fn digest(&self) -> Option<u64> {
+        None
+    }
 }
 
 impl FeedKind {
@@ -122,6 +152,10 @@
     fn encoded_len(&self) -> usize {
         100
     }
+
+    fn digest(&self) -> Option<u64> {
+        Some(digest_of(self))
+    }
 }
 
 impl FeedItem for MemberEntry {
@@ -141,4 +175,17 @@
     fn encoded_len(&self) -> usize {
         80
     }
+
+    fn digest(&self) -> Option<u64> {
+        Some(digest_of(self))
+    }
+}
+
+fn digest_of<T>(item: &T) -> u64
+where
+    T: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    item.hash(&mut hasher);
+    hasher.finish()
 }
--- a/src/port/member_entry.rs
+++ b/src/port/member_entry.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Entry that a daemon registers for itself in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct MemberEntry {
     /// Unique name of its host.
     pub name: String,
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -12,7 +12,7 @@
         LoadReport, Order, PrefillRequest, TokenStream,
     },
     feed::{Change, Changes, Feed, FeedError, FeedOrigin, Freshness, Listing},
-    feed_read::{FeedItem, FeedKind, FeedObjects, FeedRead, FeedReply},
+    feed_read::{FeedCompare, FeedItem, FeedKind, FeedObjects, FeedRead, FeedReply},
     grant_queue::GrantQueue,
     member_entry::MemberEntry,
     mono_clock::MonoClock,
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CallEnd, CallVerdict, FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest,
-        PlacerHandover,
+        CallEnd, CallVerdict, FeedCompare, FeedRead, FeedReply, PlacementEnd, PlacementReply,
+        PlacementRequest, PlacerHandover,
     },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
@@ -46,6 +46,8 @@
     ReadFeed(FeedRead),
     /// Reports how the run of a call at a plain service ended.
     EndCall(CallEnd),
+    /// Requests what differs in the receiver's list of a feed of the store; the reply is `Feed`.
+    CompareFeed(FeedCompare),
 }
 
 /// Reply to a `PeerCall`.
--- a/src/port/roster_entry.rs
+++ b/src/port/roster_entry.rs
@@ -5,7 +5,7 @@
 };
 
 /// Entry that an endpoint registers for itself in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct RosterEntry {
     /// Name, address, zone, pool and role.
     pub listed: ListedEndpoint,
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -77,6 +77,30 @@
     assert_yaml_snapshot!(seen);
 }
 
+/// A list of endpoints that is too large for a reply was read from the store twice by most daemons that started
+/// at once: their first one is older than that of their reader.
+#[tokio::test(start_paused = true)]
+async fn daemons_that_start_list_many_endpoints_once_at_the_store() {
+    let mut seen = Vec::new();
+    for earlier_release in [true, false] {
+        let zone = Zone::empty();
+        for number in 1..3_000 {
+            zone.put(&format!("endpoint-{number}"));
+        }
+        let release = &zone.peers.earlier_release;
+        release.store(earlier_release, Ordering::Release);
+        let zone = zone.start_daemons(30, Duration::from_millis(20)).await;
+        let lists = zone.store.lock().unwrap().lists;
+        let daemons = zone.daemons.values();
+        let complete = daemons.filter(|daemon| daemon.known.lock().unwrap().len() == 3_000);
+        seen.push(format!(
+            "readers of an earlier release {earlier_release}: {lists} lists at the store, {} daemons know all",
+            complete.count()
+        ));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_change_reaches_every_daemon_soon_while_readers_fail() {
     let faults = ["dead", "suspended", "cut off from the store"];
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -18,7 +18,7 @@
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -69,6 +69,8 @@
     /// Changes up to this revision are no longer kept.
     pub forgotten: u64,
     pub calls: usize,
+    /// Number of lists among the calls.
+    pub lists: usize,
     /// Hosts that the store does not answer.
     pub cut: BTreeSet<String>,
     /// Hosts whose watches get no response.
@@ -169,7 +171,8 @@
 
     async fn list(&self, _: Freshness) -> Result<Listing<RosterEntry>, FeedError> {
         self.call()?;
-        let store = self.store.lock().unwrap();
+        let mut store = self.store.lock().unwrap();
+        store.lists += 1;
         Ok(Listing {
             items: store.items(),
             revision: store.full_revision(),
@@ -214,6 +217,8 @@
     pub silent: Arc<Mutex<BTreeSet<String>>>,
     /// Number of complete lists that were requested.
     pub lists: Arc<AtomicUsize>,
+    /// Whether hosts know no comparison of lists.
+    pub earlier_release: Arc<AtomicBool>,
 }
 
 impl Peer for Peers {
@@ -221,13 +226,19 @@
         self.wait_while_silent(address).await;
         let relay = self.relays.lock().unwrap().get(address).cloned();
         let relay = relay.ok_or_else(|| PeerError::Unsent("connection refused".to_owned()))?;
-        let PeerCall::ReadFeed(read) = call else {
-            panic!("only feeds are read");
+        let reply = match call {
+            PeerCall::ReadFeed(read) => {
+                if read.since.is_none() {
+                    self.lists.fetch_add(1, Ordering::AcqRel);
+                }
+                relay.handle(read).await
+            }
+            PeerCall::CompareFeed(compare) if !self.earlier_release.load(Ordering::Acquire) => {
+                relay.compare(&compare)
+            }
+            PeerCall::CompareFeed(_) => return Err(PeerError::Refused("unknown call".to_owned())),
+            _ => panic!("only feeds are read"),
         };
-        if read.since.is_none() {
-            self.lists.fetch_add(1, Ordering::AcqRel);
-        }
-        let reply = relay.handle(read).await;
         // A host that was suspended during the call does not reply either.
         self.wait_while_silent(address).await;
         Ok(PeerReply::Feed(reply))
@@ -307,7 +318,12 @@
     /// Starts `count` daemons one after another, `pause` apart; between them, objects of another kind
     /// change.
     pub async fn start_apart(count: usize, pause: Duration) -> Self {
-        let mut zone = Self::empty();
+        Self::empty().start_daemons(count, pause).await
+    }
+
+    /// Starts `count` daemons like `start_apart`.
+    pub async fn start_daemons(mut self, count: usize, pause: Duration) -> Self {
+        let zone = &mut self;
         let names = host_names(count);
         for name in &names {
             zone.start_daemon(&names, name);
@@ -317,7 +333,7 @@
             }
         }
         sleep(Duration::from_secs(10)).await;
-        zone
+        self
     }
 
     /// Starts `count` daemons at once, none of which the store answers.
@@ -332,7 +348,7 @@
     }
 
     /// Prepares a zone without daemons; the store holds one endpoint.
-    fn empty() -> Self {
+    pub fn empty() -> Self {
         let zone = Self {
             store: Arc::default(),
             changed: watch::channel(()).0,
@@ -358,6 +374,7 @@
             counters: FeedCounters::new(&mut Registry::default()),
         };
         let (endpoints_log, endpoints) = section(FeedLog::default());
+        let known_endpoints = endpoints.clone();
         let relay = FeedRelay {
             clock: self.clock,
             routing: section(FeedLog::default()).1,
@@ -368,7 +385,9 @@
         relays.insert(name.to_owned(), relay);
         let rng = SmallRng::seed_from_u64(name.len() as u64);
         let limit = Duration::from_millis(SPREAD_LIMIT_MS as u64);
-        let feed = RelayedFeed::new(feed, links).with_spread_limit(limit);
+        let feed = RelayedFeed::new(feed, links)
+            .with_spread_limit(limit)
+            .with_known(known_endpoints);
         let follower =
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -19,6 +19,7 @@
 mod fault_orders;
 mod fault_schedule;
 mod feed_changes;
+mod feed_compare;
 mod feed_follower;
 mod feed_path;
 mod feed_relay;
