Place no streams for others before the first list of endpoints

A daemon that had just started answered placement requests of others with Wait, 100 ms each, until their time for a placement was over, although the senders may know endpoints. It now answers Unavailable while it has never been ready and knows no endpoint; the sender asks the next daemon or places the stream itself. In the same state a daemon lets its own streams wait for its endpoints when no daemon places them, as they did with Wait, instead of refusing them for want of an endpoint.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -63,6 +63,12 @@
 }
 
 impl Blackboard {
+    /// Returns whether this daemon forwards requests and has not known any endpoint since its start.
+    pub fn is_starting(&self) -> bool {
+        let health = self.health.load();
+        !health.ready && !health.stopping() && self.fleet.load().endpoints.is_empty()
+    }
+
     /// Creates a blackboard of empty sections and their writers.
     pub fn new() -> (Self, Writers) {
         let branches = section(Arena::default());
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -42,6 +42,7 @@
 /// Handle with which requests reach the allocation controller.
 #[derive(Clone, Debug)]
 pub struct AllocationHandle {
+    board: Blackboard,
     mailbox: mpsc::Sender<Message>,
 }
 
@@ -64,6 +65,17 @@
 }
 
 impl AllocationHandle {
+    /// Handles a call from another daemon.
+    ///
+    /// A daemon that has no endpoints yet places nothing for others, which may have listed theirs: their
+    /// requests would wait here until their time is over.
+    pub async fn handle_peer(&self, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Place(_) if self.board.is_starting() => PeerReply::Placement(unavailable()),
+            call => self.handle(call).await,
+        }
+    }
+
     /// Handles a call from another daemon or from this one.
     ///
     /// A call that is not about placements is answered with `PeerReply::Failed`.
@@ -90,10 +102,6 @@
 
     /// Requests engines for a stream; `Unavailable` if the controller is overloaded or has stopped.
     pub async fn place(&self, request: PlacementRequest) -> PlacementReply {
-        let unavailable = || PlacementReply {
-            outcome: PlacementOutcome::Unavailable,
-            refused: Vec::new(),
-        };
         let (reply, outcome) = oneshot::channel();
         if self
             .mailbox
@@ -140,6 +148,10 @@
     /// Creates the controller and its handle.
     pub fn new(board: Blackboard, clock: C) -> (Self, AllocationHandle) {
         let (sender, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
+        let handle = AllocationHandle {
+            board: board.clone(),
+            mailbox: sender,
+        };
         let controller = Self {
             board,
             clock,
@@ -150,7 +162,7 @@
             limits: EngineLimits::default(),
             crashes: CrashRecord::default(),
         };
-        (controller, AllocationHandle { mailbox: sender })
+        (controller, handle)
     }
 
     /// Runs until every handle has been dropped.
@@ -444,6 +456,14 @@
     }
 }
 
+/// Returns the reply of a daemon that places nothing.
+fn unavailable() -> PlacementReply {
+    PlacementReply {
+        outcome: PlacementOutcome::Unavailable,
+        refused: Vec::new(),
+    }
+}
+
 /// Returns the keys of `causes` for a log line.
 fn cause_list(causes: &[CauseKey]) -> String {
     let keys = causes.iter().map(|cause| cause.0.to_string());
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -143,7 +143,7 @@
         match call {
             PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
             PeerCall::CompareFeed(compare) => PeerReply::Feed(self.relay.compare(&compare)),
-            call => self.allocation.handle(call).await,
+            call => self.allocation.handle_peer(call).await,
         }
     }
 }
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -94,6 +94,11 @@
                 PlacementOutcome::Refused(left) => {
                     return Err(forward_refusal::crash_suspect(self.call, left));
                 }
+                // Endpoints are about to be listed, and the daemons that place requests start as well.
+                PlacementOutcome::Unavailable if self.shared.board().is_starting() => {
+                    let wait = self.shared.options().prefill_wait;
+                    self.shared.parts().clock().sleep(wait).await;
+                }
                 PlacementOutcome::Unavailable => {
                     return self.place_without_placer(local, until).await;
                 }
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -33,6 +33,7 @@
 mod limits;
 mod listed;
 mod losses;
+mod mass_start;
 mod membership;
 mod model_path;
 mod operations_page;
