Spread the first reads of the list of daemons after a start

All daemons that start at once register, and each reads the new entries of all others: at 300 daemons about 25 KB for each of 49 followers of a reader, by calculation. In a deployment of more than 64 daemons a follower now delays its first read of changes by a time that follows from its name, up to 12 ms for each daemon beyond 64. Readers do not wait, and neither do the feeds of endpoints and routes.

--- a/src/control/relay_state.rs
+++ b/src/control/relay_state.rs
@@ -19,6 +19,8 @@
     /// Daemon that said last that the changes since a revision are no longer stored. The next list is
     /// read from it, since an older one of another daemon would lead to the same reply again.
     pub(super) expired: ArcSwapOption<HostKey>,
+    /// Whether changes have been read.
+    pub(super) watched: AtomicBool,
     /// Whether another daemon replied to the last read, so that the next one may wait there.
     pub(super) replied: AtomicBool,
     /// Who returned the last result.
@@ -41,6 +43,7 @@
             avoided: AvoidedHosts::new(clock),
             turn: AtomicUsize::new(0),
             expired: ArcSwapOption::empty(),
+            watched: AtomicBool::new(false),
             replied: AtomicBool::new(false),
             source: ArcSwap::from_pointee(Source::Unknown),
             revision: ArcSwap::default(),
--- a/src/control/relayed_feed.rs
+++ b/src/control/relayed_feed.rs
@@ -7,6 +7,7 @@
         board::{FeedLog, Members, Section, Tick},
         decide::{
             StoreCall, feed_digests, feed_sources, has_followers, may_call_store, merge_difference,
+            start_delay,
         },
         key::{HostKey, StoreRevision},
         port::{
@@ -70,6 +71,8 @@
     shared_wait: Duration,
     /// Objects that this daemon has read before, if they are kept.
     known: Option<Section<FeedLog<F::Item>>>,
+    /// Whether the first read of changes waits, so that those of daemons that start together are spread.
+    spread_start: bool,
 }
 
 /// What the feeds of a daemon need to read from other daemons.
@@ -121,6 +124,17 @@
             state: Arc::new(state),
             shared_wait: Duration::MAX,
             known: None,
+            spread_start: false,
+        }
+    }
+
+    /// Delays the first read of changes in a large deployment, see `start_delay`. For a feed whose
+    /// changes are not urgent.
+    #[must_use]
+    pub fn with_spread_start(self) -> Self {
+        Self {
+            spread_start: true,
+            ..self
         }
     }
 
@@ -407,6 +421,10 @@
         since: StoreRevision,
         wait: Duration,
     ) -> Result<Changes<Self::Item>, FeedError> {
+        if self.spread_start && !self.state.watched.swap(true, Ordering::AcqRel) {
+            let delay = start_delay(&self.links.members.load());
+            self.links.clock.sleep(delay).await;
+        }
         match self.read_peers(Some(since), MAX_SILENT_HOSTS).await? {
             PeerRead::Objects(read) => {
                 let revision = read.revision.max(since);
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -231,7 +231,9 @@
             strength: settings.strength,
         };
         let members = rng("members");
-        let feed = RelayedFeed::new(ports.members, links.clone()).with_known(relay.members.clone());
+        let feed = RelayedFeed::new(ports.members, links.clone())
+            .with_known(relay.members.clone())
+            .with_spread_start();
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
             .with_pause(MEMBER_PAUSE)
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -47,6 +47,7 @@
     sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     stage_plan::{StageChange, prefill_goal, stage_changes},
+    start_delay::start_delay,
     status_of::status_of,
     store_call::{StoreCall, may_call_store},
     strong_hosts::{KeyedHost, split_by_strength},
@@ -105,6 +106,7 @@
 mod sheet_log;
 mod sheet_row;
 mod stage_plan;
+mod start_delay;
 mod status_of;
 mod store_call;
 mod strong_hosts;
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -7,12 +7,12 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Arena, Host, Members},
-        decide::feed_sources,
+        decide::{feed_sources, start_delay},
         key::HostKey,
         port::Change,
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::atomic::Ordering,
         time::Duration,
     },
@@ -316,6 +316,38 @@
     }
 }
 
+/// Hundreds of daemons that start at once would all read the new entries of all others in the same moment.
+#[test]
+fn first_reads_of_many_daemons_that_start_together_are_spread() {
+    let mut seen = Vec::new();
+    for count in [6, 64, 100, 300] {
+        let mut hosts = Arena::<HostKey, Host>::default();
+        for number in 0..count {
+            let name = format!("daemon-{number:04}.region-1.example");
+            hosts.insert(&name, host(&name, 25));
+        }
+        let mut halves = BTreeMap::<u64, usize>::new();
+        for own in hosts.iter().map(|(key, _)| key) {
+            let hosts = hosts.clone();
+            let delay = start_delay(&Members { hosts, own });
+            *halves.entry(delay.as_millis() as u64 / 500).or_default() += 1;
+        }
+        seen.push((count, halves));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// The delay of the first read must not keep a change from the daemons that read late.
+#[tokio::test(start_paused = true)]
+async fn a_change_right_after_the_start_reaches_every_daemon_of_a_large_zone() {
+    let zone = Zone::start_new(100);
+    sleep(Duration::from_millis(100)).await;
+    let spread = zone.time_to_spread("e1", &[]).await;
+    let later = zone.time_to_spread("e2", &[]).await;
+    assert!(later < SPREAD_LIMIT_MS, "{later} ms");
+    assert_yaml_snapshot!(spread);
+}
+
 #[test]
 fn readers_are_strong_hosts_of_the_own_zone() {
     let mut hosts = Arena::<HostKey, Host>::default();
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -338,9 +338,16 @@
 
     /// Starts `count` daemons at once, none of which the store answers.
     pub fn start_cut(count: usize) -> Self {
+        let zone = Self::start_new(count);
+        // The daemons have not run yet.
+        zone.store.lock().unwrap().cut = host_names(count).into_iter().collect();
+        zone
+    }
+
+    /// Starts `count` daemons at once, which have not run yet.
+    pub fn start_new(count: usize) -> Self {
         let mut zone = Self::empty();
         let names = host_names(count);
-        zone.store.lock().unwrap().cut = names.iter().cloned().collect();
         for name in &names {
             zone.start_daemon(&names, name);
         }
@@ -387,7 +394,8 @@
         let limit = Duration::from_millis(SPREAD_LIMIT_MS as u64);
         let feed = RelayedFeed::new(feed, links)
             .with_spread_limit(limit)
-            .with_known(known_endpoints);
+            .with_known(known_endpoints)
+            .with_spread_start();
         let follower =
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
