Count the pages of a list as progress

A list of many small pages has less than 64 KiB in 900 ms, so it was still broken off: 24 daemons with 301 endpoints at the store's stand-in, which has two objects in a page, did not serve within 90 s.

--- a/src/port/feed.rs
+++ b/src/port/feed.rs
@@ -32,8 +32,8 @@
         longest
     }
 
-    /// Returns how many blocks of 64 KiB have been received so far, by which a list that is still
-    /// being received differs from one whose source has gone silent.
+    /// Returns how many blocks of 64 KiB and pages of lists have been received so far, by which a list
+    /// that is still being received differs from one whose source has gone silent.
     fn list_progress(&self) -> u64 {
         0
     }
