Test 24 daemons that are killed and started at once

Each daemon is a process; all are ended by SIGKILL and started together, and each has to answer an ordinary request. Until then only 503 is allowed.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -51,6 +51,7 @@
 mod process_daemon;
 mod process_input;
 mod process_platform;
+mod process_restart;
 mod process_site;
 mod queue_bench;
 mod queue_memory;
--- a/tests/process_platform.rs
+++ b/tests/process_platform.rs
@@ -31,7 +31,7 @@
 }
 
 /// Starts a service whose requests to a path with `slow` take a while.
-async fn start_service() -> SocketAddr {
+pub async fn start_service() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -66,7 +66,7 @@
 }
 
 /// Sends a request; returns the status line and the length of the body, if a response arrives.
-async fn call(callers: SocketAddr, path: &str) -> Option<(String, usize)> {
+pub async fn call(callers: SocketAddr, path: &str) -> Option<(String, usize)> {
     let mut stream = TcpStream::connect(callers).await.ok()?;
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\nConnection: close\r\n\r\n"
@@ -79,7 +79,7 @@
 }
 
 /// Fills a store with one route and the service at `address`.
-fn configure(store: &StoreStandIn, address: SocketAddr) {
+pub fn configure(store: &StoreStandIn, address: SocketAddr) {
     let route = json!({
         "Name": "read", "Hostname": "a.example", "PathPrefix": "/read/", "Kind": "safe",
         "TimeoutMs": 4000, "TargetLatencyMs": 2000, "Priority": 1, "Service": "ledger",
