Log one line for a long first list of endpoints

A daemon wrote a line for each endpoint of its first list, 3,000 of them where it starts with a tenth of a core. Beyond 100 endpoints it writes one line with their number, and one for each endpoint that leaves. Not measured; the lines are not covered by a test, the list itself is by the process test with 301 endpoints.

--- a/src/control/roster_entries.rs
+++ b/src/control/roster_entries.rs
@@ -14,6 +14,10 @@
 /// from a copy may have lost.
 const REMOVAL_MEMORY: Duration = Duration::from_mins(1);
 
+/// Number of endpoints up to which each endpoint of the first list gets a line in the log. Thousands of lines
+/// delay the first requests on a host with a tenth of a core.
+const MAX_LOGGED: usize = 100;
+
 /// Entries of endpoints as the store states them, and what this daemon knows better for a while after an
 /// outage of the store, or after it came back from an older copy of itself.
 #[derive(Debug, Default)]
@@ -59,8 +63,17 @@
         for name in removed {
             self.apply(Change::Removed(name), read);
         }
+        let first = self.entries.is_empty() && listed.len() > MAX_LOGGED;
         for item in items {
-            self.apply(item, read);
+            match item {
+                Change::Put(name, entry) if first && !entry.listed.draining => {
+                    self.insert(&name, entry, read);
+                }
+                item => self.apply(item, read),
+            }
+        }
+        if first {
+            log::info!(endpoints = self.entries.len(), revision = read.revision; "first list of endpoints; only those that leave have lines of their own");
         }
     }
 
@@ -115,6 +128,15 @@
     }
 
     fn put(&mut self, name: &str, entry: RosterEntry, read: RosterRead) {
+        let leaving = entry.listed.draining;
+        let before = self.insert(name, entry, read);
+        if before.is_none_or(|before| before.listed.draining != leaving) {
+            log::info!(endpoint = name, revision = read.revision, leaving; "endpoint listed");
+        }
+    }
+
+    /// Enters an entry and returns the one before, if there was one.
+    fn insert(&mut self, name: &str, entry: RosterEntry, read: RosterRead) -> Option<RosterEntry> {
         self.missing.clear(name);
         let leaving = entry.listed.draining;
         let incarnation = entry.description.incarnation;
@@ -125,10 +147,7 @@
             }
             _ => self.doubted.clear(name),
         }
-        let before = self.entries.insert(name.to_owned(), entry);
-        if before.is_none_or(|before| before.listed.draining != leaving) {
-            log::info!(endpoint = name, revision = read.revision, leaving; "endpoint listed");
-        }
+        self.entries.insert(name.to_owned(), entry)
     }
 
     /// Returns whether the process of `name` that started at `incarnation` had said that it leaves, or
