--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -223,13 +223,6 @@
             members: board.members.clone(),
         };
         tasks.spawn(StageController::new(stages).run());
-        let own = MemberEntry {
-            name: settings.host.clone(),
-            zone: settings.options.zone.clone(),
-            address: settings.address.clone(),
-            incarnation: clock.unix_ms(),
-            strength: settings.strength,
-        };
         let members = rng("members");
         let feed = RelayedFeed::new(ports.members, links.clone())
             .with_known(relay.members.clone())
@@ -241,7 +234,7 @@
             .with_log(members_writer);
         let roster = MemberRosterParts {
             clock,
-            own,
+            own: own_entry(settings, clock.unix_ms()),
             writer: writers.members,
             lapsed: Arc::default(),
         };
@@ -290,6 +283,17 @@
     }
 }
 
+/// Returns the entry of a daemon that started at `incarnation`.
+fn own_entry(settings: &ForwardSettings, incarnation: u64) -> MemberEntry {
+    MemberEntry {
+        name: settings.host.clone(),
+        zone: settings.options.zone.clone(),
+        address: settings.address.clone(),
+        incarnation,
+        strength: settings.strength,
+    }
+}
+
 /// Starts the controllers that register this daemon and follow the list of daemons.
 fn spawn_members<F, S>(
     tasks: &mut JoinSet<()>,
--- a/tests/process_restart.rs
+++ b/tests/process_restart.rs
@@ -44,7 +44,7 @@
         .filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok())
         .take(count)
         .collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr());
+    let addresses = listeners.iter().map(TcpListener::local_addr);
     addresses.map(Result::unwrap).collect()
 }
 
@@ -73,7 +73,7 @@
 /// Starts all daemons at once.
 async fn start(fronts: &[Front]) -> Vec<Process> {
     let mut starting = JoinSet::new();
-    for front in fronts.to_vec() {
+    for front in fronts.iter().cloned() {
         starting.spawn(async move {
             let start = move || {
                 let path = front.settings.to_str().unwrap();
@@ -88,7 +88,7 @@
 /// Sends requests to every daemon until it answers one; returns the statuses that came before.
 async fn statuses_until_served(fronts: &[Front]) -> BTreeSet<String> {
     let mut calling = JoinSet::new();
-    for front in fronts.to_vec() {
+    for front in fronts.iter().cloned() {
         calling.spawn(async move {
             let mut before = BTreeSet::new();
             loop {
