Name only endpoints of the pool in a placement request

A request listed the endpoints of the whole fleet that its sender could not use or that had stated a limit, although the placer needs those of the request's pool; with thousands of endpoints that is most of its length, and the sender walked through the fleet three times. It now uses the members of the pool.

New test with one unusable endpoint in the pool and one in another: both were named before, the first one now.

--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -117,7 +117,11 @@
         let fleet = self.shared.board().fleet.load();
         let tried = self.call.tried.iter();
         let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
-        let endpoints = || fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
+        // Those of other pools concern other requests.
+        let pool = fleet.pools.find(&self.call.pool);
+        let members = pool.and_then(|pool| fleet.pools.get(pool));
+        let members = members.map_or(&[][..], |pool| &pool.members);
+        let endpoints = || members.iter().filter_map(|key| fleet.endpoints.get(*key));
         let unwilling = endpoints().filter(|endpoint| {
             let traffic = &endpoint.counters.traffic;
             traffic.is_leaving() || !traffic.pause_left(now).is_zero()
--- a/tests/mass_start.rs
+++ b/tests/mass_start.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        forward_site::{Act, site},
+        forward_site::{Act, placed, site},
         listed::{listed, publish_engines},
     },
     insta::assert_yaml_snapshot,
@@ -91,3 +91,24 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+/// A placement request named the endpoints of all pools that its sender could not use, which after the failure of
+/// many of them are thousands of names in each request.
+#[tokio::test(start_paused = true)]
+async fn a_placement_request_names_endpoints_of_its_own_pool_only() {
+    let site = site(placed(), Vec::new());
+    let now = site.entry.shared().now();
+    let later = now + Duration::from_mins(1);
+    let fleet = site.writers.fleet.load();
+    for (_, endpoint) in fleet.endpoints.iter() {
+        if ["s1", "d2"].contains(&endpoint.name.as_str()) {
+            endpoint.counters.traffic.pause(later);
+            endpoint.counters.traffic.avoid(later);
+        }
+    }
+    drop(fleet);
+    site.send("/stream/").await;
+    let requests = site.placer.requests.lock().unwrap();
+    let request = requests.first().unwrap();
+    assert_yaml_snapshot!((&request.avoid, &request.unreachable));
+}
