--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -42,6 +42,7 @@
 /// Handle with which requests reach the allocation controller.
 #[derive(Clone, Debug)]
 pub struct AllocationHandle {
+    board: Blackboard,
     mailbox: mpsc::Sender<Message>,
     refusals: Section<Refusals>,
 }
@@ -66,6 +67,17 @@
 }
 
 impl AllocationHandle {
+    /// Handles a call from another daemon.
+    ///
+    /// A daemon that has no endpoints yet places nothing for others, which may have listed theirs: their
+    /// requests would wait here until their time is over.
+    pub async fn handle_peer(&self, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Place(_) if self.board.is_starting() => PeerReply::Placement(unavailable()),
+            call => self.handle(call).await,
+        }
+    }
+
     /// Handles a call from another daemon or from this one.
     ///
     /// A call that is not about placements is answered with `PeerReply::Failed`.
@@ -96,10 +108,6 @@
 
     /// Requests engines for a stream; `Unavailable` if the controller is overloaded or has stopped.
     pub async fn place(&self, request: PlacementRequest) -> PlacementReply {
-        let unavailable = || PlacementReply {
-            outcome: PlacementOutcome::Unavailable,
-            refused: Vec::new(),
-        };
         let (reply, outcome) = oneshot::channel();
         if self
             .mailbox
@@ -161,6 +169,11 @@
     pub fn new(board: Blackboard, clock: C) -> (Self, AllocationHandle) {
         let (sender, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
         let (crashes, refusals) = CrashCounter::new();
+        let handle = AllocationHandle {
+            board: board.clone(),
+            mailbox: sender,
+            refusals,
+        };
         let controller = Self {
             board,
             clock,
@@ -171,10 +184,6 @@
             limits: EngineLimits::default(),
             crashes,
         };
-        let handle = AllocationHandle {
-            mailbox: sender,
-            refusals,
-        };
         (controller, handle)
     }
 
@@ -457,3 +466,11 @@
         ledger
     }
 }
+
+/// Returns the reply of a daemon that places nothing.
+fn unavailable() -> PlacementReply {
+    PlacementReply {
+        outcome: PlacementOutcome::Unavailable,
+        refused: Vec::new(),
+    }
+}
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -68,7 +68,8 @@
             | PeerCall::EndPlacement(_)
             | PeerCall::EndCall(_)
             | PeerCall::RefuseCauses(_)
-            | PeerCall::ReadFeed(_) => PeerReply::Failed(
+            | PeerCall::ReadFeed(_)
+            | PeerCall::CompareFeed(_) => PeerReply::Failed(
                 "this daemon does not forward by routes and accepts no placement or feed calls"
                     .to_owned(),
             ),
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -143,12 +143,13 @@
     async fn handle(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
+            PeerCall::CompareFeed(compare) => PeerReply::Feed(self.relay.compare(&compare)),
             PeerCall::RefuseCauses(update) => {
                 self.placer.refuse(&update);
                 self.allocation.refuse(update);
                 PeerReply::Done
             }
-            call => self.allocation.handle(call).await,
+            call => self.allocation.handle_peer(call).await,
         }
     }
 }
@@ -202,7 +203,8 @@
         tasks.spawn(RoutingController::new(follower, writers.routing, counters.clone()).run());
         let roster = rng("endpoints");
         let feed = RelayedFeed::new(ports.endpoints, links.clone())
-            .with_spread_limit(settings.spread_limit);
+            .with_spread_limit(settings.spread_limit)
+            .with_known(relay.endpoints.clone());
         let follower = FeedFollower::new(feed, clock, "endpoints", settings.watch, roster)
             .with_pause(ENDPOINT_PAUSE)
             .with_path(path.clone())
@@ -227,15 +229,10 @@
             members: board.members.clone(),
         };
         tasks.spawn(StageController::new(stages).run());
-        let own = MemberEntry {
-            name: settings.host.clone(),
-            zone: settings.options.zone.clone(),
-            address: settings.address.clone(),
-            incarnation: clock.unix_ms(),
-            strength: settings.strength,
-        };
         let members = rng("members");
-        let feed = RelayedFeed::new(ports.members, links.clone());
+        let feed = RelayedFeed::new(ports.members, links.clone())
+            .with_known(relay.members.clone())
+            .with_spread_start();
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
             .with_pause(MEMBER_PAUSE)
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
@@ -243,7 +240,7 @@
             .with_log(members_writer);
         let roster = MemberRosterParts {
             clock,
-            own,
+            own: own_entry(settings, clock.unix_ms()),
             writer: writers.members,
             lapsed: Arc::default(),
         };
@@ -296,6 +293,17 @@
     }
 }
 
+/// Returns the entry of a daemon that started at `incarnation`.
+fn own_entry(settings: &ForwardSettings, incarnation: u64) -> MemberEntry {
+    MemberEntry {
+        name: settings.host.clone(),
+        zone: settings.options.zone.clone(),
+        address: settings.address.clone(),
+        incarnation,
+        strength: settings.strength,
+    }
+}
+
 /// Starts the controllers that register this daemon and follow the list of daemons.
 fn spawn_members<F, S>(
     tasks: &mut JoinSet<()>,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
     engine_plan::EnginePlan,
     fair_share::{FairShare, HALF_LIFE},
     feed_changes::{changes_since, record_changes, record_listing},
+    feed_compare::{compare_reply, feed_digests, merge_difference},
     feed_reply::{FeedQuestion, feed_reply},
     feed_sources::{feed_sources, has_followers},
     fleet_merge::{Descriptions, loaded, merge_described, merge_fleet},
@@ -47,6 +48,7 @@
     sheet_log::{Applied, SheetLog},
     sheet_row::{COLUMNS, SheetFault, SheetRow},
     stage_plan::{StageChange, prefill_goal, stage_changes},
+    start_delay::start_delay,
     status_of::status_of,
     store_call::{StoreCall, may_call_store},
     strong_hosts::{KeyedHost, split_by_strength},
@@ -70,6 +72,7 @@
 mod engine_plan;
 mod fair_share;
 mod feed_changes;
+mod feed_compare;
 mod feed_reply;
 mod feed_sources;
 mod fleet_merge;
@@ -105,6 +108,7 @@
 mod sheet_log;
 mod sheet_row;
 mod stage_plan;
+mod start_delay;
 mod status_of;
 mod store_call;
 mod strong_hosts;
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CallEnd, CallVerdict, FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest,
-        PlacerHandover, RefusalUpdate,
+        CallEnd, CallVerdict, FeedCompare, FeedRead, FeedReply, PlacementEnd, PlacementReply,
+        PlacementRequest, PlacerHandover, RefusalUpdate,
     },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
@@ -48,6 +48,8 @@
     EndCall(CallEnd),
     /// Notifies the receiver of the causes of crashes that the sender refuses.
     RefuseCauses(RefusalUpdate),
+    /// Requests what differs in the receiver's list of a feed of the store; the reply is `Feed`.
+    CompareFeed(FeedCompare),
 }
 
 /// Reply to a `PeerCall`.
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -94,6 +94,11 @@
                 PlacementOutcome::Refused(left) => {
                     return Err(forward_refusal::crash_suspect(self.call, left));
                 }
+                // Endpoints are about to be listed, and the daemons that place requests start as well.
+                PlacementOutcome::Unavailable if self.shared.board().is_starting() => {
+                    let wait = self.shared.options().prefill_wait;
+                    self.shared.parts().clock().sleep(wait).await;
+                }
                 PlacementOutcome::Unavailable => {
                     return self.place_without_placer(local, until).await;
                 }
@@ -112,7 +117,11 @@
         let fleet = self.shared.board().fleet.load();
         let tried = self.call.tried.iter();
         let tried = tried.filter_map(|key| fleet.endpoints.get(*key));
-        let endpoints = || fleet.endpoints.iter().map(|(_, endpoint)| endpoint);
+        // Those of other pools concern other requests.
+        let pool = fleet.pools.find(&self.call.pool);
+        let members = pool.and_then(|pool| fleet.pools.get(pool));
+        let members = members.map_or(&[][..], |pool| &pool.members);
+        let endpoints = || members.iter().filter_map(|key| fleet.endpoints.get(*key));
         let unwilling = endpoints().filter(|endpoint| {
             let traffic = &endpoint.counters.traffic;
             traffic.is_leaving() || !traffic.pause_left(now).is_zero()
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -7,21 +7,25 @@
     insta::assert_yaml_snapshot,
     lentillead::{
         board::{Arena, Host, Members},
-        decide::feed_sources,
+        decide::{feed_sources, start_delay},
         key::HostKey,
         port::Change,
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::atomic::Ordering,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 /// Longest time, in milliseconds, from the restoration of the path to the store until a reader has listed: a call
 /// that fails and the delay after it.
 const RESTORED_LIMIT_MS: u128 = 1_300;
 
+/// Longest time, in milliseconds, from the end of an outage until daemons that started in it have listed.
+const START_LIMIT_MS: u128 = 1_500;
+
 #[tokio::test(start_paused = true)]
 async fn calls_to_the_store_at_rest_do_not_grow_with_the_daemons() {
     let mut calls = Vec::new();
@@ -36,6 +40,67 @@
     assert_yaml_snapshot!(calls);
 }
 
+/// A daemon that had never listed waited 4 s between its calls like one that has objects to go on with.
+#[tokio::test(start_paused = true)]
+async fn daemons_that_start_while_the_store_does_not_answer_list_soon_after_it_does() {
+    let mut late = Vec::new();
+    for outage_ms in (500..6_000).step_by(500) {
+        let zone = Zone::start_cut(30);
+        sleep(Duration::from_millis(outage_ms)).await;
+        zone.store.lock().unwrap().cut.clear();
+        let start = Instant::now();
+        let listed = |daemon: &Daemon| daemon.known.lock().unwrap().contains("e0");
+        while !zone.daemons.values().all(listed) {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let took = start.elapsed().as_millis();
+        if took > START_LIMIT_MS {
+            late.push(format!("outage of {outage_ms} ms: {took} ms"));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// The readers list at different revisions although the feed has not changed, since the store's revision also
+/// counts other objects. Followers listed at one reader, were told by the other one to list again, and so on
+/// without end.
+#[tokio::test(start_paused = true)]
+async fn followers_list_once_although_the_readers_listed_at_different_revisions() {
+    let mut seen = Vec::new();
+    for pause_ms in [0, 20, 100] {
+        let zone = Zone::start_apart(30, Duration::from_millis(pause_ms)).await;
+        let lists = zone.peers.lists.load(Ordering::Acquire);
+        sleep(Duration::from_mins(1)).await;
+        let later = zone.peers.lists.load(Ordering::Acquire) - lists;
+        seen.push(format!("{pause_ms} ms apart: {later} lists in a minute"));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// A list of endpoints that is too large for a reply was read from the store twice by most daemons that started
+/// at once: their first one is older than that of their reader.
+#[tokio::test(start_paused = true)]
+async fn daemons_that_start_list_many_endpoints_once_at_the_store() {
+    let mut seen = Vec::new();
+    for earlier_release in [true, false] {
+        let zone = Zone::empty();
+        for number in 1..3_000 {
+            zone.put(&format!("endpoint-{number}"));
+        }
+        let release = &zone.peers.earlier_release;
+        release.store(earlier_release, Ordering::Release);
+        let zone = zone.start_daemons(30, Duration::from_millis(20)).await;
+        let lists = zone.store.lock().unwrap().lists;
+        let daemons = zone.daemons.values();
+        let complete = daemons.filter(|daemon| daemon.known.lock().unwrap().len() == 3_000);
+        seen.push(format!(
+            "readers of an earlier release {earlier_release}: {lists} lists at the store, {} daemons know all",
+            complete.count()
+        ));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_change_reaches_every_daemon_soon_while_readers_fail() {
     let faults = ["dead", "suspended", "cut off from the store"];
@@ -251,6 +316,38 @@
     }
 }
 
+/// Hundreds of daemons that start at once would all read the new entries of all others in the same moment.
+#[test]
+fn first_reads_of_many_daemons_that_start_together_are_spread() {
+    let mut seen = Vec::new();
+    for count in [6, 64, 100, 300] {
+        let mut hosts = Arena::<HostKey, Host>::default();
+        for number in 0..count {
+            let name = format!("daemon-{number:04}.region-1.example");
+            hosts.insert(&name, host(&name, 25));
+        }
+        let mut halves = BTreeMap::<u64, usize>::new();
+        for own in hosts.iter().map(|(key, _)| key) {
+            let hosts = hosts.clone();
+            let delay = start_delay(&Members { hosts, own });
+            *halves.entry(delay.as_millis() as u64 / 500).or_default() += 1;
+        }
+        seen.push((count, halves));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// The delay of the first read must not keep a change from the daemons that read late.
+#[tokio::test(start_paused = true)]
+async fn a_change_right_after_the_start_reaches_every_daemon_of_a_large_zone() {
+    let zone = Zone::start_new(100);
+    sleep(Duration::from_millis(100)).await;
+    let spread = zone.time_to_spread("e1", &[]).await;
+    let later = zone.time_to_spread("e2", &[]).await;
+    assert!(later < SPREAD_LIMIT_MS, "{later} ms");
+    assert_yaml_snapshot!(spread);
+}
+
 #[test]
 fn readers_are_strong_hosts_of_the_own_zone() {
     let mut hosts = Arena::<HostKey, Host>::default();
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -16,7 +16,10 @@
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -61,9 +64,13 @@
     pub events: Vec<(u64, Change<RosterEntry>)>,
     /// Number of times that it has come back from a copy.
     pub era: u64,
+    /// Revision at which an object of another kind last changed.
+    pub other: u64,
     /// Changes up to this revision are no longer kept.
     pub forgotten: u64,
     pub calls: usize,
+    /// Number of lists among the calls.
+    pub lists: usize,
     /// Hosts that the store does not answer.
     pub cut: BTreeSet<String>,
     /// Hosts whose watches get no response.
@@ -72,7 +79,8 @@
 
 impl Store {
     pub fn revision(&self) -> u64 {
-        self.events.last().map_or(0, |event| event.0)
+        let last = self.events.last().map_or(0, |event| event.0);
+        last.max(self.other)
     }
 
     fn full_revision(&self) -> StoreRevision {
@@ -111,6 +119,11 @@
         self.events.push((revision, change));
     }
 
+    /// Changes an object of another kind, which the feed does not show.
+    pub fn change_other(&mut self) {
+        self.other = self.revision() + 1;
+    }
+
     /// Returns the changes after `revision`.
     pub fn since(&self, revision: u64) -> Vec<Change<RosterEntry>> {
         let events = self.events.iter().filter(|event| event.0 > revision);
@@ -158,7 +171,8 @@
 
     async fn list(&self, _: Freshness) -> Result<Listing<RosterEntry>, FeedError> {
         self.call()?;
-        let store = self.store.lock().unwrap();
+        let mut store = self.store.lock().unwrap();
+        store.lists += 1;
         Ok(Listing {
             items: store.items(),
             revision: store.full_revision(),
@@ -201,6 +215,10 @@
     pub relays: Arc<Mutex<HashMap<String, FeedRelay<TestClock>>>>,
     /// Hosts that accept calls but do not reply.
     pub silent: Arc<Mutex<BTreeSet<String>>>,
+    /// Number of complete lists that were requested.
+    pub lists: Arc<AtomicUsize>,
+    /// Whether hosts know no comparison of lists.
+    pub earlier_release: Arc<AtomicBool>,
 }
 
 impl Peer for Peers {
@@ -208,10 +226,19 @@
         self.wait_while_silent(address).await;
         let relay = self.relays.lock().unwrap().get(address).cloned();
         let relay = relay.ok_or_else(|| PeerError::Unsent("connection refused".to_owned()))?;
-        let PeerCall::ReadFeed(read) = call else {
-            panic!("only feeds are read");
+        let reply = match call {
+            PeerCall::ReadFeed(read) => {
+                if read.since.is_none() {
+                    self.lists.fetch_add(1, Ordering::AcqRel);
+                }
+                relay.handle(read).await
+            }
+            PeerCall::CompareFeed(compare) if !self.earlier_release.load(Ordering::Acquire) => {
+                relay.compare(&compare)
+            }
+            PeerCall::CompareFeed(_) => return Err(PeerError::Refused("unknown call".to_owned())),
+            _ => panic!("only feeds are read"),
         };
-        let reply = relay.handle(read).await;
         // A host that was suspended during the call does not reply either.
         self.wait_while_silent(address).await;
         Ok(PeerReply::Feed(reply))
@@ -278,10 +305,58 @@
     Members { hosts, own }
 }
 
+fn host_names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("host-{number}")).collect()
+}
+
 impl Zone {
     /// Starts `count` daemons at once; the store holds one endpoint.
     pub async fn start(count: usize) -> Self {
-        let mut zone = Self {
+        Self::start_apart(count, Duration::ZERO).await
+    }
+
+    /// Starts `count` daemons one after another, `pause` apart; between them, objects of another kind
+    /// change.
+    pub async fn start_apart(count: usize, pause: Duration) -> Self {
+        Self::empty().start_daemons(count, pause).await
+    }
+
+    /// Starts `count` daemons like `start_apart`.
+    pub async fn start_daemons(mut self, count: usize, pause: Duration) -> Self {
+        let zone = &mut self;
+        let names = host_names(count);
+        for name in &names {
+            zone.start_daemon(&names, name);
+            if !pause.is_zero() {
+                sleep(pause).await;
+                zone.store.lock().unwrap().change_other();
+            }
+        }
+        sleep(Duration::from_secs(10)).await;
+        self
+    }
+
+    /// Starts `count` daemons at once, none of which the store answers.
+    pub fn start_cut(count: usize) -> Self {
+        let zone = Self::start_new(count);
+        // The daemons have not run yet.
+        zone.store.lock().unwrap().cut = host_names(count).into_iter().collect();
+        zone
+    }
+
+    /// Starts `count` daemons at once, which have not run yet.
+    pub fn start_new(count: usize) -> Self {
+        let mut zone = Self::empty();
+        let names = host_names(count);
+        for name in &names {
+            zone.start_daemon(&names, name);
+        }
+        zone
+    }
+
+    /// Prepares a zone without daemons; the store holds one endpoint.
+    pub fn empty() -> Self {
+        let zone = Self {
             store: Arc::default(),
             changed: watch::channel(()).0,
             peers: Peers::default(),
@@ -289,11 +364,6 @@
             clock: TestClock(Instant::now()),
         };
         zone.put("e0");
-        let names: Vec<_> = (0..count).map(|number| format!("host-{number}")).collect();
-        for name in &names {
-            zone.start_daemon(&names, name);
-        }
-        sleep(Duration::from_secs(10)).await;
         zone
     }
 
@@ -311,6 +381,7 @@
             counters: FeedCounters::new(&mut Registry::default()),
         };
         let (endpoints_log, endpoints) = section(FeedLog::default());
+        let known_endpoints = endpoints.clone();
         let relay = FeedRelay {
             clock: self.clock,
             routing: section(FeedLog::default()).1,
@@ -321,7 +392,10 @@
         relays.insert(name.to_owned(), relay);
         let rng = SmallRng::seed_from_u64(name.len() as u64);
         let limit = Duration::from_millis(SPREAD_LIMIT_MS as u64);
-        let feed = RelayedFeed::new(feed, links).with_spread_limit(limit);
+        let feed = RelayedFeed::new(feed, links)
+            .with_spread_limit(limit)
+            .with_known(known_endpoints)
+            .with_spread_start();
         let follower =
             FeedFollower::new(feed, self.clock, "endpoints", WATCH, rng).with_log(endpoints_log);
         let known = Known::default();
