Keep what answers clear cleared, whichever daemon counts or restarts

A daemon that takes refusals over now publishes them, so that daemons which start later are notified; a reply no longer wipes what other daemons sent; crashes counted alone are kept for the next daemon that counts. The method is part of the fingerprint.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -229,7 +229,7 @@
             self.ledger(&placement.request.pool, now)
                 .add_remote(placement, now);
         }
-        self.crashes.merge(&handover.refused, &[], now);
+        self.crashes.adopt(&handover.pool, &handover.refused, now);
         for crash in &handover.crashes {
             self.crashes.record_crash(&handover.pool, crash, now);
         }
@@ -268,7 +268,7 @@
     /// Records what the end of a run tells of what crashes endpoints; `crash` holds, if it is one.
     fn record_end(&mut self, pool: &str, run: RunEnd, crash: &ReportedCrash, now: Tick) {
         match run {
-            RunEnd::Unknown => {}
+            RunEnd::Unknown => self.crashes.record_unknown(&crash.causes, now),
             RunEnd::Answered => self.crashes.record_answer(pool, &crash.causes, now),
             RunEnd::Crashed => self.crashes.record_crash(pool, crash, now),
         }
--- a/src/control/crash_counter.rs
+++ b/src/control/crash_counter.rs
@@ -62,9 +62,15 @@
                 "a request with a refused cause was answered; it is no longer refused"
             );
             self.publish(pool, &cleared, now);
+            self.publish_cleared(&cleared, now);
         }
     }
 
+    /// Records that the end of a request with `causes` says nothing about what crashes endpoints.
+    pub(super) fn record_unknown(&mut self, causes: &[CauseKey], now: Tick) {
+        self.record.record_unknown(causes, now);
+    }
+
     /// Records that a request with `causes` goes to an endpoint.
     pub(super) fn record_placement(&mut self, causes: &[CauseKey], now: Tick) {
         self.record.record_placement(causes, now);
@@ -79,6 +85,36 @@
     ) {
         self.record.merge(refused, now);
         self.record.clear(cleared);
+        self.publish_cleared(cleared, now);
+        let published = self.writer.load();
+        let is_refused = |cause: &CauseKey| refused.iter().any(|(refused, _)| refused == cause);
+        let mut states = published.pools.values();
+        if states.any(|state| state.cleared.iter().any(is_refused)) {
+            drop(published);
+            // What was cleared before must not end the new refusal. No daemon needs to be notified of that.
+            let mut next = Refusals::clone(&self.writer.load());
+            for state in next.pools.values_mut() {
+                state.cleared.retain(|cause| !is_refused(cause));
+            }
+            self.writer.publish(next);
+        }
+    }
+
+    /// Takes over what the daemons of `pool` refuse that this one is to decide on from now on, and notifies
+    /// those that start later.
+    pub(super) fn adopt(&mut self, pool: &str, refused: &[(CauseKey, Duration)], now: Tick) {
+        self.record.merge(refused, now);
+        let published = self.writer.load();
+        let known = |cause| published.remaining(pool, &[cause], now).is_some();
+        let is_new = refused.iter().any(|(cause, _)| !known(*cause));
+        drop(published);
+        if is_new {
+            self.publish(pool, &[], now);
+        }
+    }
+
+    /// Publishes that `cleared` are no longer refused for the pools in which they were.
+    fn publish_cleared(&mut self, cleared: &[CauseKey], now: Tick) {
         let published = self.writer.load();
         let is_cleared = |state: &PoolRefusals| {
             let mut causes = state.refused.iter().map(|(cause, _)| cause);
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -177,8 +177,10 @@
     ///
     /// A daemon must not wait for the next request to receive them, which may be seconds away.
     pub async fn sync_placers(self) {
+        let mut applied = 0;
         loop {
             self.clock.sleep(CHECK_INTERVAL).await;
+            self.apply_own(&mut applied);
             let placed = self.state.placed.load_full();
             let refused = self.state.refused.load_full();
             let crashes = self.state.crashes.load_full();
@@ -196,33 +198,46 @@
         }
     }
 
-    /// Replaces the refused causes of a pool by those of the daemon that places its requests, which
-    /// took over what this daemon had refused.
-    fn record_refused(&self, pool: &str, refused: &[(CauseKey, Duration)]) {
-        let known = self.state.refused.load();
-        if refused.is_empty() && !known.contains_key(pool) {
+    /// Refuses no longer what this daemon itself has cleared since the version `applied` of its decisions.
+    fn apply_own(&self, applied: &mut u64) {
+        let own = self.own_refusals.load();
+        if own.version == *applied {
             return;
         }
-        let now = self.clock.now();
-        let mut causes = RefusedCauses::default();
-        log_new(pool, known.get(pool).unwrap_or(&causes), refused, now);
-        causes.merge(refused, now);
-        insert_copy(&self.state.refused, &pool.to_owned(), &causes);
+        *applied = own.version;
+        for (pool, state) in &own.pools {
+            self.update_refused(pool, &[], &state.cleared);
+        }
+    }
+
+    /// Refuses what the daemon that places the requests of `pool` refuses. What it has cleared arrives
+    /// with the updates that it sends.
+    fn record_refused(&self, pool: &str, refused: &[(CauseKey, Duration)]) {
+        if !refused.is_empty() {
+            self.update_refused(pool, refused, &[]);
+        }
     }
 
     /// Refuses what another daemon refuses, and no longer what it has cleared.
     pub fn refuse(&self, update: &RefusalUpdate) {
         for pool in &update.pools {
-            let now = self.clock.now();
-            let known = self.state.refused.load();
-            let mut causes = known.get(&pool.pool).cloned().unwrap_or_default();
-            log_new(&pool.pool, &causes, &pool.refused, now);
-            causes.merge(&pool.refused, now);
-            for cause in &pool.cleared {
+            self.update_refused(&pool.pool, &pool.refused, &pool.cleared);
+        }
+    }
+
+    fn update_refused(&self, pool: &str, refused: &[(CauseKey, Duration)], cleared: &[CauseKey]) {
+        let now = self.clock.now();
+        let known = self.state.refused.load();
+        log_new(pool, known.get(pool), refused, now);
+        self.state.refused.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            let causes = next.entry(pool.to_owned()).or_default();
+            causes.merge(refused, now);
+            for cause in cleared {
                 causes.clear(*cause);
             }
-            insert_copy(&self.state.refused, &pool.pool, &causes);
-        }
+            next
+        });
     }
 
     /// Remembers a crash for the daemons that take over the pool.
@@ -240,6 +255,32 @@
         });
     }
 
+    /// Forgets the crashes under `causes`, which were answered since.
+    fn record_answer(&self, pool: &str, causes: &[CauseKey]) {
+        if !self.state.crashes.load().contains_key(pool) {
+            return;
+        }
+        self.state.crashes.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            for seen in next.get_mut(pool).into_iter().flatten() {
+                seen.crash.causes.retain(|cause| !causes.contains(cause));
+            }
+            if let Some(crashes) = next.get_mut(pool) {
+                crashes.retain(|seen| !seen.crash.causes.is_empty());
+            }
+            next
+        });
+    }
+
+    /// Remembers or forgets crashes by the end of a run, for the daemons that take over the pool.
+    fn record_end(&self, pool: &str, run: RunEnd, crash: ReportedCrash) {
+        match run {
+            RunEnd::Unknown => {}
+            RunEnd::Crashed => self.record_crash(pool, crash),
+            RunEnd::Answered => self.record_answer(pool, &crash.causes),
+        }
+    }
+
     /// Returns the crashes that this daemon reported.
     fn seen_crashes(&self, pool: &str, now: Tick) -> Vec<ReportedCrash> {
         let crashes = self.state.crashes.load();
@@ -304,9 +345,7 @@
         let hosts: Vec<_> = hosts.collect();
         let router = self.clone();
         tokio::spawn(async move {
-            if end.run == RunEnd::Crashed {
-                router.record_crash(&end.pool, end.crash());
-            }
+            router.record_end(&end.pool, end.run, end.crash());
             for host in hosts {
                 let call = router.call(host, PeerCall::EndPlacement(end.clone()));
                 if call.await.is_some() {
@@ -322,14 +361,13 @@
             self.send_placements(host, &end.pool).await;
             let reply = self.call(host, PeerCall::EndCall(end.clone())).await;
             if let Some(PeerReply::CallVerdict(CallVerdict { suspect, refused })) = reply {
-                if end.run == RunEnd::Crashed {
-                    self.record_crash(&end.pool, end.crash());
-                }
+                self.record_end(&end.pool, end.run, end.crash());
                 self.record_refused(&end.pool, &refused);
                 return suspect;
             }
         }
         // Without a daemon that counts for all, this one counts what it sees.
+        self.record_end(&end.pool, end.run, end.crash());
         let verdict = self.own.end_call(end).await;
         verdict.is_some_and(|verdict| verdict.suspect)
     }
@@ -344,9 +382,10 @@
 }
 
 /// Logs those of `refused` that are not in `known`.
-fn log_new(pool: &str, known: &RefusedCauses, refused: &[(CauseKey, Duration)], now: Tick) {
+fn log_new(pool: &str, known: Option<&RefusedCauses>, refused: &[(CauseKey, Duration)], now: Tick) {
     for (cause, left) in refused {
-        if known.remaining(&[*cause], now).is_none() {
+        let remaining = known.and_then(|known| known.remaining(&[*cause], now));
+        if remaining.is_none() {
             let left_ms = left.as_millis() as u64;
             log::info!(
                 pool, cause:% = cause, left_ms;
--- a/src/decide/crash_record.rs
+++ b/src/decide/crash_record.rs
@@ -83,6 +83,8 @@
     last: Tick,
     /// Time for which requests with the cause were last refused; `None` if they were not.
     refuse_time: Option<Duration>,
+    /// Time after which the probe that is running was let through; `None` if none is.
+    probed_after: Option<Duration>,
     /// Whether requests with the cause were answered lately when it was refused.
     answered: bool,
 }
@@ -93,6 +95,7 @@
             counted: Vec::new(),
             last: now,
             refuse_time: None,
+            probed_after: None,
             answered: false,
         }
     }
@@ -156,12 +159,14 @@
         self.forget(now);
         for cause in causes {
             let answered = self.answers.last(*cause);
-            if answered.is_some_and(|answered| answered > crash.ended) {
+            let is_cleared = answered.is_some_and(|answered| answered > crash.ended);
+            if is_cleared || now - crash.ended >= retention(*cause) {
                 continue;
             }
             if self.causes.contains_key(cause) || self.causes.len() < MAX_CAUSES {
                 let crashes = self.causes.entry(*cause);
-                let crashes = crashes.or_insert_with(|| Crashes::new(now));
+                let crashes = crashes.or_insert_with(|| Crashes::new(crash.ended));
+                crashes.probed_after = None;
                 crashes.count(*cause, crash);
             }
         }
@@ -213,6 +218,7 @@
             if let Some(crashes) = self.causes.get_mut(cause)
                 && let Some(time) = crashes.refuse_time
             {
+                crashes.probed_after = Some(time);
                 let time = crashes.refuse_time(*cause, |next| next > time);
                 crashes.refuse_time = Some(time);
                 self.refused.refuse(*cause, time, now);
@@ -220,6 +226,20 @@
         }
     }
 
+    /// Records that the outcome of a request with `causes` is not known: if it was a probe, the next one
+    /// follows after the same time, and the one after it is not put off further.
+    pub fn record_unknown(&mut self, causes: &[CauseKey], now: Tick) {
+        for cause in causes {
+            if let Some(crashes) = self.causes.get_mut(cause)
+                && let Some(time) = crashes.probed_after.take()
+            {
+                crashes.refuse_time = Some(time);
+                self.refused.clear(*cause);
+                self.refused.refuse(*cause, time, now);
+            }
+        }
+    }
+
     /// Whether engines crashed under one of `causes` so often that the request is not retried.
     pub fn is_suspect(&self, causes: &[CauseKey]) -> bool {
         let mut causes = causes.iter();
@@ -233,6 +253,7 @@
 
     /// Takes over causes that another daemon refuses, each with the time left.
     pub fn merge(&mut self, refused: &[(CauseKey, Duration)], now: Tick) {
+        self.forget(now);
         for (cause, left) in refused {
             let crashes = self.causes.entry(*cause);
             let crashes = crashes.or_insert_with(|| Crashes::new(now));
@@ -262,10 +283,18 @@
         self.causes.retain(|cause, crashes| {
             let time = match crashes.refuse_time {
                 Some(_) => REFUSED_RETENTION,
-                None if cause.is_request() => REQUEST_RETENTION,
-                None => RETENTION,
+                None => retention(*cause),
             };
             now - crashes.last < time
         });
     }
 }
+
+/// Returns the time for which crashes under `cause` count.
+fn retention(cause: CauseKey) -> Duration {
+    if cause.is_request() {
+        REQUEST_RETENTION
+    } else {
+        RETENTION
+    }
+}
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -13,7 +13,7 @@
     fn end(&self, end: PlacementEnd);
 
     /// Reports how the run of a call at a plain service ended, and returns whether calls like it count as
-    /// crash suspects, which are not retried. The reply may take some tenths of a second; without one, no
+    /// crash suspects, which are not retried. The reply may take up to a second; without one, no
     /// call is suspected.
     fn end_call(&self, end: CallEnd) -> impl Future<Output = bool> + Send;
 
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -36,7 +36,7 @@
     pub deadline: Tick,
     /// Whether so much of the caller's time has passed that the response cannot meet its target.
     pub late: bool,
-    /// What may crash engines: the request by the hash of host, target and body, which is the same
+    /// What may crash engines: the request by the hash of method, host, target and body, which is the same
     /// when it is sent again, and the parts of its prompt.
     pub causes: Vec<CauseKey>,
     /// Whether so many engines broke off while they ran the request that it is not retried.
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -210,10 +210,17 @@
     std::iter::once(fingerprint(request)).chain(parts).collect()
 }
 
-/// Hash of host, target and body: the same for a request that is sent again under another id.
+/// Hash of method, host, target and body: the same for a request that is sent again under another id.
 fn fingerprint(request: &ForwardRequest) -> CauseKey {
     let mut hasher = DefaultHasher::new();
-    (&request.host, &request.target, &request.body).hash(&mut hasher);
+    let ForwardRequest {
+        method,
+        host,
+        target,
+        body,
+        ..
+    } = request;
+    (method, host, target, body).hash(&mut hasher);
     CauseKey::of_request(hasher.finish())
 }
 
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -10,7 +10,7 @@
         key::CauseKey,
         port::{
             CallEnd, CallVerdict, MonoClock, PeerCall, PlacementEnd, PlacementOutcome,
-            PlacementReply, PlacementRequest, PlacerHandover, RunEnd,
+            PlacementReply, PlacementRequest, PlacerHandover, PoolUpdate, RefusalUpdate, RunEnd,
         },
     },
     std::time::Duration,
@@ -311,3 +311,79 @@
     }
     assert_yaml_snapshot!(seen);
 }
+
+/// What a daemon handed over revived crashes that answers had cleared at the daemon before.
+#[test]
+fn crashes_from_before_an_answer_or_a_retention_ago_do_not_count() {
+    let mut record = CrashRecord::default();
+    record.record_answer(&[DEADLY], at(10));
+    let counts = [5, 20, 21, 22].map(|second| {
+        let crash = crash_of(&format!("d{second}"), at(second));
+        record.record_crash(&[DEADLY], &crash, at(30));
+        record.count(DEADLY)
+    });
+    let old = crash_of("d9", at(100));
+    record.record_crash(&[FIRST], &old, at(100 + 150));
+    assert_eq!((counts, record.count(FIRST)), ([0, 1, 2, 3], 0));
+}
+
+#[test]
+fn a_probe_without_outcome_does_not_put_off_the_next_one() {
+    let mut record = CrashRecord::default();
+    crash(&mut record, &[DEADLY], 0..3, 0);
+    let mut seen = Vec::new();
+    for second in [30, 60, 90] {
+        record.record_placement(&[DEADLY], at(second));
+        record.record_unknown(&[DEADLY], at(second + 1));
+        let left = record.refused().remaining(&[DEADLY], at(second + 1));
+        seen.push(left.map(|left| left.as_secs()));
+    }
+    assert_eq!(seen, [Some(20); 3]);
+}
+
+/// Of two daemons that counted one after the other, each refuses what the other does, and neither goes on
+/// to refuse what the other has cleared.
+#[tokio::test(start_paused = true)]
+async fn what_one_daemon_refuses_or_clears_holds_at_the_next() {
+    let (first, next) = (Placer::start(), Placer::start());
+    for number in 0..3 {
+        first.crash_call(number).await;
+        sleep(Duration::from_secs(1)).await;
+    }
+    let cause = CauseKey::of_request(7);
+    let refused_at = |placer: &Placer| {
+        let refusals = placer.handle.refusals();
+        let pool = refusals.load().pools.get("models").cloned();
+        pool.map(|pool| (pool.refused.len(), pool.cleared))
+    };
+    let decided = refused_at(&first);
+    let handover = PlacerHandover {
+        pool: "models".to_owned(),
+        refused: vec![(cause, Duration::from_hours(20))],
+        ..PlacerHandover::default()
+    };
+    next.handle
+        .handle(PeerCall::AdoptPlacements(handover))
+        .await;
+    sleep(Duration::from_secs(1)).await;
+    let adopted = refused_at(&next);
+    let answered = CallEnd {
+        pool: "models".to_owned(),
+        endpoint: "d8".to_owned(),
+        causes: vec![cause],
+        run: RunEnd::Answered,
+        ran_for: Duration::ZERO,
+    };
+    next.handle.end_call(answered).await;
+    let cleared = refused_at(&next);
+    let update = PoolUpdate {
+        pool: "models".to_owned(),
+        refused: Vec::new(),
+        cleared: vec![cause],
+    };
+    first.handle.refuse(RefusalUpdate {
+        pools: vec![update],
+    });
+    sleep(Duration::from_secs(1)).await;
+    assert_yaml_snapshot!([decided, adopted, cleared, refused_at(&first)]);
+}
