Decide on credit within quotas of organisations

An organisation's quota holds for all daemons together, and one daemon's equal share is less than one stream request a second. Each daemon therefore hands its share over to an accountant, which grants amounts of credit (QuotaPool); QuotaReporter decides what a daemon hands over, asks and keeps, QuotaFleet how many daemons count. Requests take credit from atomics (QuotaCredit).

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -26,6 +26,8 @@
     owners::{Owners, Ownership},
     pool::Pool,
     quota::{Quota, QuotaUnit},
+    quota_credit::{QuotaCredit, QuotaHold},
+    quotas::Quotas,
     refusal::Refusal,
     removed_endpoints::RemovedEndpoints,
     request_rate::RequestRate,
@@ -65,6 +67,8 @@
 mod owners;
 mod pool;
 mod quota;
+mod quota_credit;
+mod quotas;
 mod refusal;
 mod removed_endpoints;
 mod request_rate;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -34,6 +34,12 @@
     prefill_rate::PrefillRate,
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
     queue_order::{AGING_STEP, LATE_GRANT_INTERVAL, Rank, late_rank, rank},
+    quota_fleet::QuotaFleet,
+    quota_limits::{
+        QUOTA_SHARDS, QUOTA_WINDOW, QuotaLimits, quota_number, quota_shard, quota_shard_name,
+    },
+    quota_pool::{CREDIT_TERM, QuotaPool, QuotaUse},
+    quota_reporter::{MAX_ASK_TIME, QuotaAnswers, QuotaReporter, REPORT_TIMEOUT},
     recent_answers::RecentAnswers,
     refused_causes::RefusedCauses,
     retry::{Chance, Failure, Verdict, after_failure},
@@ -90,6 +96,10 @@
 mod prefill_rate;
 mod prefix_hash;
 mod queue_order;
+mod quota_fleet;
+mod quota_limits;
+mod quota_pool;
+mod quota_reporter;
 mod recent_answers;
 mod refused_causes;
 pub mod rendezvous;
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -27,6 +27,8 @@
         PlacementRequest, Placer, PlacerHandover, RunEnd, StatedLimit,
     },
     platform::{HostEntry, Object, ObjectName, ObjectStore, Platform, PlatformError},
+    quota_gate::{QuotaAnswer, QuotaGate},
+    quota_report::{QuotaGrant, QuotaNeed, QuotaReply, QuotaReport, QuotaStamp},
     request_log::RequestLog,
     role_orders::{EngineState, RoleOrder, RoleOrders},
     roster_entry::RosterEntry,
@@ -51,6 +53,8 @@
 mod peer_call;
 mod placer;
 mod platform;
+mod quota_gate;
+mod quota_report;
 mod request_log;
 mod role_orders;
 mod roster_entry;
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -271,6 +271,7 @@
         let members = Members {
             hosts: hosts.clone(),
             own,
+            is_listed: true,
         };
         let sources = feed_sources(&members, |_| false);
         let sources: Vec<_> = sources.iter().map(|key| names[key].as_str()).collect();
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -275,7 +275,11 @@
         hosts.insert(name, host(name, 25));
     }
     let own = hosts.find(own).unwrap();
-    Members { hosts, own }
+    Members {
+        hosts,
+        own,
+        is_listed: true,
+    }
 }
 
 impl Zone {
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -6,15 +6,16 @@
     http::{HeaderMap, Method},
     lentillead::{
         board::{
-            Blackboard, CallerLimits, Counters, Health, PathRoute, Repeat, ReportedLoad,
-            ResponseKind, Role, Routing, Writers,
+            Blackboard, CallerLimits, Counters, Health, PathRoute, QuotaCredit, Repeat,
+            ReportedLoad, ResponseKind, Role, Routing, Writers,
         },
         decide::merge_described,
         key::CauseKey,
         port::{
-            CacheHandle, CallEnd, Credentials, EndpointNotice, ForwardRequest, MonoClock, Noticed,
-            PlacementEnd, PlacementOutcome, PlacementRequest, Placer, Reservation, ResponseBody,
-            ResponseEvent, TokenCounts, Upstream, UpstreamError, UpstreamRequest, UpstreamResponse,
+            CacheHandle, CallEnd, Clock, Credentials, EndpointNotice, ForwardRequest, MonoClock,
+            Noticed, PlacementEnd, PlacementOutcome, PlacementRequest, Placer, QuotaAnswer,
+            QuotaGate, Reservation, ResponseBody, ResponseEvent, TokenCounts, Upstream,
+            UpstreamError, UpstreamRequest, UpstreamResponse,
         },
         request::{
             ForwardEntry, ForwardOptions, ForwardParts, ForwardReply, ForwardShared, Refused,
@@ -260,12 +261,13 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Ports(Script, FixedPlacer, MonoClock);
+pub struct Ports(Script, FixedPlacer, MonoClock, FixedQuotas);
 
 impl ForwardParts for Ports {
     type Clock = MonoClock;
     type Upstream = Script;
     type Placer = FixedPlacer;
+    type Quotas = FixedQuotas;
 
     fn clock(&self) -> &MonoClock {
         &self.2
@@ -278,6 +280,24 @@
     fn placer(&self) -> &FixedPlacer {
         &self.1
     }
+
+    fn quotas(&self) -> &FixedQuotas {
+        &self.3
+    }
+}
+
+/// Credit of which each request takes its cost.
+#[derive(Clone, Debug, Default)]
+pub struct FixedQuotas(pub Arc<QuotaCredit>);
+
+impl QuotaGate for FixedQuotas {
+    async fn reserve(&self, _: &str, cost: u64) -> QuotaAnswer {
+        let now = MonoClock::start().since_boot();
+        let refused = || QuotaAnswer::Refused(Duration::from_millis(250));
+        self.0
+            .reserve(cost, now)
+            .map_or_else(refused, QuotaAnswer::Granted)
+    }
 }
 
 /// Forwarding entry of a daemon with endpoints of every role.
@@ -285,6 +305,7 @@
     pub entry: ForwardEntry<Ports>,
     pub script: Script,
     pub placer: FixedPlacer,
+    pub quotas: FixedQuotas,
     pub writers: Writers,
 }
 
@@ -342,13 +363,20 @@
         outcomes: Arc::new(Mutex::new(placements.into())),
         requests: Arc::default(),
     };
-    let ports = Ports(script.clone(), placer.clone(), MonoClock::start());
+    let quotas = FixedQuotas::default();
+    let ports = Ports(
+        script.clone(),
+        placer.clone(),
+        MonoClock::start(),
+        quotas.clone(),
+    );
     let counters = Counters::new(&mut Registry::default());
     let shared = ForwardShared::new(ports, board, counters, ForwardOptions::default(), 7);
     Site {
         entry: ForwardEntry::new(shared),
         script,
         placer,
+        quotas,
         writers,
     }
 }
