Admit requests within the quotas of organisations

Requests over an organisation's quota are to be refused with 429. After the check of the access key and before an endpoint is chosen, a request reserves credit; it is used when the first attempt is sent and goes back when the request did not run. New refusal quota-exceeded, metrics quota_*.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Arena, Branch, Digests, Fleet, Health, HostList, Members, Orders, Owners, Routing, Section,
-        Sheet, Suspects, Writer, section,
+        Arena, Branch, Digests, Fleet, Health, HostList, Members, Orders, Owners, Quotas, Routing,
+        Section, Sheet, Suspects, Writer, section,
     },
     crate::key::BranchKey,
 };
@@ -25,6 +25,8 @@
     pub orders: Section<Orders>,
     /// Owner and backup of each endpoint.
     pub owners: Section<Owners>,
+    /// Credit of this daemon within the quotas of organisations.
+    pub quotas: Section<Quotas>,
     /// The routes in force for forwarded requests, and the limits on what callers send.
     pub routing: Section<Routing>,
     /// The sheet (routing configuration) in force.
@@ -54,6 +56,8 @@
     pub orders: Writer<Orders>,
     /// Written by the owner controller.
     pub owners: Writer<Owners>,
+    /// Written by the quota controller.
+    pub quotas: Writer<Quotas>,
     /// Written by the routing controller.
     pub routing: Writer<Routing>,
     /// Written by the sheet controller.
@@ -73,6 +77,7 @@
         let members = section(Members::default());
         let orders = section(Orders::default());
         let owners = section(Owners::default());
+        let quotas = section(Quotas::default());
         let routing = section(Routing::default());
         let sheet = section(Sheet::default());
         let suspects = section(Suspects::default());
@@ -85,6 +90,7 @@
             members: members.0,
             orders: orders.0,
             owners: owners.0,
+            quotas: quotas.0,
             routing: routing.0,
             sheet: sheet.0,
             suspects: suspects.0,
@@ -98,6 +104,7 @@
             members: members.1,
             orders: orders.1,
             owners: owners.1,
+            quotas: quotas.1,
             routing: routing.1,
             sheet: sheet.1,
             suspects: suspects.1,
--- a/src/board/members.rs
+++ b/src/board/members.rs
@@ -8,6 +8,8 @@
 pub struct Members {
     /// Hosts by name.
     pub hosts: Arena<HostKey, Host>,
+    /// Whether the list of the store was read, so that the other daemons are known.
+    pub is_listed: bool,
     /// Key of this daemon's own host.
     pub own: HostKey,
 }
--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -47,11 +47,13 @@
     AccessKeyMalformed,
     /// The access key of the request belongs to no organisation.
     AccessKeyUnknown,
+    /// The quota of the organisation has no credit for the request.
+    QuotaExceeded,
 }
 
 impl Refusal {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::UnknownBranch,
         Self::UnknownKind,
         Self::BadRequest,
@@ -73,6 +75,7 @@
         Self::AccessKeyMissing,
         Self::AccessKeyMalformed,
         Self::AccessKeyUnknown,
+        Self::QuotaExceeded,
     ];
 
     /// Returns the name of the reason, which stays the same in every release.
@@ -99,6 +102,7 @@
             Self::AccessKeyMissing => "access-key-missing",
             Self::AccessKeyMalformed => "access-key-malformed",
             Self::AccessKeyUnknown => "access-key-unknown",
+            Self::QuotaExceeded => "quota-exceeded",
         }
     }
 }
--- a/src/border/problem.rs
+++ b/src/border/problem.rs
@@ -73,7 +73,7 @@
         Refusal::BadRequest | Refusal::KeyMissing => StatusCode::BAD_REQUEST,
         Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::KeyReused | Refusal::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
-        Refusal::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::QueueFull | Refusal::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         Refusal::InProgress => StatusCode::CONFLICT,
         Refusal::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Refusal::OutcomeUnknown | Refusal::Truncated => StatusCode::BAD_GATEWAY,
--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -98,6 +98,7 @@
         }
         let missing = &mut self.missing;
         self.parts.writer.update(|members| {
+            members.is_listed = true;
             let known = members.hosts.iter().map(|(_, host)| host.name.clone());
             let gone: Vec<_> = known
                 .filter(|name| *name != own && !names.contains(name.as_str()))
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -29,6 +29,9 @@
     placement_router::PlacementRouter,
     queue_controller::QueueController,
     queue_handle::QueueHandle,
+    quota_controller::{QuotaController, QuotaParts},
+    quota_counters::QuotaCounters,
+    quota_handle::QuotaHandle,
     readiness_controller::{ReadinessController, ReadinessParts, STOP_NOTICE_TIME},
     registration::Registration,
     relayed_feed::{FeedLinks, RelayedFeed},
@@ -86,6 +89,9 @@
 mod queue_reconcile;
 mod queue_snapshot;
 mod queue_state;
+mod quota_controller;
+mod quota_counters;
+mod quota_handle;
 mod readiness_controller;
 mod registration;
 mod relay_state;
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -67,8 +67,9 @@
             | PeerCall::AdoptPlacements(_)
             | PeerCall::EndPlacement(_)
             | PeerCall::EndCall(_)
-            | PeerCall::ReadFeed(_) => PeerReply::Failed(
-                "this daemon does not forward by routes and accepts no placement or feed calls"
+            | PeerCall::ReadFeed(_)
+            | PeerCall::ReportQuota(_) => PeerReply::Failed(
+                "this daemon does not forward by routes and accepts no placement, feed or quota calls"
                     .to_owned(),
             ),
         }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -5,8 +5,9 @@
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
             FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
-            ReadinessController, ReadinessParts, Registration, RelayedFeed, RosterController,
-            RoutingController, StageController, StageParts, StorePath,
+            QuotaController, QuotaCounters, QuotaHandle, QuotaParts, ReadinessController,
+            ReadinessParts, Registration, RelayedFeed, RosterController, RoutingController,
+            StageController, StageParts, StorePath,
         },
         key::name_hash,
         port::{
@@ -86,6 +87,7 @@
     clock: MonoClock,
     upstream: U,
     placer: PlacementRouter<PeerClient, MonoClock>,
+    quotas: QuotaHandle<MonoClock>,
 }
 
 impl<U> ForwardParts for ForwardDaemonParts<U>
@@ -95,6 +97,7 @@
     type Clock = MonoClock;
     type Upstream = U;
     type Placer = PlacementRouter<PeerClient, MonoClock>;
+    type Quotas = QuotaHandle<MonoClock>;
 
     fn clock(&self) -> &MonoClock {
         &self.clock
@@ -107,6 +110,10 @@
     fn placer(&self) -> &Self::Placer {
         &self.placer
     }
+
+    fn quotas(&self) -> &Self::Quotas {
+        &self.quotas
+    }
 }
 
 /// A running daemon that forwards requests by routes; dropping it ends it at once, as a crash
@@ -126,15 +133,17 @@
     pub registry: Arc<Registry>,
     health: HealthHandle,
     allocation: AllocationHandle,
+    quotas: QuotaHandle<MonoClock>,
     relay: FeedRelay<MonoClock>,
     tasks: JoinSet<()>,
 }
 
-/// Handles calls of other daemons, which concern the endpoints that this daemon places requests at
-/// and what it has read from the store.
+/// Handles calls of other daemons, which concern the endpoints that this daemon places requests at,
+/// what it has read from the store, and the quotas that it accounts for.
 #[derive(Clone, Debug)]
 pub struct ForwardDispatch {
     allocation: AllocationHandle,
+    quotas: QuotaHandle<MonoClock>,
     relay: FeedRelay<MonoClock>,
 }
 
@@ -142,6 +151,7 @@
     async fn handle(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::ReadFeed(read) => PeerReply::Feed(self.relay.handle(read).await),
+            PeerCall::ReportQuota(report) => self.quotas.report(report).await,
             call => self.allocation.handle(call).await,
         }
     }
@@ -221,11 +231,12 @@
             members: board.members.clone(),
         };
         tasks.spawn(StageController::new(stages).run());
+        let incarnation = clock.unix_ms();
         let own = MemberEntry {
             name: settings.host.clone(),
             zone: settings.options.zone.clone(),
             address: settings.address.clone(),
-            incarnation: clock.unix_ms(),
+            incarnation,
             strength: settings.strength,
         };
         let members = rng("members");
@@ -245,9 +256,21 @@
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
         let members = board.members.clone();
+        let quotas = QuotaParts {
+            peer: ports.peer.clone(),
+            clock,
+            board: board.clone(),
+            writer: writers.quotas,
+            host: settings.host.clone(),
+            incarnation,
+            counters: QuotaCounters::new(&mut registry),
+        };
         let placer = PlacementRouter::new(ports.peer, clock, members, allocation.clone());
         tasks.spawn(placer.clone().sync_placers());
+        let (controller, quotas) = QuotaController::new(quotas);
+        tasks.spawn(controller.run());
         let daemon_parts = ForwardDaemonParts {
+            quotas: quotas.clone(),
             clock,
             upstream: ports.upstream,
             placer,
@@ -260,6 +283,7 @@
             registry: Arc::new(registry),
             health,
             allocation,
+            quotas,
             relay,
             tasks,
         }
@@ -269,6 +293,7 @@
     pub fn dispatch(&self) -> ForwardDispatch {
         ForwardDispatch {
             allocation: self.allocation.clone(),
+            quotas: self.quotas.clone(),
             relay: self.relay.clone(),
         }
     }
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallEnd, CallVerdict, FeedRead, FeedReply, PlacementEnd, PlacementReply, PlacementRequest,
-        PlacerHandover,
+        PlacerHandover, QuotaReply, QuotaReport,
     },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
@@ -46,6 +46,8 @@
     ReadFeed(FeedRead),
     /// Reports how the run of a call at a plain service ended.
     EndCall(CallEnd),
+    /// Reports what the sender used and needs of the quotas of organisations, to their accountant.
+    ReportQuota(QuotaReport),
 }
 
 /// Reply to a `PeerCall`.
@@ -73,6 +75,8 @@
     Feed(FeedReply),
     /// Whether calls like the one that ended are suspected of crashing endpoints.
     CallVerdict(CallVerdict),
+    /// Credit within the quotas of organisations.
+    Quota(QuotaReply),
 }
 
 /// State and updates that daemons send each other at every heartbeat interval; its size is bounded.
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -2,7 +2,7 @@
     super::{
         CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
         ForwardShared, Refused, RetryPermit, caller_check, forward_log::NextStep, forward_refusal,
-        forward_response::ForwardResponse,
+        forward_response::ForwardResponse, quota_charge,
     },
     crate::{
         board::{RetryReason, Role},
@@ -57,6 +57,7 @@
             hold
         };
         caller_check::admit_again(shared, call)?;
+        quota_charge::spend(shared, call).await?;
         ForwardLog::new(shared, call).chosen(&hold, "run");
         call.tried.push(hold.key);
         match run_attempt(shared, call, &hold).await {
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{EndpointHold, ForwardParts, ForwardShared, stream_times::StreamTimes},
     crate::{
-        board::{PathRoute, Repeat, Tick},
+        board::{PathRoute, QuotaHold, Repeat, Tick},
         decide::{
             AttemptState, CallOrganisation, Chance, Failure, RetryBudget, Verdict, after_failure,
         },
@@ -28,6 +28,10 @@
     pub priority: u8,
     /// As whom an endpoint gets to know the caller.
     pub identity: CallerIdentity,
+    /// Cost of the request within the quota of its organisation; `None` without a quota.
+    pub cost: Option<u64>,
+    /// Credit reserved for the request, or used by it.
+    pub credit: Option<Arc<QuotaHold>>,
     /// Name of the pool that the request goes to.
     pub pool: String,
     /// Time of arrival.
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -2,7 +2,7 @@
     super::{
         EventRelay, ForwardCall, ForwardLog, ForwardParts, ForwardShared, Refused, caller_check,
         forward_buffered, forward_log::log_refused, forward_response::ForwardResponse,
-        opened_stream::OpenedStream, stream_times::StreamTimes,
+        opened_stream::OpenedStream, quota_charge, stream_times::StreamTimes,
     },
     crate::{
         board::{PathRoute, Refusal, ResponseKind, Routing, StopPhase, Tick},
@@ -63,7 +63,11 @@
     ) -> ForwardReply<P> {
         self.shared.counters().requests.inc();
         let request = Arc::new(request);
-        let call = match self.admit(&request, timeout) {
+        let admitted = match self.admit(&request, timeout) {
+            Ok(call) => quota_charge::reserve(&self.shared, call).await,
+            Err(refused) => Err(refused),
+        };
+        let call = match admitted {
             Ok(call) => call,
             Err(refused) => {
                 log_refused(&self.shared, &request.id, &refused);
@@ -71,6 +75,16 @@
             }
         };
         self.shared.budget(&call.pool).earn();
+        let credit = call.credit.clone();
+        let reply = self.run(call).await;
+        if let ForwardReply::Refused(refused) = &reply {
+            quota_charge::refund(credit.as_deref(), refused);
+        }
+        reply
+    }
+
+    /// Forwards an admitted request.
+    async fn run(&self, call: ForwardCall) -> ForwardReply<P> {
         match call.route.response {
             ResponseKind::Complete => self.buffered(call).await,
             ResponseKind::Events => match EventRelay::open(&self.shared, call).await {
@@ -129,6 +143,8 @@
         let late = timeout.is_some_and(|timeout| timeout + route.target <= route.timeout);
         let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = self.deadline_in_stop(arrived + timeout, route.response)?;
+        let organisation = admission.organisation.as_ref();
+        let cost = quota_charge::cost(&routing, organisation, request);
         Ok(ForwardCall {
             pool: self.draw_pool(&route),
             route,
@@ -137,6 +153,8 @@
             organisation: admission.organisation,
             priority: admission.priority,
             identity: admission.identity,
+            cost,
+            credit: None,
             arrived,
             deadline,
             late,
--- a/src/request/forward_parts.rs
+++ b/src/request/forward_parts.rs
@@ -1,4 +1,4 @@
-use crate::port::{Clock, Placer, Upstream};
+use crate::port::{Clock, Placer, QuotaGate, Upstream};
 
 /// The implementations of the ports that forwarded requests use.
 pub trait ForwardParts: Clone + Send + Sync + 'static {
@@ -8,6 +8,8 @@
     type Upstream: Upstream;
     /// Assigns endpoints to streams.
     type Placer: Placer;
+    /// Admits requests within the quotas of organisations.
+    type Quotas: QuotaGate;
 
     /// Returns the clock.
     fn clock(&self) -> &Self::Clock;
@@ -17,4 +19,7 @@
 
     /// Returns the placer, which assigns endpoints to streams.
     fn placer(&self) -> &Self::Placer;
+
+    /// Returns the gate that admits requests within the quotas of organisations.
+    fn quotas(&self) -> &Self::Quotas;
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -82,6 +82,7 @@
 mod placement_search;
 mod pools;
 mod progress;
+mod quota_charge;
 mod refused;
 mod relay;
 mod replacement_search;
--- a/src/request/stream_attempts.rs
+++ b/src/request/stream_attempts.rs
@@ -6,6 +6,7 @@
         forward_refusal,
         overdue_wait::{Awaited, OverdueWait},
         placement_search::{PlacementSearch, StreamPlacement},
+        quota_charge,
         replacement_search::{Replacement, ReplacementSearch},
         retry_permit::RetryPermit,
         stream_run::{BodyOf, StartedAttempt},
@@ -150,6 +151,7 @@
                 continue;
             }
             caller_check::admit_again(&self.shared, &mut self.call)?;
+            quota_charge::spend(&self.shared, &mut self.call).await?;
             self.call.tried.push(hold.key);
             let handle = cache.as_ref().and_then(CacheHold::handle);
             let reserved = reservation.as_ref().and_then(ReservationHold::handle);
