Let a request wait for the next report if it came with the one in progress

A request that arrived at the moment at which a report was sent was refused with the reply to that report, which did not name it. It now waits for the next one, which is sent at once.

--- a/src/decide/quota_reporter.rs
+++ b/src/decide/quota_reporter.rs
@@ -531,7 +531,7 @@
                 answers.push((request.waiter, QuotaAnswer::Granted(hold)));
                 continue;
             }
-            if sent.is_some_and(|sent| request.since > sent) && now >= self.refused_until {
+            if sent.is_some_and(|sent| request.since >= sent) && now >= self.refused_until {
                 self.waiting.push_front(request);
                 return;
             }
