--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -26,6 +26,8 @@
     owners::{Owners, Ownership},
     pool::Pool,
     quota::{Quota, QuotaUnit},
+    quota_credit::{QuotaCredit, QuotaHold},
+    quotas::Quotas,
     refusal::Refusal,
     refusals::{PoolRefusals, Refusals},
     removed_endpoints::RemovedEndpoints,
@@ -66,6 +68,8 @@
 mod owners;
 mod pool;
 mod quota;
+mod quota_credit;
+mod quotas;
 mod refusal;
 mod refusals;
 mod removed_endpoints;
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -69,8 +69,9 @@
             | PeerCall::EndCall(_)
             | PeerCall::RefuseCauses(_)
             | PeerCall::ReadFeed(_)
-            | PeerCall::CompareFeed(_) => PeerReply::Failed(
-                "this daemon does not forward by routes and accepts no placement or feed calls"
+            | PeerCall::CompareFeed(_)
+            | PeerCall::ReportQuota(_) => PeerReply::Failed(
+                "this daemon does not forward by routes and accepts no placement, feed or quota calls"
                     .to_owned(),
             ),
         }
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -5,8 +5,9 @@
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
             FeedRelay, HealthHandle, MemberRosterController, MemberRosterParts, PlacementRouter,
-            ReadinessController, ReadinessParts, RefusalController, Registration, RelayedFeed,
-            RosterController, RoutingController, StageController, StageParts, StorePath,
+            QuotaController, QuotaCounters, QuotaHandle, QuotaParts, ReadinessController,
+            ReadinessParts, RefusalController, Registration, RelayedFeed, RosterController,
+            RoutingController, StageController, StageParts, StorePath,
         },
         key::name_hash,
         port::{
@@ -86,6 +87,7 @@
     clock: MonoClock,
     upstream: U,
     placer: PlacementRouter<PeerClient, MonoClock>,
+    quotas: QuotaHandle<MonoClock>,
 }
 
 impl<U> ForwardParts for ForwardDaemonParts<U>
@@ -95,6 +97,7 @@
     type Clock = MonoClock;
     type Upstream = U;
     type Placer = PlacementRouter<PeerClient, MonoClock>;
+    type Quotas = QuotaHandle<MonoClock>;
 
     fn clock(&self) -> &MonoClock {
         &self.clock
@@ -107,6 +110,10 @@
     fn placer(&self) -> &Self::Placer {
         &self.placer
     }
+
+    fn quotas(&self) -> &Self::Quotas {
+        &self.quotas
+    }
 }
 
 /// A running daemon that forwards requests by routes; dropping it ends it at once, as a crash
@@ -126,16 +133,18 @@
     pub registry: Arc<Registry>,
     health: HealthHandle,
     allocation: AllocationHandle,
+    quotas: QuotaHandle<MonoClock>,
     relay: FeedRelay<MonoClock>,
     tasks: JoinSet<()>,
 }
 
-/// Handles calls of other daemons, which concern the endpoints that this daemon places requests at
-/// and what it has read from the store.
+/// Handles calls of other daemons, which concern the endpoints that this daemon places requests at,
+/// what it has read from the store, and the quotas that it accounts for.
 #[derive(Clone, Debug)]
 pub struct ForwardDispatch {
     allocation: AllocationHandle,
     placer: PlacementRouter<PeerClient, MonoClock>,
+    quotas: QuotaHandle<MonoClock>,
     relay: FeedRelay<MonoClock>,
 }
 
@@ -149,6 +158,7 @@
                 self.allocation.refuse(update);
                 PeerReply::Done
             }
+            PeerCall::ReportQuota(report) => self.quotas.report(report).await,
             call => self.allocation.handle_peer(call).await,
         }
     }
@@ -229,6 +239,7 @@
             members: board.members.clone(),
         };
         tasks.spawn(StageController::new(stages).run());
+        let incarnation = clock.unix_ms();
         let members = rng("members");
         let feed = RelayedFeed::new(ports.members, links.clone())
             .with_known(relay.members.clone())
@@ -240,7 +251,7 @@
             .with_log(members_writer);
         let roster = MemberRosterParts {
             clock,
-            own: own_entry(settings, clock.unix_ms()),
+            own: own_entry(settings, incarnation),
             writer: writers.members,
             lapsed: Arc::default(),
         };
@@ -251,9 +262,21 @@
         let refusals = allocation.refusals();
         let refusals = RefusalController::new(ports.peer.clone(), clock, members.clone(), refusals);
         tasks.spawn(refusals.run());
+        let quotas = QuotaParts {
+            peer: ports.peer.clone(),
+            clock,
+            board: board.clone(),
+            writer: writers.quotas,
+            host: settings.host.clone(),
+            incarnation,
+            counters: QuotaCounters::new(&mut registry),
+        };
         let placer = PlacementRouter::new(ports.peer, clock, members, allocation.clone());
         tasks.spawn(placer.clone().sync_placers());
+        let (controller, quotas) = QuotaController::new(quotas);
+        tasks.spawn(controller.run());
         let daemon_parts = ForwardDaemonParts {
+            quotas: quotas.clone(),
             clock,
             upstream: ports.upstream,
             placer,
@@ -266,6 +289,7 @@
             registry: Arc::new(registry),
             health,
             allocation,
+            quotas,
             relay,
             tasks,
         }
@@ -276,6 +300,7 @@
         ForwardDispatch {
             allocation: self.allocation.clone(),
             placer: self.entry.shared().parts().placer.clone(),
+            quotas: self.quotas.clone(),
             relay: self.relay.clone(),
         }
     }
--- a/src/port/peer_call.rs
+++ b/src/port/peer_call.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallEnd, CallVerdict, FeedCompare, FeedRead, FeedReply, PlacementEnd, PlacementReply,
-        PlacementRequest, PlacerHandover, RefusalUpdate,
+        PlacementRequest, PlacerHandover, QuotaReply, QuotaReport, RefusalUpdate,
     },
     crate::{
         board::{Endpoint, HostState, Role, Rule},
@@ -50,6 +50,8 @@
     RefuseCauses(RefusalUpdate),
     /// Requests what differs in the receiver's list of a feed of the store; the reply is `Feed`.
     CompareFeed(FeedCompare),
+    /// Reports what the sender used and needs of the quotas of organisations, to their accountant.
+    ReportQuota(QuotaReport),
 }
 
 /// Reply to a `PeerCall`.
@@ -77,6 +79,8 @@
     Feed(FeedReply),
     /// Whether calls like the one that ended are suspected of crashing endpoints.
     CallVerdict(CallVerdict),
+    /// Credit within the quotas of organisations.
+    Quota(QuotaReply),
 }
 
 /// State and updates that daemons send each other at every heartbeat interval; its size is bounded.
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -302,7 +302,11 @@
         hosts.insert(name, host(name, 25));
     }
     let own = hosts.find(own).unwrap();
-    Members { hosts, own }
+    Members {
+        hosts,
+        own,
+        is_listed: true,
+    }
 }
 
 fn host_names(count: usize) -> Vec<String> {
