Read the fourth figure of Server-Load and keep averages of it

Cause: the fourth figure, how long work takes at the endpoint, was ignored, and so was any further one; a header that was partly invalid or came twice was read in part. ServiceLoad keeps reports with a fourth figure, their averages, the time of work at the usual speed and the number of requests at which the endpoint turned one away. Result: nothing is decided by it yet.

--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -45,6 +45,10 @@
     pub local_prefills: Counter,
     /// Cancel messages sent to endpoints.
     pub cancels: Counter,
+    /// Load reports of endpoints that were ignored as invalid.
+    pub ignored_reports: Counter,
+    /// Forwarded calls that waited because their pool was full.
+    pub deferred_calls: Counter,
     /// Time from the arrival of a forwarded call to its complete response, in seconds.
     pub response_time: Histogram,
     /// Time from the arrival of a forwarded stream to its first event, in seconds.
@@ -69,6 +73,8 @@
             stray_chunks: Counter::default(),
             local_prefills: Counter::default(),
             cancels: Counter::default(),
+            ignored_reports: Counter::default(),
+            deferred_calls: Counter::default(),
             response_time: latency_histogram(),
             first_event_time: latency_histogram(),
             placement_time: latency_histogram(),
@@ -120,6 +126,16 @@
                 &self.local_prefills,
             ),
             ("cancels", "Cancels sent to endpoints", &self.cancels),
+            (
+                "load_reports_ignored",
+                "Load reports of endpoints ignored as invalid",
+                &self.ignored_reports,
+            ),
+            (
+                "calls_deferred",
+                "Forwarded calls that waited because their pool was full",
+                &self.deferred_calls,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/board/endpoint_traffic.rs
+++ b/src/board/endpoint_traffic.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointLimit, Tick},
+    super::{EndpointLimit, ServiceLoad, Tick},
     std::{
         sync::atomic::{AtomicU32, AtomicU64, Ordering},
         time::Duration,
@@ -45,6 +45,8 @@
     leaving: AtomicU64,
     /// Limit on the rate of requests that the endpoint stated.
     pub limit: EndpointLimit,
+    /// Reports of a plain service that states how long work takes there.
+    pub service: ServiceLoad,
 }
 
 /// Load that an endpoint reported with a response.
@@ -56,6 +58,20 @@
     pub waiting: u32,
     /// Maximum number of requests that run at once.
     pub slots: u32,
+    /// How long work takes at the endpoint at this moment, in hundredths of the usual time; at least 1.
+    pub speed: Option<u32>,
+}
+
+impl ReportedLoad {
+    /// Returns the number of requests at the endpoint, running and waiting.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
+    /// Returns whether every slot is in use.
+    pub fn is_full(&self) -> bool {
+        self.requests() >= self.slots
+    }
 }
 
 impl EndpointTraffic {
@@ -83,8 +99,7 @@
 
     /// Records the load that a response reported.
     pub fn record_load(&self, load: ReportedLoad, now: Tick) {
-        let all = load.running.saturating_add(load.waiting);
-        let others = all.saturating_sub(self.running());
+        let others = load.requests().saturating_sub(self.running());
         self.other_requests.store(others, Ordering::Release);
         self.reported_at.store(now.0.max(1), Ordering::Release);
     }
@@ -213,6 +228,7 @@
         if self.incarnation.swap(incarnation, Ordering::AcqRel) != incarnation {
             self.paused_until.store(0, Ordering::Release);
             self.limit.clear();
+            self.service.clear();
         }
     }
 
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -29,6 +29,7 @@
     routing::{CallerLimits, PathRoute, PoolConfig, ResponseKind, Routing},
     rule::{Borrow, Repeat, Route, Rule, Target},
     section::{Section, Writer, section},
+    service_load::{MAX_NEWS_AGE, ServiceLoad, ServiceNews},
     sheet::Sheet,
     status::{FleetStatus, MemberStatus, PoolStatus, Status, SuspectStatus},
     suspects::{Suspect, Suspects},
@@ -63,6 +64,7 @@
 mod routing;
 mod rule;
 mod section;
+mod service_load;
 mod sheet;
 mod status;
 mod suspects;
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -191,6 +191,8 @@
 pub struct EndpointNotice {
     /// Load of the endpoint, if it reports it.
     pub load: Option<ReportedLoad>,
+    /// Whether the endpoint reported a load that is invalid and was ignored.
+    pub invalid_load: bool,
     /// Whether the endpoint leaves: it is to get no further requests.
     pub leaving: bool,
     /// Time for which the endpoint is to get no further requests, if it turned this one away and
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -204,6 +204,14 @@
 
     /// Records what the endpoint said of itself with a response.
     pub fn record_notice<P>(&self, shared: &ForwardShared<P>, notice: EndpointNotice)
+    where
+        P: ForwardParts,
+    {
+        self.record(shared, notice, false);
+    }
+
+    /// Records what the endpoint said of itself; `refused` if it turned this attempt away.
+    fn record<P>(&self, shared: &ForwardShared<P>, notice: EndpointNotice, refused: bool)
     where
         P: ForwardParts,
     {
@@ -212,6 +220,7 @@
         if let Some(load) = notice.load {
             traffic.record_load(load, now);
         }
+        self.record_service_load(shared, &notice, refused);
         if notice.leaving && traffic.set_leaving(self.incarnation) {
             log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
@@ -236,9 +245,37 @@
         }
     }
 
+    /// Records the load that a service reported; `refused` if it turned this attempt away. An invalid
+    /// report is counted, and logged within bounds.
+    fn record_service_load<P>(
+        &self,
+        shared: &ForwardShared<P>,
+        notice: &EndpointNotice,
+        refused: bool,
+    ) where
+        P: ForwardParts,
+    {
+        let now = shared.now();
+        let service = &self.counters.traffic.service;
+        if let Some(load) = notice.load
+            && self.role == Role::Service
+        {
+            // A refused attempt is not among the requests at the endpoint.
+            let own = self.running() - u32::from(refused);
+            service.record(load, own, refused, now);
+        }
+        if notice.invalid_load {
+            shared.counters().ignored_reports.inc();
+            if service.logs_invalid(now) {
+                log::warn!(endpoint = self.name.as_str(); "endpoint reported an invalid load; ignoring it");
+            }
+        }
+    }
+
     /// Records the response time of the attempt.
     pub fn record_response_time(&self, took: Duration) {
         self.counters.traffic.record_response_time(took);
+        self.counters.traffic.service.record_response_time(took);
     }
 
     /// Records the end of an attempt that got a response; `failed` for an error status.
@@ -265,7 +302,7 @@
         let traffic = &self.counters.traffic;
         match error {
             UpstreamError::Refused { notice, .. } => {
-                self.record_notice(shared, *notice);
+                self.record(shared, *notice, true);
                 traffic.record_attempt(true);
                 if self.role != Role::Service {
                     self.record_refusal(now);
--- a/tests/forward_site.rs
+++ b/tests/forward_site.rs
@@ -88,6 +88,7 @@
             running: 1,
             waiting: 0,
             slots: 6,
+            speed: None,
         }),
         ..EndpointNotice::default()
     }
