Choose among plain services by expected time where they state it

Cause: all daemons with the same news chose the same endpoint, at any stated speed, and learnt that an endpoint was full only by being rejected. Change: choose_by_completion draws an endpoint with a weight that falls with the square of the expected time (usual time of work, stated speed, requests against slots); endpoints at their learnt limit are drawn only if all are. Endpoints without recent reports count as the average of the others; if none has any, the choice is as before.

--- a/src/board/service_load.rs
+++ b/src/board/service_load.rs
@@ -29,8 +29,8 @@
 /// Concurrent reports may mix their figures; each figure stays within its range.
 #[derive(Debug, Default)]
 pub struct ServiceLoad {
-    /// Requests at the endpoint by the last report, in the upper half, and slots in the lower one; 0 if
-    /// the last report did not state a speed.
+    /// Requests at the endpoint (32 bits), slots and speed (16 bits each) of the last report; 0 if it did
+    /// not state a speed.
     figures: AtomicU64,
     /// Tick of the last report in microseconds.
     reported_at: AtomicU64,
@@ -90,7 +90,7 @@
         } else if self.limit.load(Ordering::Acquire) > 0 {
             self.limit.fetch_max(requests, Ordering::AcqRel);
         }
-        let figures = u64::from(requests) << 32 | u64::from(load.slots);
+        let figures = pack(requests, load.slots, speed);
         self.reported_at.store(now.0, Ordering::Release);
         self.figures.store(figures, Ordering::Release);
     }
@@ -110,10 +110,9 @@
         if figures == 0 {
             return;
         }
-        let (requests, slots) = split(figures);
-        let speed = from_fixed(self.speed.load(Ordering::Acquire));
-        let excess = (f64::from(requests) / f64::from(slots)).max(1.0);
-        let sample = took.as_micros() as f64 / (speed * excess).max(f64::MIN_POSITIVE);
+        let (requests, slots, speed) = unpack(figures);
+        let excess = (requests / slots).max(1.0);
+        let sample = took.as_micros() as f64 * USUAL_SPEED / (speed * excess);
         let sample = (sample as u32).max(1);
         let average = |old: u32| {
             Some(if old == 0 {
@@ -139,7 +138,7 @@
         let positive = |value: &AtomicU32| Some(value.load(Ordering::Acquire)).filter(|v| *v > 0);
         Some(ServiceNews {
             age,
-            slots: f64::from(split(figures).1),
+            slots: unpack(figures).1,
             others: fixed(&self.others),
             mean_others: fixed(&self.mean_others),
             speed: fixed(&self.speed),
@@ -165,9 +164,17 @@
     }
 }
 
-/// Returns the requests and the slots of packed figures.
-fn split(figures: u64) -> (u32, u32) {
-    ((figures >> 32) as u32, figures as u32)
+/// Packs the figures of a report; never 0.
+fn pack(requests: u32, slots: u32, speed: u32) -> u64 {
+    let half = |figure: u32| u64::from(figure.clamp(1, u32::from(u16::MAX)));
+    u64::from(requests) << 32 | half(slots) << 16 | half(speed)
+}
+
+/// Returns the requests, the slots and the speed of packed figures.
+fn unpack(figures: u64) -> (f64, f64, f64) {
+    let half = |figures: u64| f64::from(figures as u16);
+    let requests = f64::from((figures >> 32) as u32);
+    (requests, half(figures >> 16), half(figures))
 }
 
 fn to_fixed(value: f64) -> u32 {
--- a/src/decide/endpoint_choice.rs
+++ b/src/decide/endpoint_choice.rs
@@ -57,22 +57,33 @@
         (self.own_work + other_work + self.added_work) / self.capacity.max(1.0)
     }
 
-    /// Returns the cost of choosing the endpoint, in seconds: its response time weighted by its fill,
-    /// its zone and its failures.
-    pub fn cost(&self) -> f64 {
-        let zone_factor = if self.same_zone {
+    /// Returns the cost factor for its zone and its failures.
+    pub fn penalty(&self) -> f64 {
+        self.zone_factor() * self.failure_factor()
+    }
+
+    fn zone_factor(&self) -> f64 {
+        if self.same_zone {
             1.0
         } else {
             OTHER_ZONE_COST_RATIO
-        };
-        let failure_factor = 1.0 + FAILURE_COST_RATIO * self.failure_ratio;
+        }
+    }
+
+    fn failure_factor(&self) -> f64 {
+        1.0 + FAILURE_COST_RATIO * self.failure_ratio
+    }
+
+    /// Returns the cost of choosing the endpoint, in seconds: its response time weighted by its fill,
+    /// its zone and its failures.
+    pub fn cost(&self) -> f64 {
         let response_s = self
             .response_time
             .unwrap_or(INITIAL_RESPONSE_TIME)
             .as_secs_f64();
         let avoided = if self.avoided { AVOIDED_COST_S } else { 0.0 };
         let tried = if self.tried { TRIED_COST_S } else { 0.0 };
-        self.fill() * response_s * zone_factor * failure_factor + avoided + tried
+        self.fill() * response_s * self.zone_factor() * self.failure_factor() + avoided + tried
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -41,6 +41,7 @@
     rule_text::{repeat_text, rule_text},
     run_plan::RunPlan,
     service_fit::ServiceFit,
+    service_load::{ServiceOption, choose_by_completion},
     sheet_check::{MAX_BRANCH_RULES, MAX_LISTED_FAULTS, sheet_check},
     sheet_diff::{BranchDiff, FieldDiff, KindDiff, RulesByBranch, by_branch, sheet_diff},
     sheet_log::{Applied, SheetLog},
@@ -97,6 +98,7 @@
 mod rule_text;
 mod run_plan;
 mod service_fit;
+mod service_load;
 mod sheet_cell;
 mod sheet_check;
 mod sheet_diff;
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -2,7 +2,7 @@
     super::{ForwardParts, ForwardShared},
     crate::{
         board::{Endpoint, EndpointCounters, EndpointTraffic, RequestRate, Role, Tick},
-        decide::{EndpointOption, choose_endpoint},
+        decide::{EndpointOption, ServiceOption, choose_by_completion, choose_endpoint},
         key::EndpointKey,
         port::{EndpointNotice, UpstreamError},
     },
@@ -95,7 +95,7 @@
         let limit = |key| Some(&fleet.endpoints.get(key)?.counters.traffic.limit);
         options.retain(|option| limit(option.key).is_some_and(|l| l.wait(now, daemons).is_zero()));
         loop {
-            let chosen = choose_endpoint(&options, shared.draw())?;
+            let chosen = draw_among(shared, need, &options)?;
             if limit(chosen.key)?.try_take(now, daemons) {
                 return Self::assign(shared, need, chosen, options.len());
             }
@@ -378,6 +378,39 @@
     stays(endpoint) && endpoint.counters.traffic.pause_left(now).is_zero()
 }
 
+/// Chooses one of `options`: by its expected time if services state how long work takes, else by its load.
+fn draw_among<P>(
+    shared: &ForwardShared<P>,
+    need: &EndpointNeed<'_>,
+    options: &[EndpointOption],
+) -> Option<EndpointOption>
+where
+    P: ForwardParts,
+{
+    if need.role == Role::Service {
+        let options = with_news(shared, options);
+        if options.iter().any(|option| option.news.is_some()) {
+            return choose_by_completion(&options, shared.draw_share());
+        }
+    }
+    choose_endpoint(options, shared.draw())
+}
+
+/// Adds the recent reports of services to `options`.
+fn with_news<P>(shared: &ForwardShared<P>, options: &[EndpointOption]) -> Vec<ServiceOption>
+where
+    P: ForwardParts,
+{
+    let now = shared.now();
+    let fleet = shared.board().fleet.load();
+    let news = |key| fleet.endpoints.get(key)?.counters.traffic.service.news(now);
+    let with_news = options.iter().map(|option| ServiceOption {
+        option: *option,
+        news: news(option.key),
+    });
+    with_news.collect()
+}
+
 /// Returns the figures of every endpoint that may serve `need`; empty if the pool is not known.
 fn options<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Vec<EndpointOption>
 where
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -60,6 +60,7 @@
 mod roster_outage;
 mod routing;
 mod service;
+mod service_load;
 mod settings;
 mod sheet_check;
 mod sheet_follow;
