Hold calls back while a pool of plain services is full by its reports

Cause: a daemon learnt that a worker was full only by being rejected, each rejection used up the retry budget, and callers that were told to return after 200 ms could not meet a target of 300 ms any more while they took the place of those that could. Change: admit_service sends a call if the learnt limits leave room beside the calls that go first, has it wait while there is expected to be room in time, or refuses it. A call that was turned away as full may be sent there again, within the retry budget. Refused calls return at random times, early enough for their target if possible. Only in force where services state the fourth figure.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -40,6 +40,7 @@
     rule_choice::{is_open, minute_of_day, routes},
     rule_text::{repeat_text, rule_text},
     run_plan::RunPlan,
+    service_admission::{AdmissionNeed, ServiceAdmission, admit_service, shortest_work},
     service_fit::ServiceFit,
     service_load::{ServiceOption, choose_by_completion},
     sheet_check::{MAX_BRANCH_RULES, MAX_LISTED_FAULTS, sheet_check},
@@ -97,6 +98,7 @@
 mod rule_choice;
 mod rule_text;
 mod run_plan;
+mod service_admission;
 mod service_fit;
 mod service_load;
 mod sheet_cell;
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -1,8 +1,4 @@
-use {
-    super::EndpointOption,
-    crate::board::{MAX_NEWS_AGE, ServiceNews},
-    std::time::Duration,
-};
+use {super::EndpointOption, crate::board::ServiceNews, std::time::Duration};
 
 /// Time of work assumed at an endpoint that has not responded yet.
 const INITIAL_WORK: Duration = Duration::from_millis(20);
@@ -11,6 +7,11 @@
 /// a report counted.
 const REPORT_WORK: f64 = 2.0;
 
+/// Age of the reports at which their average would count for nothing; they end before, at `MAX_NEWS_AGE`. In
+/// simulated bursts of three times the load, 2 s let daemons take a full pool for one with room, and 8 s
+/// kept them waiting after its end.
+const MEAN_FADE: Duration = Duration::from_secs(4);
+
 /// A plain service that may run a request, with its recent reports if it states how long work takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceOption {
@@ -31,14 +32,14 @@
     /// process sends none until then; `None` without reports.
     ///
     /// A report fades into the average of reports within `REPORT_WORK` times the time that a request takes,
-    /// and the average to nothing at `MAX_NEWS_AGE`, so that an endpoint is asked again.
+    /// and the average to nothing at `MEAN_FADE`, so that an endpoint is asked again.
     pub fn requests(&self, after: Duration) -> Option<f64> {
         let news = self.news?;
         let age = (news.age + after).as_secs_f64();
         let valid = REPORT_WORK * self.work()?.as_secs_f64().max(f64::MIN_POSITIVE);
         let share = (1.0 - age / valid).max(0.0);
         let others = news.mean_others + (news.others - news.mean_others) * share;
-        let fading = (1.0 - age / MAX_NEWS_AGE.as_secs_f64()).max(0.0);
+        let fading = (1.0 - age / MEAN_FADE.as_secs_f64()).max(0.0);
         Some(self.option.own_work + others * fading)
     }
 
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -240,6 +240,16 @@
 }
 
 impl UpstreamError {
+    /// Returns whether a service that states how long work takes there turned the attempt away, as it was
+    /// full.
+    pub fn is_full_service(&self) -> bool {
+        let Self::Refused { notice, .. } = self else {
+            return false;
+        };
+        let load = notice.load.filter(|load| load.speed.is_some());
+        load.is_some_and(|load| load.is_full())
+    }
+
     /// Returns whether the attempt provably did not run.
     pub fn is_not_run(&self) -> bool {
         matches!(
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -82,6 +82,17 @@
         Self::choose_among(shared, need, options)
     }
 
+    /// Returns the services that may serve `need`, with their recent reports.
+    pub fn service_options<P>(
+        shared: &ForwardShared<P>,
+        need: &EndpointNeed<'_>,
+    ) -> Vec<ServiceOption>
+    where
+        P: ForwardParts,
+    {
+        with_news(shared, &options(shared, need))
+    }
+
     fn choose_among<P>(
         shared: &ForwardShared<P>,
         need: &EndpointNeed<'_>,
--- a/src/request/forward_buffered.rs
+++ b/src/request/forward_buffered.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog, ForwardParts,
-        ForwardShared, Refused, RetryPermit, forward_log::NextStep, forward_refusal,
+        CallAdmission, CrashWatch, EndpointHold, EndpointNeed, ForwardCall, ForwardLog,
+        ForwardParts, ForwardShared, Refused, RetryPermit, forward_log::NextStep, forward_refusal,
         forward_response::ForwardResponse,
     },
     crate::{
@@ -47,6 +47,10 @@
         let hold = if let Some(hold) = replacement.take() {
             hold
         } else {
+            let admission = CallAdmission::new(shared, call);
+            if let Err(refused) = admission.admit(&need_of(call)).await {
+                return failure.ok_or(refused);
+            }
             let Some(hold) = EndpointHold::choose(shared, &need_of(call)) else {
                 return failure
                     .ok_or_else(|| forward_refusal::no_endpoint(shared, call, Role::Service));
@@ -84,8 +88,15 @@
                 let next = NextStep::from_verdict(verdict, &error);
                 ForwardLog::new(shared, call).attempt_failed(&hold, &error, next);
                 if verdict != Verdict::Retry {
-                    return failure
-                        .ok_or_else(|| forward_refusal::from_verdict(shared, verdict, &error));
+                    let admission = CallAdmission::new(shared, call);
+                    return failure.ok_or_else(|| {
+                        let refused = forward_refusal::from_verdict(shared, verdict, &error);
+                        admission.spread_return(&need_of(call), refused)
+                    });
+                }
+                if error.is_full_service() {
+                    call.tried.pop();
+                    call.turned_away += 1;
                 }
             }
             Attempted::Replaced(permit, other) => {
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -35,6 +35,8 @@
     pub crashed: bool,
     /// Endpoints that attempts were sent to.
     pub tried: Vec<EndpointKey>,
+    /// Number of attempts that endpoints turned away as full, which may be asked again.
+    pub turned_away: usize,
     /// Number of attempts that ran or may have run.
     pub ran: u16,
     /// Where the time of a stream went; unused for other requests.
@@ -47,6 +49,11 @@
         self.route.repeat == Repeat::AtMostOnce
     }
 
+    /// Returns the number of attempts.
+    pub fn attempts(&self) -> usize {
+        self.tried.len() + self.turned_away
+    }
+
     /// Builds an attempt at `hold`, without KV cache, reservation and last event.
     pub fn upstream_request<P>(
         &self,
--- a/src/request/forward_entry.rs
+++ b/src/request/forward_entry.rs
@@ -139,6 +139,7 @@
             suspect: false,
             crashed: false,
             tried: Vec::new(),
+            turned_away: 0,
             ran: 0,
             times: StreamTimes::default(),
             request: Arc::clone(request),
--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -2,9 +2,10 @@
     super::{EndpointHold, ForwardCall, ForwardParts, ForwardShared, Refused},
     crate::{
         board::{Refusal, RetryReason, Role},
-        decide::Verdict,
+        decide::{AdmissionNeed, ServiceOption, Verdict},
         port::UpstreamError,
     },
+    std::time::Duration,
 };
 
 /// Writes the log lines and counters about the decisions on one forwarded request.
@@ -35,7 +36,7 @@
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
             version = self.call.version,
-            attempt = self.call.tried.len(),
+            attempt = self.call.attempts(),
             place = id,
             decode,
             prefill = prefill.unwrap_or("in place"),
@@ -74,7 +75,7 @@
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
             version = self.call.version,
-            attempt = self.call.tried.len(),
+            attempt = self.call.attempts(),
             endpoint = hold.name.as_str(),
             among = hold.candidates,
             prompt = size.prompt,
@@ -88,6 +89,40 @@
         );
     }
 
+    /// Logs and counts that the call waits: the endpoints `options` are expected to be full for `wait`.
+    pub fn deferred(&self, options: &[ServiceOption], need: &AdmissionNeed, wait: Duration) {
+        self.shared.counters().deferred_calls.inc();
+        let pool = PoolFigures::of(options);
+        log::info!(
+            request = self.call.request.id.as_str(),
+            route = self.call.route.name.as_str(),
+            pool = self.call.pool.as_str(),
+            requests = pool.requests,
+            limit = pool.limit,
+            age_ms = pool.age_ms,
+            ahead = need.ahead,
+            target_left_ms = need.to_target.as_millis() as u64,
+            left_ms = need.to_deadline.as_millis() as u64,
+            wait_ms = wait.as_millis() as u64;
+            "call waits: the pool is full by its reports"
+        );
+    }
+
+    /// Logs that the call is refused: the endpoints `options` are expected to be full for too long. It may
+    /// return after `wait`.
+    pub fn no_room(&self, options: &[ServiceOption], wait: Duration) {
+        let pool = PoolFigures::of(options);
+        log::info!(
+            request = self.call.request.id.as_str(),
+            pool = self.call.pool.as_str(),
+            requests = pool.requests,
+            limit = pool.limit,
+            age_ms = pool.age_ms,
+            wait_ms = wait.as_millis() as u64;
+            "no room expected in time by the reports of the pool"
+        );
+    }
+
     /// Logs and counts a failed attempt, which `next` follows.
     pub fn attempt_failed(&self, hold: &EndpointHold, error: &UpstreamError, next: NextStep) {
         if let NextStep::Retry(reason) = next {
@@ -182,7 +217,7 @@
             version = self.call.version,
             reason = reason.as_str(),
             ran = self.call.ran,
-            tried = self.call.tried.len(),
+            tried = self.call.attempts(),
             events,
             prefills = self.call.times.prefills,
             left_ms = self.left_ms(),
@@ -226,6 +261,29 @@
     }
 }
 
+/// Figures of a pool of plain services, by the recent reports of its endpoints.
+struct PoolFigures {
+    /// Requests expected at the endpoints now.
+    requests: f64,
+    /// Sum of the limits that were learnt.
+    limit: u32,
+    /// Age of the oldest report that counts.
+    age_ms: u64,
+}
+
+impl PoolFigures {
+    fn of(options: &[ServiceOption]) -> Self {
+        let requests = options.iter().filter_map(|o| o.requests(Duration::ZERO));
+        let news = || options.iter().filter_map(|option| option.news);
+        let oldest = news().map(|news| news.age).max().unwrap_or_default();
+        Self {
+            requests: requests.sum(),
+            limit: news().filter_map(|news| news.limit).sum(),
+            age_ms: oldest.as_millis() as u64,
+        }
+    }
+}
+
 /// What follows a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextStep {
--- a/src/request/forward_refusal.rs
+++ b/src/request/forward_refusal.rs
@@ -64,6 +64,13 @@
     )
 }
 
+/// Refuses a call whose pool of plain services is expected to have no room in time.
+pub fn no_room(call: &ForwardCall, wait: Duration) -> Refused {
+    let detail =
+        "every endpoint of the pool is full by its recent reports; send the request again later";
+    refused_for(call, Refusal::QueueFull, detail, wait)
+}
+
 /// Refuses a request whose remote prefill failed, as the retry budget is spent.
 pub fn budget_spent<P>(shared: &ForwardShared<P>, call: &ForwardCall) -> Refused
 where
--- a/src/request/forward_shared.rs
+++ b/src/request/forward_shared.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ForwardOptions, ForwardParts},
+    super::{ForwardOptions, ForwardParts, WaitingCalls},
     crate::{
         board::{AnsweredCalls, Blackboard, Counters, Tick},
         decide::RetryBudget,
@@ -41,6 +41,7 @@
     counters: Counters,
     options: ForwardOptions,
     budgets: ArcSwap<HashMap<String, Arc<RetryBudget>>>,
+    waiting: ArcSwap<HashMap<String, Arc<WaitingCalls>>>,
     answered: AnsweredCalls,
     draws: AtomicU64,
     tasks: TaskTracker,
@@ -73,6 +74,7 @@
                 counters,
                 options,
                 budgets: ArcSwap::default(),
+                waiting: ArcSwap::default(),
                 answered: AnsweredCalls::default(),
                 draws: AtomicU64::new(seed),
                 tasks: TaskTracker::new(),
@@ -157,6 +159,22 @@
         budgets.get(pool).map_or(budget, Arc::clone)
     }
 
+    /// Returns the calls that wait for room in `pool`.
+    pub fn waiting_calls(&self, pool: &str) -> Arc<WaitingCalls> {
+        if let Some(calls) = self.inner.waiting.load().get(pool) {
+            return Arc::clone(calls);
+        }
+        let calls = Arc::default();
+        self.inner.waiting.rcu(|old| {
+            let mut next = HashMap::clone(old);
+            next.entry(pool.to_owned())
+                .or_insert_with(|| Arc::clone(&calls));
+            next
+        });
+        let waiting = self.inner.waiting.load();
+        waiting.get(pool).map_or(calls, Arc::clone)
+    }
+
     /// Returns the maximum retries that this daemon may save up for a pool, by the daemons known now. At
     /// a start those are few, so the share of a budget shrinks as others become known.
     fn retry_share(&self) -> u64 {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
     acquire::acquire,
     cache_hold::CacheHold,
     call::Call,
+    call_admission::CallAdmission,
     completion::Completion,
     completion_grants::{AttemptNeed, CompletionGrants},
     completion_run::{CompletionEvent, finish_completion, start_completion},
@@ -46,11 +47,13 @@
     service_run::call_service,
     shared::Shared,
     sink::{CallerDisconnected, Sink, TextChunk},
+    waiting_calls::{WaitingCalls, WaitingPlace},
 };
 
 mod acquire;
 mod cache_hold;
 mod call;
+mod call_admission;
 mod completion;
 mod completion_grants;
 mod completion_run;
@@ -96,3 +99,4 @@
 mod stream_attempts;
 mod stream_run;
 mod stream_times;
+mod waiting_calls;
--- a/tests/retry_reserve.rs
+++ b/tests/retry_reserve.rs
@@ -3,7 +3,7 @@
 use {
     crate::forward_site::{Site, site},
     lentillead::{
-        board::{Host, HostState, Tick},
+        board::{Host, HostState, Tick, Writers},
         port::PlacementOutcome,
         request::ForwardOptions,
     },
@@ -14,7 +14,12 @@
 
 /// Has the daemon of `site` know `count` daemons.
 fn list_daemons(site: &mut Site, count: u64) {
-    site.writers.members.update(|members| {
+    list_members(&mut site.writers, count);
+}
+
+/// Lists `count` daemons on the blackboard of `writers`.
+pub fn list_members(writers: &mut Writers, count: u64) {
+    writers.members.update(|members| {
         for number in 0..count {
             let name = format!("h{number}");
             let host = Host {
