Show the limits that were learnt, and test decisions on any valid figures

Cause: which limits a daemon had learnt was not to be seen, and the decisions were tested on chosen figures only. Change: gauge learnt_limit{endpoint}, read from the listed endpoints at each scrape, so that its size is bounded by the list; a property test of choice and admission; a test of both with real sockets.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -16,6 +16,7 @@
     health::{Health, StopPhase},
     host::{Host, HostState},
     host_list::{HostList, ListedEndpoint, ListedHost},
+    learnt_limits::LearntLimits,
     loaded_models::LoadedModels,
     members::Members,
     orders::{OrderStatus, Orders},
@@ -51,6 +52,7 @@
 mod health;
 mod host;
 mod host_list;
+mod learnt_limits;
 mod loaded_models;
 mod members;
 mod orders;
--- a/src/board/service_load.rs
+++ b/src/board/service_load.rs
@@ -135,18 +135,24 @@
             return None;
         }
         let fixed = |value: &AtomicU32| from_fixed(value.load(Ordering::Acquire));
-        let positive = |value: &AtomicU32| Some(value.load(Ordering::Acquire)).filter(|v| *v > 0);
+        let work_us = self.work_us.load(Ordering::Acquire);
         Some(ServiceNews {
             age,
             slots: unpack(figures).1,
             others: fixed(&self.others),
             mean_others: fixed(&self.mean_others),
             speed: fixed(&self.speed),
-            work: positive(&self.work_us).map(|us| Duration::from_micros(u64::from(us))),
-            limit: positive(&self.limit),
+            work: (work_us > 0).then(|| Duration::from_micros(u64::from(work_us))),
+            limit: self.limit(),
         })
     }
 
+    /// Returns the number of requests from which on the endpoint turns others away; `None` while it has not
+    /// done so.
+    pub fn limit(&self) -> Option<u32> {
+        Some(self.limit.load(Ordering::Acquire)).filter(|limit| *limit > 0)
+    }
+
     /// Returns whether an invalid report at `now` is to be logged: one a minute is.
     pub fn logs_invalid(&self, now: Tick) -> bool {
         let until = (now + INVALID_LOG_INTERVAL).0;
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        board::{Blackboard, Counters, FeedLog, Routing, section},
+        board::{Blackboard, Counters, FeedLog, LearntLimits, Routing, section},
         border::PeerClient,
         control::{
             AllocationController, AllocationHandle, FeedCounters, FeedFollower, FeedLinks,
@@ -166,6 +166,7 @@
     {
         let counters = Counters::new(&mut registry);
         let (board, writers) = Blackboard::new();
+        LearntLimits::register(board.fleet.clone(), &mut registry);
         let clock = MonoClock::start();
         let seed = name_hash(&settings.host) ^ clock.unix_ms();
         let rng = |purpose: &str| SmallRng::seed_from_u64(seed ^ name_hash(purpose));
--- a/src/request/call_admission.rs
+++ b/src/request/call_admission.rs
@@ -141,7 +141,7 @@
         let last = to_target.saturating_sub(work.mul_f64(RETURN_MARGIN));
         let first = last.mul_f64(FIRST_RETURN).max(room);
         if work <= first && first <= last {
-            return first + (last - first).mul_f64(draw);
+            return first + last.saturating_sub(first).mul_f64(draw);
         }
         let wait = room.max(self.shared.options().retry_after);
         wait.mul_f64(LATE_RETURN * (1.0 + draw))
--- a/tests/service_load.rs
+++ b/tests/service_load.rs
@@ -151,7 +151,7 @@
     let at = |ms: u64| Tick(ms * 1_000);
     let mut seen = Vec::new();
     let mut note = |name: &str, ms: u64| {
-        seen.push((name.to_owned(), load.news(at(ms)).map(|n| format!("{n:?}"))))
+        seen.push((name.to_owned(), load.news(at(ms)).map(|n| format!("{n:?}"))));
     };
     note("nothing reported", 5);
     load.record(report(4, 0, None), 1, false, at(10));
