--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -17,6 +17,7 @@
     health::{Health, StopPhase},
     host::{Host, HostState},
     host_list::{HostList, ListedEndpoint, ListedHost},
+    learnt_limits::LearntLimits,
     loaded_models::LoadedModels,
     members::Members,
     orders::{OrderStatus, Orders},
@@ -37,6 +38,7 @@
     routing::{CallerLimits, PathRoute, PoolConfig, ResponseKind, Routing},
     rule::{Borrow, Repeat, Route, Rule, Target},
     section::{Section, Writer, section},
+    service_load::{MAX_NEWS_AGE, ServiceLoad, ServiceNews},
     sheet::Sheet,
     status::{FleetStatus, MemberStatus, PoolStatus, Status, SuspectStatus},
     suspects::{Suspect, Suspects},
@@ -59,6 +61,7 @@
 mod health;
 mod host;
 mod host_list;
+mod learnt_limits;
 mod loaded_models;
 mod members;
 mod orders;
@@ -79,6 +82,7 @@
 mod routing;
 mod rule;
 mod section;
+mod service_load;
 mod sheet;
 mod status;
 mod suspects;
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -219,6 +219,8 @@
 pub struct EndpointNotice {
     /// Load of the endpoint, if it reports it.
     pub load: Option<ReportedLoad>,
+    /// Whether the endpoint reported a load that is invalid and was ignored.
+    pub invalid_load: bool,
     /// Whether the endpoint leaves: it is to get no further requests.
     pub leaving: bool,
     /// Time for which the endpoint is to get no further requests, if it turned this one away and
@@ -266,6 +268,16 @@
 }
 
 impl UpstreamError {
+    /// Returns whether a service that states how long work takes there turned the attempt away, as it was
+    /// full.
+    pub fn is_full_service(&self) -> bool {
+        let Self::Refused { notice, .. } = self else {
+            return false;
+        };
+        let load = notice.load.filter(|load| load.speed.is_some());
+        load.is_some_and(|load| load.is_full())
+    }
+
     /// Returns whether the attempt provably did not run.
     pub fn is_not_run(&self) -> bool {
         matches!(
--- a/src/request/endpoint_hold.rs
+++ b/src/request/endpoint_hold.rs
@@ -2,7 +2,7 @@
     super::{ForwardParts, ForwardShared},
     crate::{
         board::{Endpoint, EndpointCounters, EndpointTraffic, RequestRate, Role, Tick},
-        decide::{EndpointOption, choose_endpoint},
+        decide::{EndpointOption, ServiceOption, choose_by_completion, choose_endpoint},
         key::EndpointKey,
         port::{EndpointNotice, UpstreamError},
     },
@@ -82,6 +82,17 @@
         Self::choose_among(shared, need, options)
     }
 
+    /// Returns the services that may serve `need`, with their recent reports.
+    pub fn service_options<P>(
+        shared: &ForwardShared<P>,
+        need: &EndpointNeed<'_>,
+    ) -> Vec<ServiceOption>
+    where
+        P: ForwardParts,
+    {
+        with_news(shared, &options(shared, need))
+    }
+
     fn choose_among<P>(
         shared: &ForwardShared<P>,
         need: &EndpointNeed<'_>,
@@ -95,7 +106,7 @@
         let limit = |key| Some(&fleet.endpoints.get(key)?.counters.traffic.limit);
         options.retain(|option| limit(option.key).is_some_and(|l| l.wait(now, daemons).is_zero()));
         loop {
-            let chosen = choose_endpoint(&options, shared.draw())?;
+            let chosen = draw_among(shared, need, &options)?;
             if limit(chosen.key)?.try_take(now, daemons) {
                 return Self::assign(shared, need, chosen, options.len());
             }
@@ -204,6 +215,14 @@
 
     /// Records what the endpoint said of itself with a response.
     pub fn record_notice<P>(&self, shared: &ForwardShared<P>, notice: EndpointNotice)
+    where
+        P: ForwardParts,
+    {
+        self.record(shared, notice, false);
+    }
+
+    /// Records what the endpoint said of itself; `refused` if it turned this attempt away.
+    fn record<P>(&self, shared: &ForwardShared<P>, notice: EndpointNotice, refused: bool)
     where
         P: ForwardParts,
     {
@@ -212,6 +231,7 @@
         if let Some(load) = notice.load {
             traffic.record_load(load, now);
         }
+        self.record_service_load(shared, &notice, refused);
         if notice.leaving && traffic.set_leaving(self.incarnation) {
             log::info!(endpoint = self.name.as_str(); "endpoint said that it leaves; it gets no further requests");
         }
@@ -236,9 +256,37 @@
         }
     }
 
+    /// Records the load that a service reported; `refused` if it turned this attempt away. An invalid
+    /// report is counted, and logged within bounds.
+    fn record_service_load<P>(
+        &self,
+        shared: &ForwardShared<P>,
+        notice: &EndpointNotice,
+        refused: bool,
+    ) where
+        P: ForwardParts,
+    {
+        let now = shared.now();
+        let service = &self.counters.traffic.service;
+        if let Some(load) = notice.load
+            && self.role == Role::Service
+        {
+            // A refused attempt is not among the requests at the endpoint.
+            let own = self.running() - u32::from(refused);
+            service.record(load, own, refused, now);
+        }
+        if notice.invalid_load {
+            shared.counters().ignored_reports.inc();
+            if service.logs_invalid(now) {
+                log::warn!(endpoint = self.name.as_str(); "endpoint reported an invalid load; ignoring it");
+            }
+        }
+    }
+
     /// Records the response time of the attempt.
     pub fn record_response_time(&self, took: Duration) {
         self.counters.traffic.record_response_time(took);
+        self.counters.traffic.service.record_response_time(took);
     }
 
     /// Records the end of an attempt that got a response; `failed` for an error status.
@@ -265,7 +313,7 @@
         let traffic = &self.counters.traffic;
         match error {
             UpstreamError::Refused { notice, .. } => {
-                self.record_notice(shared, *notice);
+                self.record(shared, *notice, true);
                 traffic.record_attempt(true);
                 if self.role != Role::Service {
                     self.record_refusal(now);
@@ -341,6 +389,39 @@
     stays(endpoint) && endpoint.counters.traffic.pause_left(now).is_zero()
 }
 
+/// Chooses one of `options`: by its expected time if services state how long work takes, else by its load.
+fn draw_among<P>(
+    shared: &ForwardShared<P>,
+    need: &EndpointNeed<'_>,
+    options: &[EndpointOption],
+) -> Option<EndpointOption>
+where
+    P: ForwardParts,
+{
+    if need.role == Role::Service {
+        let options = with_news(shared, options);
+        if options.iter().any(|option| option.news.is_some()) {
+            return choose_by_completion(&options, shared.draw_share());
+        }
+    }
+    choose_endpoint(options, shared.draw())
+}
+
+/// Adds the recent reports of services to `options`.
+fn with_news<P>(shared: &ForwardShared<P>, options: &[EndpointOption]) -> Vec<ServiceOption>
+where
+    P: ForwardParts,
+{
+    let now = shared.now();
+    let fleet = shared.board().fleet.load();
+    let news = |key| fleet.endpoints.get(key)?.counters.traffic.service.news(now);
+    let with_news = options.iter().map(|option| ServiceOption {
+        option: *option,
+        news: news(option.key),
+    });
+    with_news.collect()
+}
+
 /// Returns the figures of every endpoint that may serve `need`; empty if the pool is not known.
 fn options<P>(shared: &ForwardShared<P>, need: &EndpointNeed<'_>) -> Vec<EndpointOption>
 where
--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -329,7 +329,11 @@
         let mut halves = BTreeMap::<u64, usize>::new();
         for own in hosts.iter().map(|(key, _)| key) {
             let hosts = hosts.clone();
-            let delay = start_delay(&Members { hosts, own });
+            let delay = start_delay(&Members {
+                hosts,
+                own,
+                is_listed: true,
+            });
             *halves.entry(delay.as_millis() as u64 / 500).or_default() += 1;
         }
         seen.push((count, halves));
