Account for what a process holds for its callers

Nothing counts what a process holds for callers, so nothing can bound it. The account is a set of atomics with one slot per connection. Bodies are charged before they are stored, in segments of 64 KiB; a quarter is reserved for small requests; the connection longest without progress gives way; a request without room is refused with 503 (caller-memory) after 250 to 750 ms. The bounds follow from the memory and the descriptors of the host.

tests/caller_room.rs: bounds for five hosts, the choice of the connection, and bodies that fill and free the account.

--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -5,6 +5,7 @@
     arena::Arena,
     blackboard::{Blackboard, Writers},
     branch::{Branch, Secret},
+    caller_account::{CallerAccount, CallerBounds, ConnectionStanding},
     counters::Counters,
     digests::{Digest, Digests},
     endpoint::{Endpoint, Role},
@@ -39,6 +40,7 @@
 mod arena;
 mod blackboard;
 mod branch;
+mod caller_account;
 mod counters;
 mod digests;
 mod endpoint;
--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -41,11 +41,13 @@
     Stopping,
     /// The response broke off after part of it had been sent to the caller.
     Truncated,
+    /// The process has no memory left for the request's body.
+    CallerMemory,
 }
 
 impl Refusal {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::UnknownBranch,
         Self::UnknownKind,
         Self::BadRequest,
@@ -64,6 +66,7 @@
         Self::NotReady,
         Self::Stopping,
         Self::Truncated,
+        Self::CallerMemory,
     ];
 
     /// Returns the name of the reason, which stays the same in every release.
@@ -87,6 +90,7 @@
             Self::NotReady => "not-ready",
             Self::Stopping => "stopping",
             Self::Truncated => "truncated",
+            Self::CallerMemory => "caller-memory",
         }
     }
 }
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -8,8 +8,10 @@
     call_counters::CallCounters,
     caller_context::CallerContext,
     caller_listener::CallerListener,
+    caller_memory::{CallerBody, CallerConnection, CallerMemory, CallerWork, MEMORY_RETRY_WAIT},
     claim_objects::ClaimObjects,
     completion_wire::{CompletionBody, CompletionResponse},
+    descriptor_limit::descriptor_limit,
     endpoint_response::{
         CACHE_EVICTED_REASON, CACHE_EVICTED_STATUS, REFUSED_STATUS, UNKNOWN_ATTEMPT_REASON,
         UNKNOWN_ATTEMPT_STATUS,
@@ -47,11 +49,13 @@
 mod caller_api;
 mod caller_context;
 mod caller_listener;
+mod caller_memory;
 mod caller_request;
 mod caller_response;
 mod claim_objects;
 mod completion_wire;
 mod counted_stream;
+mod descriptor_limit;
 mod endpoint_response;
 #[allow(
     clippy::pedantic,
--- a/src/border/problem.rs
+++ b/src/border/problem.rs
@@ -79,6 +79,7 @@
         | Refusal::ClaimUnavailable
         | Refusal::RetryBudget
         | Refusal::NotReady
-        | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        | Refusal::Stopping
+        | Refusal::CallerMemory => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- /dev/null
+++ b/src/decide/caller_room.rs
@@ -0,0 +1,87 @@
+use {
+    crate::board::{CallerBounds, ConnectionStanding, Tick},
+    std::time::Duration,
+};
+
+/// Bytes accounted for the buffers of one connection.
+///
+/// The listeners read and write at most 24 KiB of a connection beyond a body, with heads of 16 KiB.
+pub const CONNECTION_BYTES: usize = 24 << 10;
+
+/// Largest request that may use the reserved part of the account, in bytes.
+pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
+
+/// Bytes that a caller sends or reads for it to count as progress; fewer would let a caller that sends byte
+/// by byte keep its place.
+pub const PROGRESS_BYTES: usize = 4 << 10;
+
+/// Time without progress after which a request gives way.
+pub const STALLED_TIME: Duration = Duration::from_secs(1);
+
+/// Time without progress after which a connection without a request gives way; a request whose connection
+/// was just opened arrives sooner.
+const UNUSED_TIME: Duration = Duration::from_millis(250);
+
+/// Memory of a process that holds nothing for callers, with its copies of the configuration, in bytes.
+const PROCESS_BYTES: usize = 32 << 20;
+
+/// Most memory for responses that are kept until they are complete, unless the settings state another one.
+const MAX_RESPONSE_BYTES: usize = 24 << 20;
+
+/// What is short.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// Connections.
+    Connections,
+    /// Bytes of bodies.
+    Memory,
+}
+
+/// Returns the bounds for a host with `memory` bytes on which a process may open `descriptors`.
+///
+/// Of what the process itself leaves, a quarter is for connections, a quarter for bodies and a third, within
+/// 24 MiB, for responses; the rest covers fragmentation and the connections to other hosts. Half of the
+/// descriptors are left to the latter.
+pub fn caller_bounds(memory: usize, descriptors: usize) -> CallerBounds {
+    let usable = memory.saturating_sub(PROCESS_BYTES).max(memory / 4);
+    let body_bytes = usable / 4;
+    CallerBounds {
+        connections: (usable / 4 / CONNECTION_BYTES).min(descriptors / 2).max(1),
+        body_bytes,
+        reserved_bytes: body_bytes / 4,
+        response_bytes: (usable / 3).min(MAX_RESPONSE_BYTES),
+    }
+}
+
+/// Returns the bytes of all bodies up to which a request that then holds `bytes` may charge more.
+pub fn body_limit(bounds: &CallerBounds, bytes: usize) -> usize {
+    if bytes <= SMALL_REQUEST_BYTES {
+        bounds.body_bytes
+    } else {
+        bounds.body_bytes.saturating_sub(bounds.reserved_bytes)
+    }
+}
+
+/// Returns whether so few connections are left that one without progress gives way in advance.
+pub fn is_nearly_full(bounds: &CallerBounds, connections: usize) -> bool {
+    connections > bounds.connections - bounds.connections / 8
+}
+
+/// Returns the connection that gives way: of those that wait for their callers, the one longest without
+/// progress; `None` if each of them has made progress recently.
+///
+/// For memory, only connections that hold some give way.
+pub fn gives_way<I>(standings: I, shortage: Shortage, now: Tick) -> Option<ConnectionStanding>
+where
+    I: Iterator<Item = ConnectionStanding>,
+{
+    let stalled = standings.filter(|standing| {
+        let holds = standing.receiving || standing.blocked;
+        let waits = standing.blocked || !standing.working;
+        let limit = if holds { STALLED_TIME } else { UNUSED_TIME };
+        waits
+            && (holds || shortage == Shortage::Connections)
+            && now.since(standing.progress) >= limit
+    });
+    stalled.min_by_key(|standing| standing.progress)
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,10 @@
     attempt_state::AttemptState,
     backoff::{Backoff, jitter},
     call_class::CallClass,
+    caller_room::{
+        CONNECTION_BYTES, PROGRESS_BYTES, SMALL_REQUEST_BYTES, STALLED_TIME, Shortage, body_limit,
+        caller_bounds, gives_way, is_nearly_full,
+    },
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ClaimGroup, ClaimTable, ClaimTime, MAX_RESPONSE_BYTES, claim_key, record_bytes},
     crash_record::CrashRecord,
@@ -59,6 +63,7 @@
 mod attempt_state;
 mod backoff;
 mod call_class;
+mod caller_room;
 mod chunk_check;
 mod claim_table;
 mod crash_record;
--- a/src/key/mod.rs
+++ b/src/key/mod.rs
@@ -4,6 +4,7 @@
     attempt_id::{AttemptId, AttemptIdError},
     branch_key::BranchKey,
     cause_key::CauseKey,
+    connection_key::ConnectionKey,
     endpoint_key::EndpointKey,
     grant_key::GrantKey,
     host_key::HostKey,
@@ -19,6 +20,7 @@
 mod attempt_id;
 mod branch_key;
 mod cause_key;
+mod connection_key;
 mod endpoint_key;
 mod grant_key;
 mod host_key;
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -4,6 +4,7 @@
 mod bounded_output;
 mod budget;
 mod burst;
+mod caller_room;
 mod chunk_check;
 mod claim_table;
 mod claims;
