Bound what our own listener for callers holds

The listener collected bodies of any number of callers, let the HTTP library grow the buffer of each connection to 400 KiB, and left callers beyond limits.connections in the kernel's queue. It uses the account now, reads 8 KiB at once, and closes heads more than 8 KiB over their limit. The operators' listener uses the same acceptor with an account of its own and at most 256 connections. An accept that fails is retried after 20 ms instead of at once.

--- a/src/border/caller_api.rs
+++ b/src/border/caller_api.rs
@@ -52,7 +52,9 @@
         ));
     }
     let branch = ctx.branch(request.headers())?;
-    let body = read_body(&ctx, &mut request).await?;
+    let mut work = ctx.begin_request(&request)?;
+    let body = read_body(&ctx, &mut request, &work).await?;
+    work.end_body();
     let parsed: CompletionBody = serde_json::from_slice(&body).map_err(|error| {
         Refused::not_run(
             Refusal::BadRequest,
@@ -74,7 +76,7 @@
     let kind = parsed.model;
     let events = start_completion(ctx.shared(), completion, admission);
     if parsed.stream {
-        stream_response(ctx, events, id, kind).await
+        stream_response(ctx, events, id, kind, work).await
     } else {
         complete_response(ctx, events, id, kind).await
     }
@@ -111,7 +113,9 @@
     P: Parts,
 {
     let branch = ctx.branch(request.headers())?;
-    let body = read_body(&ctx, &mut request).await?;
+    let mut work = ctx.begin_request(&request)?;
+    let body = read_body(&ctx, &mut request, &work).await?;
+    work.end_body();
     let kind: String = request
         .path_params()
         .map_err(|error| {
--- a/src/border/caller_context.rs
+++ b/src/border/caller_context.rs
@@ -1,11 +1,11 @@
 use {
-    super::Limits,
+    super::{CallerMemory, CallerWork, Limits, limited_acceptor::connection_key},
     crate::{
         board::{Refusal, Secret},
         key::BranchKey,
         request::{Admission, Arrival, Call, Entry, Parts, Refused, Shared},
     },
-    poem::http::HeaderMap,
+    poem::{Request, http::HeaderMap},
     std::{sync::Arc, time::Duration},
     subtle::ConstantTimeEq,
 };
@@ -19,6 +19,7 @@
     shared: Shared<P>,
     entry: Arc<Entry>,
     limits: Limits,
+    memory: CallerMemory,
 }
 
 impl<P> Clone for CallerContext<P>
@@ -30,6 +31,7 @@
             shared: self.shared.clone(),
             entry: Arc::clone(&self.entry),
             limits: self.limits,
+            memory: self.memory.clone(),
         }
     }
 }
@@ -40,15 +42,35 @@
 {
     /// Creates the state of the handlers.
     ///
-    /// `shared` and `entry` belong to the request path; `limits` are those of the settings.
-    pub fn new(shared: Shared<P>, entry: Entry, limits: Limits) -> Self {
+    /// `shared` and `entry` belong to the request path; `limits` are those of the settings. What is held
+    /// for callers is accounted for in `memory`.
+    pub fn new(shared: Shared<P>, entry: Entry, limits: Limits, memory: CallerMemory) -> Self {
         Self {
             shared,
             entry: Arc::new(entry),
             limits,
+            memory,
         }
     }
 
+    /// Returns the account of what is held for callers.
+    pub fn memory(&self) -> &CallerMemory {
+        &self.memory
+    }
+
+    /// Records that the body of `request` is about to be read.
+    ///
+    /// Fails with `Refusal::CallerMemory` if its connection was just closed.
+    pub fn begin_request(&self, request: &Request) -> Result<CallerWork, Refused> {
+        let key = connection_key(request.remote_addr());
+        let connection = key.and_then(|key| self.memory.connection(key));
+        let work = connection.map(|connection| connection.begin_request());
+        work.ok_or_else(|| {
+            let detail = "the connection was closed; open another one";
+            Refused::not_run(Refusal::CallerMemory, detail)
+        })
+    }
+
     /// Returns the state of the request path.
     pub fn shared(&self) -> &Shared<P> {
         &self.shared
--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -41,8 +41,9 @@
             .await?;
         let acceptor = LimitedAcceptor::new(
             NodelayAcceptor::new(acceptor),
-            limits.connections as usize,
+            ctx.memory().clone(),
             limits.header_time,
+            limits.header_bytes as usize,
         );
         Ok(Self {
             acceptor,
--- a/src/border/caller_request.rs
+++ b/src/border/caller_request.rs
@@ -1,12 +1,13 @@
 use {
-    super::CallerContext,
+    super::{CallerContext, CallerWork, MEMORY_RETRY_WAIT},
     crate::{
         board::Refusal,
         port::ServiceCall,
         request::{Parts, Refused},
     },
     bytes::Bytes,
-    poem::{Request, error::ReadBodyError},
+    futures_util::{StreamExt, pin_mut},
+    poem::{Body, Request, http::header::CONTENT_LENGTH},
     tokio::time::timeout,
 };
 
@@ -55,11 +56,13 @@
 
 /// Reads the body of a request.
 ///
-/// Fails with `Refusal::TooLarge` if the headers or the body exceed their limit in bytes, and with
-/// `Refusal::BadRequest` if the body breaks off or does not arrive in time.
+/// Fails with `Refusal::TooLarge` if the headers or the body exceed their limit in bytes, with
+/// `Refusal::CallerMemory` if there is no memory for the body, and with `Refusal::BadRequest` if the body
+/// breaks off or does not arrive in time.
 pub(super) async fn read_body<P>(
     ctx: &CallerContext<P>,
     request: &mut Request,
+    work: &CallerWork,
 ) -> Result<Bytes, Refused>
 where
     P: Parts,
@@ -73,22 +76,52 @@
         let detail = format!("the headers exceed {} bytes", limits.header_bytes);
         return Err(Refused::not_run(Refusal::TooLarge, &detail));
     }
-    let body = request
-        .take_body()
-        .into_bytes_limit(limits.body_bytes as usize);
-    match timeout(limits.body_time, body).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(ReadBodyError::PayloadTooLarge)) => {
-            let detail = format!("the body exceeds {} bytes", limits.body_bytes);
-            Err(Refused::not_run(Refusal::TooLarge, &detail))
-        }
-        Ok(Err(error)) => {
+    let limit = limits.body_bytes as usize;
+    let declared = request.headers().get(CONTENT_LENGTH);
+    let declared = declared.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| length > limit) {
+        return Err(too_long(limit));
+    }
+    let longest = declared.unwrap_or(limit);
+    let body = collect(request.take_body(), limit, longest, work);
+    let body = timeout(limits.body_time, body).await;
+    body.unwrap_or_else(|_elapsed| {
+        let detail = "the body did not arrive in time; send it without pauses";
+        Err(Refused::not_run(Refusal::BadRequest, detail))
+    })
+}
+
+/// Reads a body of at most `limit` bytes, of which `longest` are expected at most.
+async fn collect(
+    body: Body,
+    limit: usize,
+    longest: usize,
+    work: &CallerWork,
+) -> Result<Bytes, Refused> {
+    let mut collected = work.body(longest);
+    let parts = body.into_bytes_stream();
+    pin_mut!(parts);
+    while let Some(part) = parts.next().await {
+        let part = part.map_err(|error| {
             let detail = format!("the body could not be read: {error}");
-            Err(Refused::not_run(Refusal::BadRequest, &detail))
+            Refused::not_run(Refusal::BadRequest, &detail)
+        })?;
+        if collected.size() + part.len() > limit {
+            return Err(too_long(limit));
         }
-        Err(_) => {
-            let detail = "the body did not arrive in time; send it without pauses";
-            Err(Refused::not_run(Refusal::BadRequest, detail))
+        if !collected.extend(&part).await {
+            return Err(no_memory());
         }
     }
+    collected.freeze().await.ok_or_else(no_memory)
+}
+
+fn too_long(limit: usize) -> Refused {
+    let detail = format!("the body exceeds {limit} bytes");
+    Refused::not_run(Refusal::TooLarge, &detail)
+}
+
+fn no_memory() -> Refused {
+    let detail = "no memory for the body; send the request again later";
+    Refused::not_run(Refusal::CallerMemory, detail).after(MEMORY_RETRY_WAIT)
 }
--- a/src/border/caller_response.rs
+++ b/src/border/caller_response.rs
@@ -1,5 +1,7 @@
 use {
-    super::{CallerContext, CompletionResponse, Problem, caller_request::is_hop_by_hop},
+    super::{
+        CallerContext, CallerWork, CompletionResponse, Problem, caller_request::is_hop_by_hop,
+    },
     crate::{
         board::Refusal,
         request::{CompletionEvent, Parts, Progress, Refused, Reply, Shared, TextChunk},
@@ -13,13 +15,14 @@
 
 /// Returns a server-sent event stream once the first chunk has arrived.
 ///
-/// Fails if the request is refused before its first chunk, so that the refusal gets an HTTP status
+/// `work` lasts until the end of the stream. Fails if the request is refused before its first chunk, so that the refusal gets an HTTP status
 /// of its own; a later refusal becomes an event of the stream.
 pub(super) async fn stream_response<P>(
     ctx: CallerContext<P>,
     mut events: mpsc::Receiver<CompletionEvent>,
     id: String,
     kind: String,
+    work: CallerWork,
 ) -> Result<Response, Refused>
 where
     P: Parts,
@@ -29,16 +32,16 @@
         Some(CompletionEvent::End(Err(refused))) => return Err(refused),
         Some(CompletionEvent::End(Ok(_))) | None => return Err(no_response()),
     };
-    let state = (ctx, events, Some(first), id, kind);
-    let body = stream::unfold(state, |(ctx, mut events, first, id, kind)| async move {
+    let state = (ctx, events, Some(first), (id, kind, work));
+    let body = stream::unfold(state, |(ctx, mut events, first, call)| async move {
         let event = match first {
             Some(chunk) => CompletionEvent::TextChunk(chunk),
             None => events.recv().await?,
         };
-        let text = event_text(ctx.shared(), event, &id, &kind);
+        let text = event_text(ctx.shared(), event, &call.0, &call.1);
         Some((
             Ok::<_, io::Error>(Bytes::from(text)),
-            (ctx, events, None, id, kind),
+            (ctx, events, None, call),
         ))
     });
     Ok(Response::builder()
--- a/src/border/head_timer.rs
+++ b/src/border/head_timer.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns whether a head has begun and is not complete.
+    pub fn is_in_head(&self) -> bool {
+        matches!(self.phase, Phase::Head { .. })
+    }
+
     /// Completes when a head has begun and its time limit has passed.
     pub fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match self.phase {
--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -1,6 +1,8 @@
 use {
-    super::HeadTimer,
+    super::{CallerConnection, CallerMemory, HeadTimer},
+    crate::key::ConnectionKey,
     poem::{
+        Addr,
         http::uri::Scheme,
         listener::Acceptor,
         web::{LocalAddr, RemoteAddr},
@@ -8,35 +10,58 @@
     std::{
         io,
         pin::Pin,
-        sync::Arc,
         task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::{OwnedSemaphorePermit, Semaphore},
+        time::sleep,
     },
 };
 
-/// Acceptor that limits the number of open connections, and closes a connection on which a request
-/// head takes too long.
+/// Delay before the next accept after a failed one, for file descriptors to become free.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Most bytes that are read at once: the HTTP library grows the buffer of a connection as long as reads fill
+/// it, up to 400 KiB.
+const READ_BYTES: usize = 8 << 10;
+
+/// Bytes that a head may have beyond its limit, for its request line and for the refusal to be sent.
+const EXTRA_HEAD_BYTES: usize = 8 << 10;
+
+/// Scheme of the remote address that holds the key of a connection.
+const ADDRESS_SCHEME: &str = "connection";
+
+/// Returns the key of the connection whose requests have the remote address `address`.
+pub(super) fn connection_key(address: &RemoteAddr) -> Option<ConnectionKey> {
+    match &address.0 {
+        Addr::Custom(ADDRESS_SCHEME, key) => key.parse().ok(),
+        _ => None,
+    }
+}
+
+/// Acceptor that accounts for open connections, and closes a connection on which a request head takes
+/// too long or is too large.
 ///
-/// Connections beyond the limit wait in the kernel's backlog.
+/// If too many are open, one without progress is closed, or else the new one. The remote address of a
+/// connection is its key in the account.
 #[derive(Debug)]
 pub struct LimitedAcceptor<A> {
     inner: A,
-    permits: Arc<Semaphore>,
+    memory: CallerMemory,
     head_timeout: Duration,
+    head_bytes: usize,
 }
 
 impl<A> LimitedAcceptor<A> {
-    /// Wraps `inner` with a maximum of `connections` open at once; a request head must arrive
-    /// within `head_timeout` of its first byte.
-    pub fn new(inner: A, connections: usize, head_timeout: Duration) -> Self {
+    /// Wraps `inner`, whose connections are accounted for in `memory`; a request head must arrive
+    /// within `head_timeout` of its first byte, and has at most `head_bytes`.
+    pub fn new(inner: A, memory: CallerMemory, head_timeout: Duration, head_bytes: usize) -> Self {
         Self {
             inner,
+            memory,
             head_timeout,
-            permits: Arc::new(Semaphore::new(connections)),
+            head_bytes: head_bytes + EXTRA_HEAD_BYTES,
         }
     }
 }
@@ -52,27 +77,33 @@
     }
 
     async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        let permit = Arc::clone(&self.permits)
-            .acquire_owned()
-            .await
-            .map_err(io::Error::other)?;
-        let (inner, local, remote, scheme) = self.inner.accept().await?;
-        Ok((
-            LimitedIo {
+        loop {
+            let (inner, local, _, scheme) = match self.inner.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                    return Err(error);
+                }
+            };
+            let Some(connection) = self.memory.open().await else {
+                continue;
+            };
+            let key = Addr::custom(ADDRESS_SCHEME, connection.key().to_string());
+            let io = LimitedIo {
                 inner,
+                connection,
                 read_closed: false,
                 head: HeadTimer::new(self.head_timeout),
+                head_bytes: 0,
+                max_head_bytes: self.head_bytes,
                 has_written: false,
-                _permit: permit,
-            },
-            local,
-            remote,
-            scheme,
-        ))
+            };
+            return Ok((io, local, RemoteAddr(key), scheme));
+        }
     }
 }
 
-/// Connection that counts against the limit of its acceptor while it is open.
+/// Connection that is accounted for while it is open.
 ///
 /// Flushing fails once the client has closed its side. The server polls a connection again after it
 /// has read the end of the stream; without this error it would keep a response open that has
@@ -80,10 +111,40 @@
 #[derive(Debug)]
 pub struct LimitedIo<I> {
     inner: I,
+    connection: CallerConnection,
     read_closed: bool,
     head: HeadTimer,
+    /// Bytes of the head that has begun.
+    head_bytes: usize,
+    max_head_bytes: usize,
     has_written: bool,
-    _permit: OwnedSemaphorePermit,
+}
+
+impl<I> LimitedIo<I> {
+    /// Fails if the connection has to be closed to make room for others.
+    fn check_evicted(&self, cx: &mut Context<'_>) -> io::Result<()> {
+        match self.connection.poll_evicted(cx) {
+            Poll::Ready(()) => Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "closed to make room for other callers",
+            )),
+            Poll::Pending => Ok(()),
+        }
+    }
+
+    /// Counts bytes of a head; fails if it has too many.
+    fn count_head(&mut self, bytes: usize) -> io::Result<()> {
+        if !self.head.is_in_head() {
+            self.head_bytes = 0;
+            return Ok(());
+        }
+        self.head_bytes += bytes;
+        if self.head_bytes <= self.max_head_bytes {
+            return Ok(());
+        }
+        let message = "request head is too large";
+        Err(io::Error::new(io::ErrorKind::InvalidData, message))
+    }
 }
 
 impl<I> AsyncRead for LimitedIo<I>
@@ -95,14 +156,21 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let (before, room) = (buf.filled().len(), buf.remaining());
+        self.check_evicted(cx)?;
         let this = &mut *self;
-        match Pin::new(&mut this.inner).poll_read(cx, buf) {
+        let room = buf.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(room));
+        match Pin::new(&mut this.inner).poll_read(cx, &mut part) {
             Poll::Ready(result) => {
-                let bytes = &buf.filled()[before..];
-                this.read_closed |= room > 0 && bytes.is_empty() && result.is_ok();
+                let bytes = part.filled();
+                let count = bytes.len();
+                this.read_closed |= room > 0 && count == 0 && result.is_ok();
                 this.head.on_read(bytes, !this.has_written);
-                Poll::Ready(result)
+                buf.advance(count);
+                if count > 0 {
+                    this.connection.received(count);
+                }
+                Poll::Ready(result.and_then(|()| this.count_head(count)))
             }
             Poll::Pending => {
                 ready!(this.head.poll_expired(cx));
@@ -122,8 +190,14 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_evicted(cx)?;
         let this = &mut *self;
-        let written = ready!(Pin::new(&mut this.inner).poll_write(cx, buf))?;
+        let written = Pin::new(&mut this.inner).poll_write(cx, buf);
+        if written.is_pending() {
+            this.connection.sent(None);
+        }
+        let written = ready!(written)?;
+        this.connection.sent(Some(written));
         this.head.on_written(&buf[..written]);
         this.has_written = true;
         Poll::Ready(Ok(written))
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -1,10 +1,16 @@
 use {
-    super::{LimitedAcceptor, NodelayAcceptor, OperatorContext, operator_api::handle},
-    crate::port::{Clock, Peer, Platform},
+    super::{
+        CallerMemory, LimitedAcceptor, NodelayAcceptor, OperatorContext, operator_api::handle,
+    },
+    crate::{
+        board::CallerBounds,
+        port::{Clock, Peer, Platform},
+    },
     poem::{
         EndpointExt, Server, endpoint,
         listener::{Acceptor, Listener, TcpListener},
     },
+    prometheus_client::registry::Registry,
     std::{
         fmt::{self, Debug, Formatter},
         io,
@@ -14,6 +20,8 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Most connections of operators; a few tools and scrapes are expected.
+const MAX_CONNECTIONS: usize = 256;
 /// Time without traffic after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time that requests in progress may take to end after a stop.
@@ -35,11 +43,17 @@
     pub async fn bind(address: SocketAddr, ctx: OperatorContext<S, P, C>) -> io::Result<Self> {
         let acceptor = TcpListener::bind(address).into_acceptor().await?;
         let limits = ctx.limits;
+        let bounds = CallerBounds {
+            connections: MAX_CONNECTIONS.min(limits.connections as usize),
+            ..limits.caller_bounds()
+        };
+        let memory = CallerMemory::new(bounds, &mut Registry::default());
         Ok(Self {
             acceptor: LimitedAcceptor::new(
                 NodelayAcceptor::new(acceptor),
-                limits.connections as usize,
+                memory,
                 limits.header_time,
+                limits.header_bytes as usize,
             ),
             ctx,
         })
--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -1,5 +1,9 @@
 use {
-    crate::board::{Branch, Secret},
+    super::descriptor_limit,
+    crate::{
+        board::{Branch, CallerBounds, Secret},
+        decide::caller_bounds,
+    },
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::PathBuf,
@@ -106,6 +110,8 @@
     pub body_time: Duration,
     /// Maximum number of open connections per listener.
     pub connections: u32,
+    /// Memory that the process may use, in MiB. What is held for callers is bounded by it.
+    pub memory_mb: u32,
     /// Maximum time-out of a request of a caller, and the time-out without `Request-Timeout`.
     pub request_time: Duration,
 }
@@ -118,11 +124,23 @@
             header_time: Duration::from_secs(5),
             body_time: Duration::from_secs(15),
             connections: 4_096,
+            memory_mb: 256,
             request_time: Duration::from_mins(5),
         }
     }
 }
 
+impl Limits {
+    /// Returns the bounds on what is held for callers, within the descriptors that the system allows.
+    pub fn caller_bounds(&self) -> CallerBounds {
+        let bounds = caller_bounds((self.memory_mb as usize) << 20, descriptor_limit());
+        CallerBounds {
+            connections: bounds.connections.min(self.connections as usize),
+            ..bounds
+        }
+    }
+}
+
 /// Intervals and time-outs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Timing {
--- a/src/border/settings_parse.rs
+++ b/src/border/settings_parse.rs
@@ -124,6 +124,7 @@
         header_time: reader.duration("header_time", default.header_time),
         body_time: reader.duration("body_time", default.body_time),
         connections: reader.number("connections", default.connections.into(), 1..=1_000_000) as u32,
+        memory_mb: reader.number("memory_mb", default.memory_mb.into(), 16..=1_048_576) as u32,
         request_time: reader.duration("request_time", default.request_time),
     };
     reader.report_unknown_keys();
--- a/src/daemon/daemon_context.rs
+++ b/src/daemon/daemon_context.rs
@@ -3,8 +3,8 @@
     crate::{
         board::Blackboard,
         border::{
-            BudgetedPlatform, CallCounters, EngineClient, PeerClient, PeerTraffic, PlatformClient,
-            ServiceClient, Settings, http_client,
+            BudgetedPlatform, CallCounters, CallerMemory, EngineClient, PeerClient, PeerTraffic,
+            PlatformClient, ServiceClient, Settings, http_client,
         },
         key::name_hash,
         port::{Clock, MonoClock},
@@ -41,6 +41,8 @@
     pub traffic: PeerTraffic,
     /// Client of the platform, within the call budget.
     pub platform: DaemonPlatform,
+    /// Account of what is held for callers.
+    pub memory: CallerMemory,
 }
 
 impl DaemonContext {
@@ -71,6 +73,7 @@
             peer: PeerClient::new(&settings.keys.peers, seed, traffic.clone())?,
             traffic,
             platform: platform(settings, clock, registry)?,
+            memory: CallerMemory::new(settings.limits.caller_bounds(), registry),
         })
     }
 
--- a/src/daemon/running.rs
+++ b/src/daemon/running.rs
@@ -179,7 +179,7 @@
 ) -> Result<(Listeners, Addresses), DaemonError> {
     let settings = &ctx.settings;
     let entry = Entry::new(shared, &settings.host, ctx.incarnation);
-    let caller = CallerContext::new(shared.clone(), entry, settings.limits);
+    let caller = CallerContext::new(shared.clone(), entry, settings.limits, ctx.memory.clone());
     let address = settings.listen.callers.to_string();
     let callers = CallerListener::bind(&address, caller, settings.limits).await;
     let callers = callers.map_err(|source| DaemonError::Bind { address, source })?;
