Add planned stops without the store, which fail today

With the store gone, a daemon that stops waits for claims: it takes them until the deadline of their requests, and records ends in up to 20 attempts.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -51,6 +51,7 @@
 mod process_input;
 mod process_platform;
 mod process_site;
+mod process_stop;
 mod queue_bench;
 mod queue_memory;
 mod queue_order;
