Bound what a planned stop waits for claims

The stop waited for every claim of an at-most-once request, however long the store was gone. From the announcement of the stop a claim has 5 s to be taken, after which the request is refused as not run, and an end has 5 s to be recorded, after which its key is refused as outcome-unknown, as before.

--- a/src/request/run_claimed.rs
+++ b/src/request/run_claimed.rs
@@ -6,7 +6,7 @@
         port::{ClaimEnd, ClaimKey, ClaimOutcome, ClaimRequest, Claimer, Clock},
     },
     bytes::Bytes,
-    std::time::Duration,
+    std::{future::pending, time::Duration},
     tokio::sync::oneshot,
 };
 
@@ -20,6 +20,10 @@
 /// Attempts to record an end; after the last one, the outcome of the claim stays unknown.
 const RECORD_ATTEMPTS: u32 = 20;
 
+/// Time that a planned stop leaves to take a claim and to record an end: a store that responds takes
+/// milliseconds, and one that is gone must not hold up the stop.
+const STOP_TIME: Duration = Duration::from_secs(5);
+
 /// Wait suggested to a caller while an earlier request with its key is running.
 const IN_PROGRESS_WAIT: Duration = Duration::from_secs(1);
 
@@ -99,7 +103,32 @@
             attempt: self.attempt,
             remaining: self.remaining,
         };
-        self.shared.parts().claimer().submit(request).await
+        let taken = self.shared.parts().claimer().submit(request);
+        // Dropping the request has the claim ended as not run, should it be written yet.
+        self.unless_stopped(taken)
+            .await
+            .unwrap_or(ClaimOutcome::Unavailable)
+    }
+
+    /// Waits for `outcome`; `None` if a planned stop has left it its time.
+    async fn unless_stopped<F>(&self, outcome: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        let stopped = async {
+            let mut health = self.shared.board().health.clone();
+            while !health.load().stopping() {
+                if !health.changed().await {
+                    pending::<()>().await;
+                }
+            }
+            self.shared.parts().clock().sleep(STOP_TIME).await;
+        };
+        tokio::select! {
+            biased;
+            outcome = outcome => Some(outcome),
+            () = stopped => None,
+        }
     }
 
     /// Sends the result to the caller and records the end.
@@ -113,9 +142,9 @@
     ) {
         let end = self.end(&result);
         if matches!(end, ClaimEnd::NotRun | ClaimEnd::Unknown) {
-            let recorded = self.record(end.clone()).await;
+            let recorded = self.unless_stopped(self.record(end.clone())).await;
             drop(sender.send(result));
-            if !recorded {
+            if recorded != Some(true) {
                 self.record_later(end).await;
             }
             return;
@@ -154,19 +183,27 @@
     }
 
     async fn record_later(&self, end: ClaimEnd) {
+        if self.unless_stopped(self.try_record(end)).await == Some(true) {
+            return;
+        }
+        log::error!(
+            branch = self.key.branch.as_str(),
+            kind = self.key.kind.as_str();
+            "end of a claimed request not recorded; its key will be refused as `outcome-unknown`"
+        );
+    }
+
+    /// Records an end, in several attempts; returns whether it is recorded.
+    async fn try_record(&self, end: ClaimEnd) -> bool {
         let mut wait = RECORD_WAIT;
         for _ in 0..RECORD_ATTEMPTS {
             if self.record(end.clone()).await {
-                return;
+                return true;
             }
             self.shared.parts().clock().sleep(wait).await;
             wait = (wait * 2).min(MAX_RECORD_WAIT);
         }
-        log::error!(
-            branch = self.key.branch.as_str(),
-            kind = self.key.kind.as_str();
-            "end of a claimed request not recorded; its key will be refused as `outcome-unknown`"
-        );
+        false
     }
 }
 
