Test the end of request heads with random pieces

HeadTimer finds the end of a head byte by byte, and the limit on the bytes of a head now relies on it.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -28,6 +28,7 @@
 mod fleet;
 mod forward_path;
 mod forward_site;
+mod head_timer;
 mod held_address;
 mod ledger;
 mod limits;
