--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -49,11 +49,13 @@
     AccessKeyUnknown,
     /// The quota of the organisation has no credit for the request.
     QuotaExceeded,
+    /// The process has no memory left for the request's body.
+    CallerMemory,
 }
 
 impl Refusal {
     /// Every reason, for registration of counters.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::UnknownBranch,
         Self::UnknownKind,
         Self::BadRequest,
@@ -76,6 +78,7 @@
         Self::AccessKeyMalformed,
         Self::AccessKeyUnknown,
         Self::QuotaExceeded,
+        Self::CallerMemory,
     ];
 
     /// Returns the name of the reason, which stays the same in every release.
@@ -103,6 +106,7 @@
             Self::AccessKeyMalformed => "access-key-malformed",
             Self::AccessKeyUnknown => "access-key-unknown",
             Self::QuotaExceeded => "quota-exceeded",
+            Self::CallerMemory => "caller-memory",
         }
     }
 }
