Place waiting streams by priority

The daemon that places streams took the oldest first. On a full pool this favours kinds with long targets, as their requests become older before they give up.

Requests of a pool now go by priority and then by arrival. While several priorities wait, each earns credit by its share of the demand, and goes first once a placement is due to it, so that none is served less than a quarter as often as all. Where all have the same priority, the order is unchanged. Placement requests carry the priority and the hash of the organisation's name.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -2,13 +2,16 @@
     super::crash_counter::CrashCounter,
     crate::{
         board::{Blackboard, Endpoint, Refusals, Role, Section, Tick},
-        decide::{EngineLimits, Ledger, Placement, WaitBudget},
+        decide::{EngineLimits, Ledger, Placement, PlacementTurns, WaitBudget, WaitingPlacement},
         port::{
             CallEnd, CallVerdict, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
             PlacementReply, PlacementRequest, PlacerHandover, RefusalUpdate, ReportedCrash, RunEnd,
         },
     },
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
     tokio::sync::{mpsc, oneshot},
 };
 
@@ -34,6 +37,7 @@
     mailbox: mpsc::Receiver<Message>,
     ledgers: HashMap<String, Ledger>,
     waiting: Vec<WaitingRequest>,
+    turns: PlacementTurns,
     unreachable: HashMap<String, Tick>,
     limits: EngineLimits,
     crashes: CrashCounter,
@@ -66,6 +70,16 @@
     reply: oneshot::Sender<PlacementReply>,
 }
 
+impl WaitingPlacement for WaitingRequest {
+    fn request(&self) -> &PlacementRequest {
+        &self.request
+    }
+
+    fn arrived(&self) -> Tick {
+        self.arrived
+    }
+}
+
 impl AllocationHandle {
     /// Handles a call from another daemon.
     ///
@@ -180,6 +194,7 @@
             mailbox,
             ledgers: HashMap::new(),
             waiting: Vec::new(),
+            turns: PlacementTurns::default(),
             unreachable: HashMap::new(),
             limits: EngineLimits::default(),
             crashes,
@@ -291,8 +306,7 @@
         });
     }
 
-    /// Places the waiting requests that fit, the oldest first; requests that can still meet their
-    /// target go before those that cannot.
+    /// Places the waiting requests that fit, in the order of `PlacementTurns`.
     ///
     /// A request that does not fit keeps the later ones of its pool waiting, until it has been held
     /// for `MAX_HOLD_TIME` and its requester has to send it again.
@@ -306,11 +320,12 @@
             return;
         }
         self.waiting.retain(|waiting| !waiting.reply.is_closed());
-        self.waiting
-            .sort_by_key(|waiting| (waiting.request.late, waiting.arrived));
+        let mut queue = std::mem::take(&mut self.waiting);
+        self.turns.order(&mut queue, now);
+        let mut queue = VecDeque::from(queue);
         let mut blocked = Vec::<String>::new();
         let mut still_waiting = Vec::new();
-        for waiting in std::mem::take(&mut self.waiting) {
+        while let Some(waiting) = queue.pop_front() {
             let refused = self.crashes.refused();
             if let Some(left) = refused.remaining(&waiting.request.causes, now) {
                 self.reply(waiting, PlacementOutcome::Refused(left), now);
@@ -324,6 +339,9 @@
             };
             match placed {
                 Some(placement) => {
+                    if self.turns.record(&waiting, queue.iter(), now) {
+                        self.turns.order(queue.make_contiguous(), now);
+                    }
                     Self::log_placement(&waiting, &placement, now);
                     let Placement {
                         decode, prefill, ..
@@ -374,6 +392,7 @@
         log::info!(
             place = waiting.request.id,
             pool = waiting.request.pool.as_str(),
+            priority = waiting.request.priority,
             waited_ms = (now - waiting.arrived).as_millis() as u64,
             readers = pressure.prefill_engines,
             decoders = pressure.decode_engines,
@@ -391,6 +410,7 @@
             pool = waiting.request.pool.as_str(),
             decode = placement.decode.as_str(),
             prefill = placement.prefill.as_deref().unwrap_or("in place"),
+            priority = waiting.request.priority,
             waited_ms = (now - waiting.arrived).as_millis() as u64,
             line_ms = figures.queue_time.map(|time| time.as_millis() as u64),
             peak = figures.peak,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -31,6 +31,7 @@
     output_lengths::OutputLengths,
     output_rates::OutputRates,
     owner_choice::{OwnerOption, order_owners, owners_to_request},
+    placement_turns::{PlacementTurns, WaitingPlacement},
     placer_order::placer_order,
     prefill_rate::PrefillRate,
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
@@ -89,6 +90,7 @@
 mod output_rates;
 mod owner_choice;
 pub mod ownership;
+mod placement_turns;
 mod placer_order;
 mod prefill_rate;
 mod prefix_hash;
--- a/src/port/placer.rs
+++ b/src/port/placer.rs
@@ -39,6 +39,10 @@
     pub waited: Duration,
     /// Target time from the arrival to the first event.
     pub target: Duration,
+    /// Priority, 0 is the most urgent.
+    pub priority: u8,
+    /// Hash of the name of the organisation that the request belongs to, if one is known.
+    pub organisation: Option<u64>,
     /// Whether the prompt is to be computed by a prefill engine rather than locally.
     pub remote_prefill: bool,
     /// Names of the engines to avoid: those at which the request failed, and those that leave.
--- a/src/request/placement_search.rs
+++ b/src/request/placement_search.rs
@@ -6,6 +6,7 @@
     crate::{
         board::{Endpoint, Role, Tick},
         decide::WaitBudget,
+        key::name_hash,
         port::{Clock, PlacementOutcome, PlacementRequest, Placer, StatedLimit},
     },
 };
@@ -127,6 +128,7 @@
             traffic.is_leaving() || !traffic.pause_left(now).is_zero()
         });
         let unreachable = endpoints().filter(|endpoint| endpoint.counters.traffic.is_avoided(now));
+        let organisation = self.call.organisation.as_ref();
         PlacementRequest {
             id,
             pool: self.call.pool.clone(),
@@ -135,6 +137,8 @@
             late: self.call.late,
             waited: now - self.call.arrived,
             target: self.call.route.target,
+            priority: self.call.priority,
+            organisation: organisation.map(|organisation| name_hash(&organisation.name)),
             remote_prefill: !local,
             avoid: tried
                 .chain(unwilling)
--- a/tests/crash_causes.rs
+++ b/tests/crash_causes.rs
@@ -61,6 +61,8 @@
             late: false,
             waited: Duration::ZERO,
             target: Duration::from_millis(900),
+            priority: 0,
+            organisation: None,
             remote_prefill: false,
             avoid: Vec::new(),
             unreachable: Vec::new(),
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -75,3 +75,4 @@
 mod store_call;
 mod story;
 mod suspicion;
+mod urgency;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -43,6 +43,8 @@
         late: false,
         waited: Duration::ZERO,
         target: Duration::from_millis(900),
+        priority: 0,
+        organisation: None,
         remote_prefill: true,
         avoid: Vec::new(),
         unreachable: Vec::new(),
--- a/tests/mass_start.rs
+++ b/tests/mass_start.rs
@@ -28,6 +28,8 @@
         late: false,
         waited: Duration::ZERO,
         target: Duration::from_millis(900),
+        priority: 0,
+        organisation: None,
         remote_prefill: false,
         avoid: Vec::new(),
         unreachable: Vec::new(),
--- a/tests/placement_order.rs
+++ b/tests/placement_order.rs
@@ -25,6 +25,8 @@
         late,
         waited: Duration::from_secs(2),
         target: Duration::from_millis(900),
+        priority: 0,
+        organisation: None,
         remote_prefill: false,
         avoid: avoid.iter().map(ToString::to_string).collect(),
         unreachable: Vec::new(),
