Tell engines which requests are urgent

An engine admits and batches requests by arrival unless they carry Request-Priority, so an urgent stream that was placed waits there behind others.

Pools whose routes have the same priority, and plain services, get no header as before.

Preemption at engines was not measured.

--- a/src/board/routing.rs
+++ b/src/board/routing.rs
@@ -24,6 +24,9 @@
     pub by_host: HashMap<String, Vec<RouteKey>>,
     /// Configuration of the pools by name.
     pub pools: HashMap<String, PoolConfig>,
+    /// Most urgent priority of the routes of each pool of engines whose routes have several priorities, by the
+    /// name of the pool.
+    pub urgent: HashMap<String, u8>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
     /// Organisations by name; their keys are valid within this version only.
@@ -171,6 +174,7 @@
             let key = routing.routes.insert(&name, route);
             routing.by_host.entry(host).or_default().push(key);
         }
+        routing.urgent = urgent_priorities(&routing);
         let routes = &routing.routes;
         for keys in routing.by_host.values_mut() {
             let length = |key: &RouteKey| routes.get(*key).map_or(0, |route| route.prefix.len());
@@ -245,3 +249,22 @@
         routes.find(|(_, route)| path.starts_with(&route.prefix))
     }
 }
+
+/// Returns the most urgent priority of the routes of each pool of engines that has several.
+fn urgent_priorities(routing: &Routing) -> HashMap<String, u8> {
+    let mut ranges: HashMap<&str, (u8, u8)> = HashMap::new();
+    for (_, route) in routing.routes.iter() {
+        for (pool, _) in &route.pools {
+            let range = ranges.entry(pool.as_str());
+            let (least, greatest) = range.or_insert((route.priority, route.priority));
+            *least = route.priority.min(*least);
+            *greatest = route.priority.max(*greatest);
+        }
+    }
+    let has_engines = |pool: &str| routing.pools.get(pool).is_some_and(|pool| pool.has_engines);
+    let several = ranges.into_iter();
+    several
+        .filter(|(pool, (least, greatest))| least < greatest && has_engines(pool))
+        .map(|(pool, (least, _))| (pool.to_owned(), least))
+        .collect()
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
     endpoint_load::EndpointLoad,
     engine_limits::EngineLimits,
     engine_plan::EnginePlan,
+    engine_priority::engine_priority,
     fair_share::{FairShare, HALF_LIFE},
     feed_changes::{changes_since, record_changes, record_listing},
     feed_compare::{compare_reply, feed_digests, merge_difference},
@@ -71,6 +72,7 @@
 mod endpoint_load;
 mod engine_limits;
 mod engine_plan;
+mod engine_priority;
 mod fair_share;
 mod feed_changes;
 mod feed_compare;
--- a/src/port/upstream.rs
+++ b/src/port/upstream.rs
@@ -181,6 +181,8 @@
     pub resume_after: Option<u64>,
     /// As whom the endpoint gets to know the caller.
     pub identity: CallerIdentity,
+    /// Priority among the requests of the endpoint, 0 to 9, 0 is the most urgent; `None` if it is not told one.
+    pub priority: Option<u8>,
 }
 
 /// KV cache of a prompt that a prefill engine keeps until it is fetched.
--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -4,6 +4,7 @@
         board::{PathRoute, Repeat, Tick},
         decide::{
             AttemptState, CallOrganisation, Chance, Failure, RetryBudget, Verdict, after_failure,
+            engine_priority,
         },
         key::{CauseKey, EndpointKey},
         port::{CallerIdentity, ForwardRequest, UpstreamError, UpstreamRequest},
@@ -73,6 +74,8 @@
         } else {
             Duration::MAX
         };
+        let routing = shared.board().routing.load();
+        let urgent = routing.urgent.get(&self.pool);
         UpstreamRequest {
             request: Arc::clone(&self.request),
             address: hold.address.clone(),
@@ -84,6 +87,7 @@
             reservation: None,
             resume_after: None,
             identity: self.identity.clone(),
+            priority: urgent.map(|urgent| engine_priority(self.priority, *urgent)),
         }
     }
 
