Let organisations with many running streams yield on full pools

Within a priority, streams waited by arrival, so on a full pool an organisation that sends many times its usual load took nearly all places, and small ones were refused with it.

An organisation with at least twice as many running streams in the pool as the others on average now goes after them, by one step for each doubling. Credit is kept by priority and organisation, so one that yields still gets its part. The ledger counts running streams by organisation, also those that another daemon placed. Without organisations the order is unchanged.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -321,7 +321,7 @@
         }
         self.waiting.retain(|waiting| !waiting.reply.is_closed());
         let mut queue = std::mem::take(&mut self.waiting);
-        self.turns.order(&mut queue, now);
+        self.turns.order(&mut queue, &self.ledgers, now);
         let mut queue = VecDeque::from(queue);
         let mut blocked = Vec::<String>::new();
         let mut still_waiting = Vec::new();
@@ -340,7 +340,8 @@
             match placed {
                 Some(placement) => {
                     if self.turns.record(&waiting, queue.iter(), now) {
-                        self.turns.order(queue.make_contiguous(), now);
+                        let queue = queue.make_contiguous();
+                        self.turns.order(queue, &self.ledgers, now);
                     }
                     Self::log_placement(&waiting, &placement, now);
                     let Placement {
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -55,6 +55,8 @@
     /// Tokens queued at the prefill engine before the prompt when it was placed; none if that is not
     /// known, or there is no such engine.
     tokens_ahead: Option<f64>,
+    /// Hash of the name of the organisation that it belongs to, if one is known.
+    organisation: Option<u64>,
 }
 
 /// A prefill engine that may take a prompt.
@@ -178,6 +180,7 @@
             decode: decode.clone(),
             tokens_ahead: prefill.as_ref().and(tokens_ahead),
             prefill: prefill.clone(),
+            organisation: request.organisation,
         };
         self.runs.insert(request.id, placed);
         self.usual_prompt += (run.prompt - self.usual_prompt) * SAMPLE_RATIO;
@@ -231,6 +234,7 @@
             decode: run.decode.clone(),
             prefill: None,
             tokens_ahead: None,
+            organisation: run.request.organisation,
         };
         self.runs.insert(run.request.id, placed);
     }
@@ -283,6 +287,15 @@
         }
     }
 
+    /// Returns the number of placed requests of each organisation, by the hash of its name.
+    pub fn running(&self) -> BTreeMap<Option<u64>, usize> {
+        let mut running = BTreeMap::new();
+        for placed in self.runs.values() {
+            *running.entry(placed.organisation).or_default() += 1;
+        }
+        running
+    }
+
     /// Returns the number of placed requests.
     pub fn len(&self) -> usize {
         self.runs.len()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -73,6 +73,7 @@
 mod engine_limits;
 mod engine_plan;
 mod engine_priority;
+mod excess_use;
 mod fair_share;
 mod feed_changes;
 mod feed_compare;
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -9,11 +9,13 @@
     lentillead::{
         board::{Blackboard, Role, Tick},
         control::{AllocationController, AllocationHandle},
-        decide::{PlacementTurns, WaitBudget, WaitingPlacement},
-        port::{MonoClock, PlacementEnd, PlacementOutcome, PlacementRequest, RunEnd},
+        decide::{Ledger, PlacementTurns, WaitBudget, WaitingPlacement},
+        port::{
+            ActivePlacement, MonoClock, PlacementEnd, PlacementOutcome, PlacementRequest, RunEnd,
+        },
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
     tokio::{
         task::JoinSet,
         time::{Instant, sleep},
@@ -197,6 +199,78 @@
     assert_yaml_snapshot!(seen);
 }
 
+/// Guards small organisations against one that sends many times its usual load, and that one against
+/// starvation.
+#[tokio::test(start_paused = true)]
+async fn an_organisation_with_many_running_streams_yields_to_others() {
+    let mut seen = Vec::new();
+    for rates in [[3, 3, 3, 3], [60, 3, 3, 3], [60, 8, 8, 8], [60, 60, 3, 3]] {
+        for known in [false, true] {
+            let organisation = |i| known.then_some(i as u64);
+            let loads = (0..4).map(|i| Load {
+                organisation: organisation(i),
+                ..Load::new(1, 800, rates[i])
+            });
+            let served = run(&loads.collect::<Vec<_>>()).await;
+            let kept = nobody_starves(&served);
+            let served = served.iter().map(|s| format!("{} of {}", s.placed, s.sent));
+            let order = if known { "by use" } else { "by arrival" };
+            seen.push((order, served.collect::<Vec<_>>(), kept));
+            assert!(kept || !known, "an organisation starves");
+        }
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// Guards the urgent streams of a small organisation, and everybody else beside them, against a large organisation
+/// with streams of both priorities.
+#[tokio::test(start_paused = true)]
+async fn priority_goes_before_use_and_no_organisation_starves() {
+    let mut seen = Vec::new();
+    for rates in [[20, 20, 2, 2], [2, 40, 2, 2], [40, 2, 2, 2]] {
+        let groups = [(0, 1), (1, 1), (0, 2), (1, 2)];
+        let loads = (0..4).map(|i| Load {
+            organisation: Some(groups[i].1),
+            ..Load::new(groups[i].0, 1_000, rates[i])
+        });
+        let served = run(&loads.collect::<Vec<_>>()).await;
+        let kept = nobody_starves(&served);
+        let served = served.iter().map(|s| format!("{} of {}", s.placed, s.sent));
+        seen.push((served.collect::<Vec<_>>(), kept));
+        assert!(kept, "a group starves");
+    }
+    assert_yaml_snapshot!(seen);
+}
+
+/// Guards a daemon that begins to place streams against ignoring what organisations have running.
+#[test]
+fn running_streams_are_counted_by_organisation_also_if_another_daemon_placed_them() {
+    let engines = [listed("d1", "models", Role::Decode)];
+    let (board, mut writers) = Blackboard::new();
+    publish_engines(&mut writers, &engines);
+    let fleet = board.fleet.snapshot();
+    let mut ledger = Ledger::default();
+    ledger.sync(fleet.endpoints.iter().map(|(_, e)| (e, true)), 100_000);
+    let request = |id, organisation| PlacementRequest {
+        organisation,
+        remote_prefill: false,
+        ..placement_request(id, 100, 100)
+    };
+    for (id, organisation) in [(1, None), (2, Some(7)), (3, Some(7))] {
+        ledger.place(&request(id, organisation), at(0)).unwrap();
+    }
+    let elsewhere = ActivePlacement {
+        request: request(4, Some(9)),
+        decode: "d1".to_owned(),
+        running_for: Duration::ZERO,
+    };
+    ledger.add_remote(&elsewhere, at(10));
+    let before = ledger.running();
+    ledger.end(&ended(3, "d1".to_owned()), at(20));
+    let text = |running| format!("{running:?}");
+    assert_yaml_snapshot!([text(before), text(ledger.running())]);
+}
+
 fn at(ms: u64) -> Tick {
     Tick(ms * 1_000)
 }
@@ -221,12 +295,13 @@
             let load = Load::new(pool + above, rng.random_range(100..5_000), 0);
             let request = PlacementRequest {
                 late: rng.random(),
+                organisation: rng.random_range(0..5_u64).checked_sub(1),
                 pool: format!("pool-{pool}"),
                 ..load.request(id, Duration::ZERO)
             };
             waiting.push(Waits(request, at(rng.random_range(0..1_000))));
         }
-        turns.order(&mut waiting, at(1_500));
+        turns.order(&mut waiting, &HashMap::new(), at(1_500));
         for pool in (0..3).filter(|pool| *pool != mixed) {
             let pool = format!("pool-{pool}");
             let seen: Vec<_> = waiting.iter().filter(|w| w.0.pool == pool).collect();
@@ -265,7 +340,7 @@
     waiting.push(Waits(late, at(0)));
     let mut seen = Vec::new();
     while !waiting.is_empty() {
-        turns.order(&mut waiting, at(920));
+        turns.order(&mut waiting, &HashMap::new(), at(920));
         let placed = waiting.remove(0);
         let contested = turns.record(&placed, waiting.iter(), at(920));
         seen.push(format!(
