Log how many requests wait for a placement

`waiting` in `no engine is free; requester has to retry` was always 0: it counted the list after its requests had been taken from it. It now counts the other requests that still wait on this daemon. No test covers the line.

--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -360,7 +360,8 @@
                     self.reply(waiting, PlacementOutcome::Limited(wait), now);
                 }
                 None if waiting.until <= now => {
-                    self.log_wait(&waiting, now);
+                    let others = queue.len() + still_waiting.len();
+                    self.log_wait(&waiting, others, now);
                     self.reply(waiting, PlacementOutcome::Wait, now);
                 }
                 None => {
@@ -384,8 +385,8 @@
         }
     }
 
-    /// Logs the state of the pool that keeps a request waiting.
-    fn log_wait(&self, waiting: &WaitingRequest, now: Tick) {
+    /// Logs the state of the pool that keeps a request waiting beside `others`.
+    fn log_wait(&self, waiting: &WaitingRequest, others: usize, now: Tick) {
         let ledger = self.ledgers.get(&waiting.request.pool);
         let Some(pressure) = ledger.map(|ledger| ledger.pressure(now)) else {
             return;
@@ -398,7 +399,7 @@
             readers = pressure.prefill_engines,
             decoders = pressure.decode_engines,
             least_fill = pressure.min_fill,
-            waiting = self.waiting.len();
+            waiting = others;
             "no engine is free; requester has to retry"
         );
     }
