--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
     endpoint_load::EndpointLoad,
     engine_limits::EngineLimits,
     engine_plan::EnginePlan,
+    engine_priority::engine_priority,
     fair_share::{FairShare, HALF_LIFE},
     feed_changes::{changes_since, record_changes, record_listing},
     feed_compare::{compare_reply, feed_digests, merge_difference},
@@ -35,6 +36,7 @@
     output_lengths::OutputLengths,
     output_rates::OutputRates,
     owner_choice::{OwnerOption, order_owners, owners_to_request},
+    placement_turns::{PlacementTurns, WaitingPlacement},
     placer_order::placer_order,
     prefill_rate::PrefillRate,
     prefix_hash::{BLOCK_TOKENS, count_tokens, prefixes},
@@ -83,6 +85,8 @@
 mod endpoint_load;
 mod engine_limits;
 mod engine_plan;
+mod engine_priority;
+mod excess_use;
 mod fair_share;
 mod feed_changes;
 mod feed_compare;
@@ -102,6 +106,7 @@
 mod output_rates;
 mod owner_choice;
 pub mod ownership;
+mod placement_turns;
 mod placer_order;
 mod prefill_rate;
 mod prefix_hash;
