--- a/src/request/forward_log.rs
+++ b/src/request/forward_log.rs
@@ -183,6 +183,7 @@
             request = self.call.request.id.as_str(),
             route = self.call.route.name.as_str(),
             organisation = self.organisation(),
+            priority = self.call.priority,
             version = self.call.version,
             reason = reason.as_str(),
             ran = self.call.ran,
