Let requests wait for credit that comes within their time limit

A request that arrived in the first second after the start was refused, as no daemon owned a share yet, and one that lacked some milliseconds of the rate was, too. Both now wait: for the first share up to a second and 250 ms, else 250 ms. Whether a report has named a request is a flag now; comparing times made the accountant report to itself without end when both were equal (seen on the paused clock).

--- a/src/control/quota_controller.rs
+++ b/src/control/quota_controller.rs
@@ -272,7 +272,7 @@
             loop {
                 let reporter = &self.shards[index].reporter;
                 let is_due = reporter.due().is_some_and(|due| due <= now);
-                if !is_due && !reporter.is_waiting() {
+                if !is_due && !reporter.is_waiting(now) {
                     break;
                 }
                 self.rank(index, now);
--- a/src/control/quota_handle.rs
+++ b/src/control/quota_handle.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         board::{Quotas, Section},
-        decide::MAX_ASK_TIME,
+        decide::{MAX_ASK_TIME, MAX_START_WAIT},
         port::{Clock, PeerReply, QuotaAnswer, QuotaGate, QuotaReply, QuotaReport},
     },
     tokio::{
@@ -78,7 +78,7 @@
         if self.mailbox.try_send(QuotaMessage::Ask(ask)).is_err() {
             return QuotaAnswer::Refused(MAX_ASK_TIME);
         }
-        match timeout(MAX_ASK_TIME, answer).await {
+        match timeout(MAX_START_WAIT + MAX_ASK_TIME * 2, answer).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) | Err(_) => QuotaAnswer::Refused(MAX_ASK_TIME),
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -39,7 +39,7 @@
         QUOTA_SHARDS, QUOTA_WINDOW, QuotaLimits, quota_number, quota_shard, quota_shard_name,
     },
     quota_pool::{CREDIT_TERM, QuotaPool, QuotaUse},
-    quota_reporter::{MAX_ASK_TIME, QuotaAnswers, QuotaReporter, REPORT_TIMEOUT},
+    quota_reporter::{MAX_ASK_TIME, MAX_START_WAIT, QuotaAnswers, QuotaReporter, REPORT_TIMEOUT},
     recent_answers::RecentAnswers,
     refused_causes::RefusedCauses,
     retry::{Chance, Failure, Verdict, after_failure},
--- a/src/decide/quota_pool.rs
+++ b/src/decide/quota_pool.rs
@@ -191,7 +191,9 @@
             let time = sender.until.min(now).saturating_sub(since);
             sender.part * time.as_secs_f64()
         });
-        self.share_seconds += seconds.sum::<f64>().min((now - since).as_secs_f64());
+        self.share_seconds += seconds
+            .sum::<f64>()
+            .min(now.saturating_sub(since).as_secs_f64());
         self.settled_at = now;
         self.senders
             .retain(|_, sender| sender.heard_at + FORGET_TIME > now);
@@ -308,7 +310,7 @@
         let in_line = Duration::from_secs_f64((cost as f64 / rate).min(MAX_WAIT.as_secs_f64()));
         let from = self.backlog_until.max(now);
         self.backlog_until = (from + in_line).min(now + MAX_WAIT);
-        (self.backlog_until - now).max(lacking)
+        self.backlog_until.saturating_sub(now).max(lacking)
     }
 
     /// Averages the use, once enough time has passed.
--- a/src/decide/quota_reporter.rs
+++ b/src/decide/quota_reporter.rs
@@ -33,6 +33,12 @@
 /// Longest time that a request waits for credit.
 pub const MAX_ASK_TIME: Duration = Duration::from_millis(250);
 
+/// Longest time for which requests wait for the share of a daemon that has just started.
+pub const MAX_START_WAIT: Duration = Duration::from_secs(1);
+
+/// Shortest time after which a request that got no credit is reported again.
+const MIN_ASK_PAUSE: Duration = Duration::from_millis(5);
+
 /// Time within which an organisation counts as in use after its last request.
 const IN_USE_TIME: Duration = Duration::from_secs(3);
 
@@ -106,6 +112,8 @@
     used_rate: f64,
     in_use_until: Duration,
     refused_until: Duration,
+    /// When waiting requests are reported again.
+    ask_at: Duration,
     /// Wait that the accountant stated last, or until the share comes back.
     wait: Duration,
     /// When the credit of all refused requests will be there.
@@ -116,7 +124,10 @@
 #[derive(Debug)]
 struct WaitingRequest<W> {
     cost: u64,
-    since: Duration,
+    /// Whether a report has named its cost.
+    is_reported: bool,
+    /// When it is refused at the latest.
+    until: Duration,
     waiter: W,
 }
 
@@ -202,6 +213,7 @@
         self.accrue(now);
         let part = self.part();
         let lent = self.lent_until(now);
+        let start_until = self.start_until(now);
         let Some(own) = self.organisations.get_mut(&organisation) else {
             return Some((waiter, QuotaAnswer::Unlimited));
         };
@@ -216,14 +228,15 @@
             if let Some(hold) = own.credit.reserve(cost, now) {
                 return Some((waiter, QuotaAnswer::Granted(hold)));
             }
-            if now < own.refused_until {
-                let wait = own.refuse(cost, own.refused_until - now, part, now);
+            if now < own.refused_until && own.wait > MAX_ASK_TIME {
+                let wait = own.refuse(cost, own.wait, part, now);
                 return Some((waiter, QuotaAnswer::Refused(wait)));
             }
         }
         own.waiting.push_back(WaitingRequest {
             cost,
-            since: now,
+            is_reported: false,
+            until: start_until.unwrap_or(now) + MAX_ASK_TIME,
             waiter,
         });
         None
@@ -236,7 +249,7 @@
         ranked: &[HostKey],
         now: Duration,
     ) -> Option<(HostKey, QuotaReport)> {
-        let waiting = self.is_waiting();
+        let waiting = self.is_waiting(now);
         if self.sent.is_some() || !self.has_limits() || (now < self.due && !waiting) {
             return None;
         }
@@ -277,7 +290,7 @@
                 shard: self.shard,
                 sender: self.sender,
                 sequence: self.sequence,
-                echo: echo.map(|(_, stamp, at)| (stamp, (now - at).as_micros() as u64)),
+                echo: echo.map(|(_, stamp, at)| (stamp, now.saturating_sub(at).as_micros() as u64)),
                 daemons,
                 term: term.as_micros() as u64,
                 needs: needs.collect(),
@@ -312,9 +325,12 @@
             }
         }
         let part = self.part();
+        let start_until = self.start_until(now);
         let mut answers = Vec::new();
         for own in self.organisations.values_mut() {
-            own.answer(Some(sent), part, now, &mut answers);
+            own.ask_at = Duration::ZERO;
+            let later = start_until.unwrap_or(now + own.wait);
+            own.answer(Some(later), part, now, &mut answers);
         }
         answers
     }
@@ -349,14 +365,16 @@
 
     /// Returns when the next regular report is due; `None` while one is in progress or none is needed.
     pub fn due(&self) -> Option<Duration> {
-        (self.sent.is_none() && self.has_limits()).then_some(self.due)
+        let waiting = self.organisations.values();
+        let waiting = waiting.filter(|own| !own.waiting.is_empty());
+        let due = waiting.map(|own| own.ask_at).fold(self.due, Duration::min);
+        (self.sent.is_none() && self.has_limits()).then_some(due)
     }
 
-    /// Whether requests wait for credit.
-    pub fn is_waiting(&self) -> bool {
-        self.organisations
-            .values()
-            .any(|own| !own.waiting.is_empty())
+    /// Whether requests wait for credit that may be there at `now`.
+    pub fn is_waiting(&self, now: Duration) -> bool {
+        let mut waiting = self.organisations.values();
+        waiting.any(|own| !own.waiting.is_empty() && now >= own.ask_at)
     }
 
     /// Schedules the next report after a failed one. Requests that have waited too long are answered; the
@@ -367,13 +385,19 @@
             .organisations
             .values()
             .filter_map(|own| own.waiting.front());
-        let oldest = oldest.map(|request| request.since).min();
-        if oldest.is_some_and(|since| now >= since + MAX_ASK_TIME) {
+        let oldest = oldest.map(|request| request.until).min();
+        if oldest.is_some_and(|until| now >= until) {
             return self.answer_alone(now);
         }
         Vec::new()
     }
 
+    /// Returns until when requests wait for the share of this daemon, if it begins soon.
+    fn start_until(&self, now: Duration) -> Option<Duration> {
+        self.settles_at
+            .filter(|until| *until > now && *until <= now + MAX_START_WAIT)
+    }
+
     /// Returns the accountant that has the share, and until when, if it has it at `now`.
     fn lent_until(&self, now: Duration) -> Option<(HostKey, Duration)> {
         self.lent.filter(|(_, until)| *until > now)
@@ -424,6 +448,7 @@
             used_rate: 0.0,
             in_use_until: Duration::ZERO,
             refused_until: Duration::ZERO,
+            ask_at: Duration::ZERO,
             wait: Duration::ZERO,
             backlog_until: Duration::ZERO,
         }
@@ -475,6 +500,9 @@
             first_missing: first.saturating_sub(free),
         };
         self.reported = used;
+        for request in &mut self.waiting {
+            request.is_reported = true;
+        }
         let nothing = QuotaNeed {
             organisation,
             ..QuotaNeed::default()
@@ -517,23 +545,30 @@
         }
     }
 
-    /// Answers the waiting requests. After the reply to a report that was sent at `sent`, later requests
-    /// that get no credit go on waiting, as they were not in it.
+    /// Answers the waiting requests. After the reply to a report, a request goes on waiting if it came after the
+    /// report, or if there may be credit for it at `reported` and that is soon.
     fn answer(
         &mut self,
-        sent: Option<Duration>,
+        reported: Option<Duration>,
         part: Option<f64>,
         now: Duration,
         answers: &mut QuotaAnswers<W>,
     ) {
-        while let Some(request) = self.waiting.pop_front() {
+        for request in std::mem::take(&mut self.waiting) {
             if let Some(hold) = self.credit.reserve(request.cost, now) {
                 answers.push((request.waiter, QuotaAnswer::Granted(hold)));
                 continue;
             }
-            if sent.is_some_and(|sent| request.since >= sent) && now >= self.refused_until {
-                self.waiting.push_front(request);
-                return;
+            if let Some(later) = reported {
+                let is_new = !request.is_reported;
+                let is_soon = later > now && later <= request.until;
+                if is_new || is_soon {
+                    if is_soon {
+                        self.ask_at = later.max(now + MIN_ASK_PAUSE);
+                    }
+                    self.waiting.push_back(request);
+                    continue;
+                }
             }
             let wait = self.refuse(request.cost, self.wait, part, now);
             answers.push((request.waiter, QuotaAnswer::Refused(wait)));
@@ -552,7 +587,8 @@
         let from = self.backlog_until.max(now);
         let until = from + Duration::from_secs_f64(time.min(limit));
         self.backlog_until = until.min(now + MAX_WAIT);
-        (self.backlog_until - now)
+        self.backlog_until
+            .saturating_sub(now)
             .max(least)
             .clamp(MIN_WAIT, MAX_WAIT)
     }
