--- a/src/control/member_roster_controller.rs
+++ b/src/control/member_roster_controller.rs
@@ -41,6 +41,18 @@
     pub lapsed: Arc<Notify>,
 }
 
+impl<C> MemberRosterParts<C> {
+    /// Prepares to write `writer`, with `own` as the entry of this daemon.
+    pub fn new(clock: C, own: MemberEntry, writer: Writer<Members>) -> Self {
+        Self {
+            clock,
+            own,
+            writer,
+            lapsed: Arc::default(),
+        }
+    }
+}
+
 impl<F, C> MemberRosterController<F, C>
 where
     F: Feed<Item = MemberEntry>,
--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -177,7 +177,8 @@
         let counters = Counters::new(&mut registry);
         let (board, writers) = Blackboard::new();
         let clock = MonoClock::start();
-        let seed = name_hash(&settings.host) ^ clock.unix_ms();
+        let incarnation = clock.unix_ms();
+        let seed = name_hash(&settings.host) ^ incarnation;
         let rng = |purpose: &str| SmallRng::seed_from_u64(seed ^ name_hash(purpose));
         let (reachable, reachable_rx) = watch::channel(false);
         let mut tasks = JoinSet::new();
@@ -221,24 +222,9 @@
             stop_time: settings.stop_time,
         });
         tasks.spawn(controller.run());
-        let stages = StageParts {
-            store: ports.store,
-            orders: ports.upstream.clone(),
-            clock,
-            holder: format!("{}-{}", settings.host, clock.unix_ms()),
-            prefill_percent: settings.prefill_percent,
-            fleet: board.fleet.clone(),
-            members: board.members.clone(),
-        };
+        let (store, orders) = (ports.store, ports.upstream.clone());
+        let stages = stage_parts(settings, store, orders, &board, clock);
         tasks.spawn(StageController::new(stages).run());
-        let incarnation = clock.unix_ms();
-        let own = MemberEntry {
-            name: settings.host.clone(),
-            zone: settings.options.zone.clone(),
-            address: settings.address.clone(),
-            incarnation,
-            strength: settings.strength,
-        };
         let members = rng("members");
         let feed = RelayedFeed::new(ports.members, links.clone());
         let follower = FeedFollower::new(feed, clock, "members", MEMBER_MAX_WATCH, members)
@@ -246,29 +232,26 @@
             .with_initial_pause(MEMBER_INITIAL_PAUSE, MEMBER_INITIAL_PERIOD)
             .with_path(path)
             .with_log(members_writer);
-        let roster = MemberRosterParts {
-            clock,
-            own,
-            writer: writers.members,
-            lapsed: Arc::default(),
-        };
+        let own = own_entry(settings, incarnation);
+        let roster = MemberRosterParts::new(clock, own, writers.members);
         spawn_members(&mut tasks, follower, ports.register, roster);
         let (controller, allocation) = AllocationController::new(board.clone(), clock);
         tasks.spawn(controller.run());
+        let quotas = spawn_quotas(
+            &mut tasks,
+            QuotaParts {
+                counters: QuotaCounters::new(&mut registry),
+                host: settings.host.clone(),
+                incarnation,
+                writer: writers.quotas,
+                board: board.clone(),
+                peer: ports.peer.clone(),
+                clock,
+            },
+        );
         let members = board.members.clone();
-        let quotas = QuotaParts {
-            peer: ports.peer.clone(),
-            clock,
-            board: board.clone(),
-            writer: writers.quotas,
-            host: settings.host.clone(),
-            incarnation,
-            counters: QuotaCounters::new(&mut registry),
-        };
         let placer = PlacementRouter::new(ports.peer, clock, members, allocation.clone());
         tasks.spawn(placer.clone().sync_placers());
-        let (controller, quotas) = QuotaController::new(quotas);
-        tasks.spawn(controller.run());
         let daemon_parts = ForwardDaemonParts {
             quotas: quotas.clone(),
             clock,
@@ -311,6 +294,46 @@
     }
 }
 
+/// What the stage controller works with.
+fn stage_parts<S, U>(
+    settings: &ForwardSettings,
+    store: S,
+    orders: U,
+    board: &Blackboard,
+    clock: MonoClock,
+) -> StageParts<S, U, MonoClock> {
+    StageParts {
+        store,
+        orders,
+        clock,
+        holder: format!("{}-{}", settings.host, clock.unix_ms()),
+        prefill_percent: settings.prefill_percent,
+        fleet: board.fleet.clone(),
+        members: board.members.clone(),
+    }
+}
+
+/// Entry with which this daemon registers itself.
+fn own_entry(settings: &ForwardSettings, incarnation: u64) -> MemberEntry {
+    MemberEntry {
+        name: settings.host.clone(),
+        zone: settings.options.zone.clone(),
+        address: settings.address.clone(),
+        incarnation,
+        strength: settings.strength,
+    }
+}
+
+/// Starts the controller of the quotas, and returns its handle.
+fn spawn_quotas(
+    tasks: &mut JoinSet<()>,
+    parts: QuotaParts<PeerClient, MonoClock>,
+) -> QuotaHandle<MonoClock> {
+    let (controller, handle) = QuotaController::new(parts);
+    tasks.spawn(controller.run());
+    handle
+}
+
 /// Starts the controllers that register this daemon and follow the list of daemons.
 fn spawn_members<F, S>(
     tasks: &mut JoinSet<()>,
--- a/tests/quota_controller.rs
+++ b/tests/quota_controller.rs
@@ -89,7 +89,7 @@
     bytes: Arc<AtomicU64>,
 }
 
-fn site(count: usize, organisations: Option<OrganisationList>) -> Site {
+fn site(count: usize, organisations: Option<&OrganisationList>) -> Site {
     let clock = PausedClock(Instant::now());
     let network = PeerNetwork::default();
     let (calls, bytes) = (Arc::default(), Arc::default());
@@ -118,7 +118,7 @@
         members.own = members.hosts.find(name).unwrap();
         writers.members.publish(members);
         let routing = Routing::new(1, [], HashMap::new(), CallerLimits::default());
-        let routing = match &organisations {
+        let routing = match organisations {
             Some(list) => routing.with_organisations(list.clone()),
             None => routing,
         };
@@ -200,7 +200,7 @@
 #[tokio::test(start_paused = true)]
 async fn without_quotas_nothing_is_sent() {
     let site = site(3, None);
-    sleep(Duration::from_secs(60)).await;
+    sleep(Duration::from_mins(1)).await;
     let answer = site.daemons[0].quotas.reserve("usual", 10).await;
     let calls = site.calls.load(Ordering::Relaxed);
     assert_snapshot!(format!("{answer:?}, {calls} calls"), @"Unlimited, 0 calls");
@@ -210,7 +210,7 @@
 /// is lost when a daemon ends; and bounds the bytes of the messages.
 #[tokio::test(start_paused = true)]
 async fn credit_flows_to_the_daemon_that_needs_it() {
-    let mut site = site(8, Some(organisations()));
+    let mut site = site(8, Some(&organisations()));
     let mut lines = String::new();
     let pause = Duration::from_millis(20);
     sleep(Duration::from_secs(3)).await;
@@ -271,7 +271,7 @@
 async fn requests_wait_for_the_first_share() {
     let mut lines = String::new();
     for (daemons, ms) in [(1, 0), (1, 500), (8, 100), (8, 990)] {
-        let site = site(daemons, Some(organisations()));
+        let site = site(daemons, Some(&organisations()));
         sleep(Duration::from_millis(ms)).await;
         let start = Instant::now();
         let pause = Duration::from_millis(1);
@@ -289,7 +289,7 @@
 /// Guards against a share that is taken as N = 1 by a daemon that has not read the list.
 #[tokio::test(start_paused = true)]
 async fn a_daemon_without_the_list_owns_nothing() {
-    let mut site = site(2, Some(organisations()));
+    let mut site = site(2, Some(&organisations()));
     for daemon in &mut site.daemons {
         daemon
             .writers
@@ -305,7 +305,7 @@
 /// without a bound.
 #[tokio::test(start_paused = true)]
 async fn quotas_follow_the_configuration() {
-    let mut site = site(1, Some(organisations()));
+    let mut site = site(1, Some(&organisations()));
     sleep(Duration::from_secs(10)).await;
     let admitted = site.send(0, 100, 200, Duration::from_millis(20)).await;
     sleep(Duration::from_secs(6)).await;
--- a/tests/quota_path.rs
+++ b/tests/quota_path.rs
@@ -42,7 +42,7 @@
     site.writers
         .routing
         .publish(routing.with_organisations(list));
-    let until = MonoClock::start().since_boot() + Duration::from_secs(600);
+    let until = MonoClock::start().since_boot() + Duration::from_mins(10);
     site.quotas.0.add(requests * COST, until);
     site
 }
--- a/tests/quota_site.rs
+++ b/tests/quota_site.rs
@@ -417,10 +417,10 @@
     fn send_requests(&mut self, index: usize, load: Load) {
         let now = self.now;
         let admitted = std::mem::take(&mut self.daemons[index].admitted);
-        let (due, later) = admitted.into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = admitted.into_iter().partition(|(at, _)| *at <= now);
         self.daemons[index].admitted = later;
-        for (_, hold) in Vec::from(due) {
-            let cost = QuotaHold::cost(&hold);
+        for (_, hold) in due {
+            let cost = hold.cost();
             if !hold.spend(now) {
                 // The credit has expired: the request needs credit anew.
                 drop(hold);
