--- a/tests/quota_controller.rs
+++ b/tests/quota_controller.rs
@@ -1,6 +1,7 @@
 //! Quota controllers of several daemons, connected without a network, on a paused clock.
 
 use {
+    futures_util::future::join_all,
     insta::assert_snapshot,
     lentillead::{
         board::{
@@ -88,7 +89,7 @@
     bytes: Arc<AtomicU64>,
 }
 
-fn site(count: usize, organisations: Option<OrganisationList>) -> Site {
+fn site(count: usize, organisations: Option<&OrganisationList>) -> Site {
     let clock = PausedClock(Instant::now());
     let network = PeerNetwork::default();
     let (calls, bytes) = (Arc::default(), Arc::default());
@@ -117,7 +118,7 @@
         members.own = members.hosts.find(name).unwrap();
         writers.members.publish(members);
         let routing = Routing::new(1, [], HashMap::new(), CallerLimits::default());
-        let routing = match &organisations {
+        let routing = match organisations {
             Some(list) => routing.with_organisations(list.clone()),
             None => routing,
         };
@@ -199,7 +200,7 @@
 #[tokio::test(start_paused = true)]
 async fn without_quotas_nothing_is_sent() {
     let site = site(3, None);
-    sleep(Duration::from_secs(60)).await;
+    sleep(Duration::from_mins(1)).await;
     let answer = site.daemons[0].quotas.reserve("usual", 10).await;
     let calls = site.calls.load(Ordering::Relaxed);
     assert_snapshot!(format!("{answer:?}, {calls} calls"), @"Unlimited, 0 calls");
@@ -209,7 +210,7 @@
 /// is lost when a daemon ends; and bounds the bytes of the messages.
 #[tokio::test(start_paused = true)]
 async fn credit_flows_to_the_daemon_that_needs_it() {
-    let mut site = site(8, Some(organisations()));
+    let mut site = site(8, Some(&organisations()));
     let mut lines = String::new();
     let pause = Duration::from_millis(20);
     sleep(Duration::from_secs(3)).await;
@@ -238,7 +239,13 @@
         bytes < 200.0 * 8.0 * 4.0
     )
     .unwrap();
-    let over = site.send(1, 500, 5_270, Duration::from_millis(2)).await;
+    // All at once; requests that follow one another wait some milliseconds for credit instead.
+    let quotas = &site.daemons[1].quotas;
+    let answers = join_all((0..500).map(|_| quotas.reserve("usual", 5_270))).await;
+    let granted = answers.iter();
+    let granted = granted.filter(|answer| matches!(answer, QuotaAnswer::Granted(_)));
+    let over = granted.count();
+    drop(answers);
     writeln!(
         lines,
         "at many times the rate some are refused: {}",
@@ -259,10 +266,30 @@
     assert_snapshot!(lines);
 }
 
+/// Guards against refusals right after the start, when no daemon owns a share yet.
+#[tokio::test(start_paused = true)]
+async fn requests_wait_for_the_first_share() {
+    let mut lines = String::new();
+    for (daemons, ms) in [(1, 0), (1, 500), (8, 100), (8, 990)] {
+        let site = site(daemons, Some(&organisations()));
+        sleep(Duration::from_millis(ms)).await;
+        let start = Instant::now();
+        let pause = Duration::from_millis(1);
+        let admitted = site.send(daemons - 1, 1, 5_270, pause).await;
+        let took = start.elapsed().as_millis();
+        writeln!(
+            lines,
+            "{daemons} daemons, {ms} ms after the start: {admitted} of 1 admitted after {took} ms"
+        )
+        .unwrap();
+    }
+    assert_snapshot!(lines);
+}
+
 /// Guards against a share that is taken as N = 1 by a daemon that has not read the list.
 #[tokio::test(start_paused = true)]
 async fn a_daemon_without_the_list_owns_nothing() {
-    let mut site = site(2, Some(organisations()));
+    let mut site = site(2, Some(&organisations()));
     for daemon in &mut site.daemons {
         daemon
             .writers
@@ -278,7 +305,7 @@
 /// without a bound.
 #[tokio::test(start_paused = true)]
 async fn quotas_follow_the_configuration() {
-    let mut site = site(1, Some(organisations()));
+    let mut site = site(1, Some(&organisations()));
     sleep(Duration::from_secs(10)).await;
     let admitted = site.send(0, 100, 200, Duration::from_millis(20)).await;
     sleep(Duration::from_secs(6)).await;
--- a/tests/quota_site.rs
+++ b/tests/quota_site.rs
@@ -388,7 +388,7 @@
             return;
         }
         let is_due = daemon.reporter.due().is_some_and(|due| due <= now);
-        if !is_due && !daemon.reporter.is_waiting() {
+        if !is_due && !daemon.reporter.is_waiting(now) {
             return;
         }
         let mut ranked: Vec<_> = (0..daemon.read)
@@ -408,7 +408,7 @@
             self.outcome.reports += 1;
             let to = *self.keys.get(host).unwrap();
             self.send(index, to, Message::Report(index, to, report));
-        } else if daemon.reporter.is_waiting() {
+        } else if daemon.reporter.is_waiting(now) {
             let answers = daemon.reporter.answer_alone(now);
             self.answer(index, answers, load);
         }
@@ -417,10 +417,10 @@
     fn send_requests(&mut self, index: usize, load: Load) {
         let now = self.now;
         let admitted = std::mem::take(&mut self.daemons[index].admitted);
-        let (due, later) = admitted.into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = admitted.into_iter().partition(|(at, _)| *at <= now);
         self.daemons[index].admitted = later;
-        for (_, hold) in Vec::from(due) {
-            let cost = QuotaHold::cost(&hold);
+        for (_, hold) in due {
+            let cost = hold.cost();
             if !hold.spend(now) {
                 // The credit has expired: the request needs credit anew.
                 drop(hold);
