Test the order of calls that wait for a pool of plain services

Cause: the order among waiting calls, and that a place ends with its call, was tested only as part of the simulation.

--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -74,3 +74,4 @@
 mod store_call;
 mod story;
 mod suspicion;
+mod waiting_calls;
