--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -260,11 +260,9 @@
                 clock,
             },
         );
-        let members = board.members.clone();
-        let refusals = allocation.refusals();
-        let refusals = RefusalController::new(ports.peer.clone(), clock, members.clone(), refusals);
-        tasks.spawn(refusals.run());
-        let placer = PlacementRouter::new(ports.peer, clock, members, allocation.clone());
+        spawn_refusals(&mut tasks, &ports.peer, clock, &board, &allocation);
+        let placer =
+            PlacementRouter::new(ports.peer, clock, board.members.clone(), allocation.clone());
         tasks.spawn(placer.clone().sync_placers());
         let daemon_parts = ForwardDaemonParts {
             quotas: quotas.clone(),
@@ -339,6 +337,19 @@
     }
 }
 
+/// Starts the controller that notifies other daemons of what this one refuses.
+fn spawn_refusals(
+    tasks: &mut JoinSet<()>,
+    peer: &PeerClient,
+    clock: MonoClock,
+    board: &Blackboard,
+    allocation: &AllocationHandle,
+) {
+    let members = board.members.clone();
+    let refusals = allocation.refusals();
+    tasks.spawn(RefusalController::new(peer.clone(), clock, members, refusals).run());
+}
+
 /// Starts the controller of the quotas, and returns its handle.
 fn spawn_quotas(
     tasks: &mut JoinSet<()>,
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -87,3 +87,4 @@
 mod story;
 mod suspicion;
 mod urgency;
+mod waiting_calls;
