--- a/tests/feed_relay.rs
+++ b/tests/feed_relay.rs
@@ -337,6 +337,26 @@
     assert_yaml_snapshot!(seen);
 }
 
+/// After a start of all daemons the readers sent complete lists without end: most of what the busiest daemon sent.
+#[tokio::test(start_paused = true)]
+async fn readers_send_little_after_daemons_have_started_together() {
+    let mut seen = Vec::new();
+    for (name, earlier_release) in [("an earlier release", true), ("this release", false)] {
+        let zone = Zone::empty();
+        for number in 1..300 {
+            zone.put(&format!("endpoint-{number}"));
+        }
+        let release = &zone.peers.earlier_release;
+        release.store(earlier_release, Ordering::Release);
+        let zone = zone.start_daemons(100, Duration::from_millis(20)).await;
+        sleep(Duration::from_secs(20)).await;
+        let sent = zone.peers.sent.lock().unwrap();
+        let busiest = sent.values().max().unwrap_or(&0) / 1_000;
+        seen.push(format!("readers of {name}: the busiest sent {busiest} KB"));
+    }
+    assert_yaml_snapshot!(seen);
+}
+
 /// The delay of the first read must not keep a change from the daemons that read late.
 #[tokio::test(start_paused = true)]
 async fn a_change_right_after_the_start_reaches_every_daemon_of_a_large_zone() {
--- a/tests/feed_zone.rs
+++ b/tests/feed_zone.rs
@@ -4,6 +4,7 @@
     crate::listed::listed,
     lentillead::{
         board::{Arena, FeedLog, Host, HostState, Members, Role, Tick, section},
+        border::peer_wire::encode,
         control::{FeedCounters, FeedFollower, FeedLinks, FeedRelay, FeedUpdate, RelayedFeed},
         decide::feed_sources,
         key::{HostKey, StoreRevision},
@@ -217,6 +218,8 @@
     pub silent: Arc<Mutex<BTreeSet<String>>>,
     /// Number of complete lists that were requested.
     pub lists: Arc<AtomicUsize>,
+    /// Bytes of the replies of each host.
+    pub sent: Arc<Mutex<HashMap<String, usize>>>,
     /// Whether hosts know no comparison of lists.
     pub earlier_release: Arc<AtomicBool>,
 }
@@ -241,7 +244,11 @@
         };
         // A host that was suspended during the call does not reply either.
         self.wait_while_silent(address).await;
-        Ok(PeerReply::Feed(reply))
+        let reply = PeerReply::Feed(reply);
+        let length = encode(&reply).unwrap().len();
+        let mut sent = self.sent.lock().unwrap();
+        *sent.entry(address.to_owned()).or_default() += length;
+        Ok(reply)
     }
 }
 
