--- a/src/daemon/forward_daemon.rs
+++ b/src/daemon/forward_daemon.rs
@@ -231,8 +231,8 @@
             stop_time: settings.stop_time,
         });
         tasks.spawn(controller.run());
-        let (store, orders) = (ports.store, ports.upstream.clone());
-        let stages = stage_parts(settings, store, orders, &board, clock);
+        let orders = ports.upstream.clone();
+        let stages = stage_parts(settings, ports.store, orders, &board, clock);
         tasks.spawn(StageController::new(stages).run());
         let members = rng("members");
         let feed = RelayedFeed::new(ports.members, links.clone())
@@ -261,9 +261,7 @@
             },
         );
         spawn_refusals(&mut tasks, &ports.peer, clock, &board, &allocation);
-        let placer =
-            PlacementRouter::new(ports.peer, clock, board.members.clone(), allocation.clone());
-        tasks.spawn(placer.clone().sync_placers());
+        let placer = spawn_placer(&mut tasks, ports.peer, clock, &board, &allocation);
         let daemon_parts = ForwardDaemonParts {
             quotas: quotas.clone(),
             clock,
@@ -337,6 +335,20 @@
     }
 }
 
+/// Starts the router of placement requests, and returns it.
+fn spawn_placer(
+    tasks: &mut JoinSet<()>,
+    peer: PeerClient,
+    clock: MonoClock,
+    board: &Blackboard,
+    allocation: &AllocationHandle,
+) -> PlacementRouter<PeerClient, MonoClock> {
+    let members = board.members.clone();
+    let router = PlacementRouter::new(peer, clock, members, allocation.clone());
+    tasks.spawn(router.clone().sync_placers());
+    router
+}
+
 /// Starts the controller that notifies other daemons of what this one refuses.
 fn spawn_refusals(
     tasks: &mut JoinSet<()>,
