Name spent attempts before a crash suspect as the reason of a refusal

A call whose attempts were all used was refused as crash-suspect once its second broken response counted, so operators looked for a deadly request where a response was lost. The reason is retry-budget again while no attempt is left; what callers get does not change. Found by reasons::counted_reasons_are_logged, which failed since the crashes of a retry count, and passes now.

--- a/src/request/forward_call.rs
+++ b/src/request/forward_call.rs
@@ -134,7 +134,7 @@
         let spent = may_have_run && self.ran >= self.route.attempts;
         let chance = if past_deadline {
             Chance::DeadlinePassed
-        } else if self.suspect && may_have_run {
+        } else if self.suspect && may_have_run && !spent {
             Chance::Suspect
         } else {
             Chance::Available
