--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -11,6 +11,9 @@
 
 /// Router for separate prefill and decode pools.
 #[derive(Debug, FromArgs)]
+#[argh(note = "Further commands of the binary, each with a help text of its own:")]
+#[argh(note = "  platform          Run a daemon on the users' platform, or check its settings.")]
+#[argh(note = "  soak              Run seeded soak tests of daemons on the users' platform.")]
 pub struct Arguments {
     /// subcommand to run
     #[argh(subcommand)]
--- a/src/control/allocation_controller.rs
+++ b/src/control/allocation_controller.rs
@@ -1,11 +1,11 @@
 use {
-    super::crash_counter::CrashCounter,
+    super::{AllocationHandle, allocation_handle::AllocationMessage, crash_counter::CrashCounter},
     crate::{
-        board::{Blackboard, Endpoint, Refusals, Role, Section, Tick},
+        board::{Blackboard, Endpoint, Role, Tick},
         decide::{EngineLimits, Ledger, Placement, PlacementTurns, WaitBudget, WaitingPlacement},
         port::{
-            CallEnd, CallVerdict, Clock, PeerCall, PeerReply, PlacementEnd, PlacementOutcome,
-            PlacementReply, PlacementRequest, PlacerHandover, RefusalUpdate, ReportedCrash, RunEnd,
+            CallEnd, CallVerdict, Clock, PlacementEnd, PlacementOutcome, PlacementReply,
+            PlacementRequest, PlacerHandover, RefusalUpdate, ReportedCrash, RunEnd,
         },
     },
     std::{
@@ -34,7 +34,7 @@
 pub struct AllocationController<C> {
     board: Blackboard,
     clock: C,
-    mailbox: mpsc::Receiver<Message>,
+    mailbox: mpsc::Receiver<AllocationMessage>,
     ledgers: HashMap<String, Ledger>,
     waiting: Vec<WaitingRequest>,
     turns: PlacementTurns,
@@ -43,24 +43,6 @@
     crashes: CrashCounter,
 }
 
-/// Handle with which requests reach the allocation controller.
-#[derive(Clone, Debug)]
-pub struct AllocationHandle {
-    board: Blackboard,
-    mailbox: mpsc::Sender<Message>,
-    refusals: Section<Refusals>,
-}
-
-/// Message to the controller.
-#[derive(Debug)]
-enum Message {
-    Place(PlacementRequest, oneshot::Sender<PlacementReply>),
-    Adopt(PlacerHandover),
-    End(PlacementEnd),
-    EndCall(CallEnd, oneshot::Sender<CallVerdict>),
-    Refuse(RefusalUpdate),
-}
-
 /// A placement request that waits for free engines.
 #[derive(Debug)]
 struct WaitingRequest {
@@ -80,101 +62,6 @@
     }
 }
 
-impl AllocationHandle {
-    /// Handles a call from another daemon.
-    ///
-    /// A daemon that has no endpoints yet places nothing for others, which may have listed theirs: their
-    /// requests would wait here until their time is over.
-    pub async fn handle_peer(&self, call: PeerCall) -> PeerReply {
-        match call {
-            PeerCall::Place(_) if self.board.is_starting() => PeerReply::Placement(unavailable()),
-            call => self.handle(call).await,
-        }
-    }
-
-    /// Handles a call from another daemon or from this one.
-    ///
-    /// A call that is not about placements is answered with `PeerReply::Failed`.
-    pub async fn handle(&self, call: PeerCall) -> PeerReply {
-        match call {
-            PeerCall::Place(request) => PeerReply::Placement(self.place(request).await),
-            PeerCall::AdoptPlacements(handover) => {
-                self.adopt(handover);
-                PeerReply::Done
-            }
-            PeerCall::EndPlacement(end) => {
-                self.end(end);
-                PeerReply::Done
-            }
-            PeerCall::EndCall(end) => match self.end_call(end).await {
-                Some(verdict) => PeerReply::CallVerdict(verdict),
-                None => PeerReply::Failed("this daemon is overloaded or stopping".to_owned()),
-            },
-            PeerCall::RefuseCauses(update) => {
-                self.refuse(update);
-                PeerReply::Done
-            }
-            _ => {
-                PeerReply::Failed("call not supported: this daemon only places requests".to_owned())
-            }
-        }
-    }
-
-    /// Requests engines for a stream; `Unavailable` if the controller is overloaded or has stopped.
-    pub async fn place(&self, request: PlacementRequest) -> PlacementReply {
-        let (reply, outcome) = oneshot::channel();
-        if self
-            .mailbox
-            .try_send(Message::Place(request, reply))
-            .is_err()
-        {
-            log::warn!("allocation controller overloaded or stopped; placement request refused");
-            return unavailable();
-        }
-        outcome.await.unwrap_or_else(|_| unavailable())
-    }
-
-    /// Takes over the placements that another daemon has made, and what it refuses.
-    pub fn adopt(&self, handover: PlacerHandover) {
-        if self.mailbox.try_send(Message::Adopt(handover)).is_err() {
-            log::warn!("allocation controller overloaded or stopped; placements not taken over");
-        }
-    }
-
-    /// Records how a call at a plain service ended; `None` if the controller is overloaded or has stopped.
-    pub async fn end_call(&self, end: CallEnd) -> Option<CallVerdict> {
-        let (reply, verdict) = oneshot::channel();
-        if self.mailbox.try_send(Message::EndCall(end, reply)).is_err() {
-            log::warn!("allocation controller overloaded or stopped; end of a call not recorded");
-            return None;
-        }
-        verdict.await.ok()
-    }
-
-    /// Takes over what another daemon refuses.
-    pub fn refuse(&self, update: RefusalUpdate) {
-        if self.mailbox.try_send(Message::Refuse(update)).is_err() {
-            log::warn!(
-                "allocation controller overloaded or stopped; refused causes not taken over"
-            );
-        }
-    }
-
-    /// Returns the section with the decisions of this daemon on what crashes endpoints.
-    pub fn refusals(&self) -> Section<Refusals> {
-        self.refusals.clone()
-    }
-
-    /// Ends a placement and frees what it holds in the ledger.
-    pub fn end(&self, end: PlacementEnd) {
-        if self.mailbox.try_send(Message::End(end)).is_err() {
-            log::warn!(
-                "allocation controller overloaded or stopped; placement stays until it expires"
-            );
-        }
-    }
-}
-
 impl<C> AllocationController<C>
 where
     C: Clock,
@@ -214,11 +101,11 @@
                 () = self.clock.sleep(RETRY_INTERVAL), if has_waiting => None,
             };
             match message {
-                Some(Message::Place(request, reply)) => self.enqueue(request, reply),
-                Some(Message::Adopt(handover)) => self.adopt(&handover),
-                Some(Message::End(end)) => self.end(&end),
-                Some(Message::Refuse(update)) => self.refuse(&update),
-                Some(Message::EndCall(end, reply)) => {
+                Some(AllocationMessage::Place(request, reply)) => self.enqueue(request, reply),
+                Some(AllocationMessage::Adopt(handover)) => self.adopt(&handover),
+                Some(AllocationMessage::End(end)) => self.end(&end),
+                Some(AllocationMessage::Refuse(update)) => self.refuse(&update),
+                Some(AllocationMessage::EndCall(end, reply)) => {
                     // A requester that has left needs no verdict.
                     let _ = reply.send(self.end_call(&end));
                 }
@@ -488,11 +375,3 @@
         ledger
     }
 }
-
-/// Returns the reply of a daemon that places nothing.
-fn unavailable() -> PlacementReply {
-    PlacementReply {
-        outcome: PlacementOutcome::Unavailable,
-        refused: Vec::new(),
-    }
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,7 +2,8 @@
 //! each section has one writer.
 
 pub use self::{
-    allocation_controller::{AllocationController, AllocationHandle},
+    allocation_controller::AllocationController,
+    allocation_handle::AllocationHandle,
     claim_committers::ClaimCommitters,
     claim_resolver::ClaimResolver,
     claim_router::ClaimRouter,
@@ -50,6 +51,7 @@
 };
 
 mod allocation_controller;
+mod allocation_handle;
 mod avoided_hosts;
 mod claim_committer;
 mod claim_committers;
--- a/src/decide/quota_limits.rs
+++ b/src/decide/quota_limits.rs
@@ -6,7 +6,7 @@
     std::time::Duration,
 };
 
-/// Window within which the cost of an organisation's requests is bounded (`QuotaWindowS`).
+/// Window within which the cost of an organisation's requests is bounded.
 pub const QUOTA_WINDOW: Duration = Duration::from_secs(8);
 
 /// Number of shards into which organisations are divided, each with an accountant of its own.
