--- a/src/decide/service_admission.rs
+++ b/src/decide/service_admission.rs
@@ -4,8 +4,8 @@
     std::time::Duration,
 };
 
-/// Share of the endpoints' limits that a request which cannot meet its target any more leaves to others. In
-/// simulated overload, without it late requests took the place of as many that would have been in time.
+/// Share of the endpoints' limits that a request which cannot meet its target any more leaves to others, so
+/// that late requests do not take the place of ones that would be in time.
 const LATE_RESERVE: f64 = 0.1;
 
 /// Multiple of the expected time of work that must be left after a wait: the time varies from one request
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -7,9 +7,9 @@
 /// a report counted.
 const REPORT_WORK: f64 = 2.0;
 
-/// Age of the reports in seconds at which their average would count for nothing; they end before, at `MAX_NEWS_AGE`. In
-/// simulated bursts of three times the load, 2 s let daemons take a full pool for one with room, and 8 s
-/// kept them waiting after its end.
+/// Age of the reports in seconds at which their average would count for nothing; they end before, at
+/// `MAX_NEWS_AGE`. A shorter time lets daemons take a full pool for one with room, a longer one keeps calls
+/// waiting after a burst.
 const MEAN_FADE_S: f64 = 4.0;
 
 /// A plain service that may run a request, with its recent reports if it states how long work takes.
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -36,8 +36,9 @@
         placer.refused(&self.call.pool, &self.call.causes)
     }
 
-    /// Records that the attempt at `hold`, which was sent at `sent`, failed with `error`. A response that broke off counts as a crash,
-    /// unless calls like this one were answered lately: a lost response says nothing then.
+    /// Records that the attempt at `hold`, which was sent at `sent`, failed with `error`. A response that broke
+    /// off counts as a crash, unless calls like this one were answered lately: a lost response says nothing
+    /// then.
     pub async fn attempt_failed(self, hold: &EndpointHold, error: &UpstreamError, sent: Tick) {
         let broken = matches!(error, UpstreamError::Broken(_));
         if !broken || self.was_answered_lately() {
