--- a/src/border/caller_memory.rs
+++ b/src/border/caller_memory.rs
@@ -16,6 +16,7 @@
     std::{
         collections::VecDeque,
         fmt::{self, Debug, Formatter},
+        io,
         sync::Arc,
         task::{Context, Poll},
         time::Duration,
@@ -249,6 +250,17 @@
         self.memory.0.account.poll_evicted(self.key, cx)
     }
 
+    /// Fails if the connection has to be closed to make room for others.
+    pub fn check_evicted(&self, cx: &mut Context<'_>) -> io::Result<()> {
+        match self.poll_evicted(cx) {
+            Poll::Ready(()) => Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "closed to make room for other callers",
+            )),
+            Poll::Pending => Ok(()),
+        }
+    }
+
     /// Records a request whose body has not arrived.
     pub fn begin_request(&self) -> CallerWork {
         let Inner { account, clock, .. } = &*self.memory.0;
--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -121,17 +121,6 @@
 }
 
 impl<I> LimitedIo<I> {
-    /// Fails if the connection has to be closed to make room for others.
-    fn check_evicted(&self, cx: &mut Context<'_>) -> io::Result<()> {
-        match self.connection.poll_evicted(cx) {
-            Poll::Ready(()) => Err(io::Error::new(
-                io::ErrorKind::ConnectionAborted,
-                "closed to make room for other callers",
-            )),
-            Poll::Pending => Ok(()),
-        }
-    }
-
     /// Counts bytes of a head; fails if it has too many.
     fn count_head(&mut self, bytes: usize) -> io::Result<()> {
         if !self.head.is_in_head() {
@@ -156,7 +145,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.check_evicted(cx)?;
+        self.connection.check_evicted(cx)?;
         let this = &mut *self;
         let room = buf.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(room));
@@ -190,7 +179,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_evicted(cx)?;
+        self.connection.check_evicted(cx)?;
         let this = &mut *self;
         let written = Pin::new(&mut this.inner).poll_write(cx, buf);
         if written.is_pending() {
--- a/src/control/placement_router.rs
+++ b/src/control/placement_router.rs
@@ -257,7 +257,9 @@
 
     /// Forgets the crashes under `causes`, which were answered since.
     fn record_answer(&self, pool: &str, causes: &[CauseKey]) {
-        if !self.state.crashes.load().contains_key(pool) {
+        let is_answered = |seen: &SeenCrash| seen.crash.causes.iter().any(|c| causes.contains(c));
+        let crashes = self.state.crashes.load();
+        if !crashes.get(pool).into_iter().flatten().any(is_answered) {
             return;
         }
         self.state.crashes.rcu(|old| {
