--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -325,7 +325,8 @@
         false
     }
 
-    fn is_ready(&self) -> bool {
+    /// Whether the daemon reports that it is ready.
+    pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.readiness) else {
             return false;
         };
