--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -2,6 +2,7 @@
 
 use {
     super::process::Process,
+    bytes::Bytes,
     std::{net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -23,7 +24,7 @@
 const MAX_MB: u64 = 128;
 
 /// Time after which a caller gives up sending, and an ordinary request counts as unanswered.
-const LIMIT: Duration = Duration::from_secs(30);
+pub const LIMIT: Duration = Duration::from_secs(30);
 
 /// Size of one write of a body that is sent piece by piece.
 const PIECE_BYTES: usize = 16 << 10;
@@ -31,12 +32,18 @@
 /// Chunks of one byte in a body of such chunks.
 const SMALL_CHUNKS: usize = 100_000;
 
+/// Size of a header that nearly fills the limit of a head, in bytes.
+const LARGE_HEADER: usize = 14_000;
+
+/// Requests that a caller sends in a row on one connection.
+const ROW: usize = 4_000;
+
 /// Interval in which a process that has read what it was sent uses less than `BUSY_TICKS`.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 const BUSY_TICKS: u64 = 8;
 
-/// What one caller of a crowd sends before it stops, with its connection left open.
-#[derive(Clone, Copy, Debug)]
+/// What one caller of a crowd sends before it stops, with its connection left open and nothing read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sending {
     /// A body that is sent at once and lacks its last byte.
     Whole,
@@ -54,11 +61,40 @@
     Nothing,
     /// Half a head.
     HalfHead,
+    /// A complete body.
+    Complete,
+    /// A complete body in large chunks.
+    Chunked,
+    /// A large head, and a body that lacks its last byte.
+    LargeHead,
+    /// A chunked body whose trailers lack their end.
+    Trailers,
+    /// Many complete requests in a row.
+    Row,
 }
 
 impl Sending {
+    /// Returns what is sent: a request, or a part of one, that begins with `head`. The longest body that
+    /// the listener takes has `body` bytes.
+    fn bytes(self, head: &str, body: usize) -> Vec<u8> {
+        if self == Self::Nothing {
+            return Vec::new();
+        }
+        if self == Self::Row {
+            return format!("{head}Content-Length: 0\r\n\r\n")
+                .repeat(ROW)
+                .into_bytes();
+        }
+        [head.as_bytes(), &self.rest(body)].concat()
+    }
+
+    /// Returns what is sent as text.
+    pub fn request(self, head: &str, body: usize) -> String {
+        String::from_utf8(self.bytes(head, body)).unwrap()
+    }
+
     /// Returns what follows the common part of the head.
-    fn bytes(self) -> Vec<u8> {
+    fn rest(self, body: usize) -> Vec<u8> {
         let announced = |length: usize, sent: usize| {
             let mut bytes = format!("Content-Length: {length}\r\n\r\n").into_bytes();
             bytes.resize(bytes.len() + sent, b'x');
@@ -71,21 +107,29 @@
             bytes
         };
         match self {
-            Self::Whole | Self::Pieces => announced(BODY_BYTES, BODY_BYTES - 1),
-            Self::LargeChunks => chunked(64 << 10, BODY_BYTES / (64 << 10)),
+            Self::Whole | Self::Pieces => announced(body, body - 1),
+            Self::Complete => announced(body, body),
+            Self::LargeChunks => chunked(64 << 10, body / (64 << 10)),
+            Self::Chunked => [Self::LargeChunks.rest(body), b"0\r\n\r\n".to_vec()].concat(),
             Self::SmallChunks => chunked(1, SMALL_CHUNKS),
-            Self::Announced => announced(1 << 30, BODY_BYTES - 1),
-            Self::Endless => chunked(64 << 10, 4 * BODY_BYTES / (64 << 10)),
-            Self::Nothing | Self::HalfHead => Vec::new(),
+            Self::Announced => announced(1 << 30, body - 1),
+            Self::Endless => chunked(64 << 10, 4 * body / (64 << 10)),
+            Self::LargeHead => {
+                let header = format!("X-Large: {}\r\n", "x".repeat(LARGE_HEADER));
+                [header.into_bytes(), announced(body, body - 1)].concat()
+            }
+            Self::Trailers => {
+                let trailers = "0\r\n".to_owned() + &"X-Trailer: x\r\n".repeat(body / 14);
+                [chunked(1, 1), trailers.into_bytes()].concat()
+            }
+            Self::Nothing | Self::HalfHead | Self::Row => Vec::new(),
         }
     }
 
-    /// Sends to `address` after `head`, the common part of a head; returns the open connection.
-    async fn send(self, address: SocketAddr, head: String) -> Option<TcpStream> {
+    /// Sends `bytes` to `address` for at most `limit`; returns the open connection.
+    async fn send(self, address: SocketAddr, bytes: Bytes, limit: Duration) -> Option<TcpStream> {
         let mut stream = TcpStream::connect(address).await.ok()?;
-        let bytes = [head.as_bytes(), &self.bytes()].concat();
         let pieces = match self {
-            Self::Nothing => return Some(stream),
             Self::Whole | Self::Announced => bytes.len(),
             _ => PIECE_BYTES,
         };
@@ -98,23 +142,49 @@
             }
         };
         // A process that does not read the rest may leave it unread.
-        let _ = timeout(LIMIT, sending).await;
+        let _ = timeout(limit, sending).await;
         Some(stream)
     }
 }
 
+/// Requests of a crowd.
+#[derive(Clone, Copy, Debug)]
+pub struct Requests<'a> {
+    /// Start of a head, up to the headers of the body.
+    pub head: &'a str,
+    /// What the callers send, each one of these in turn.
+    pub kinds: &'a [Sending],
+    /// Number of callers.
+    pub callers: usize,
+    /// Longest body that the listener takes, in bytes.
+    pub body: usize,
+    /// Time after which a caller gives up sending.
+    pub limit: Duration,
+}
+
 /// Callers with open connections.
 pub struct Crowd {
     _open: Vec<Option<TcpStream>>,
 }
 
 impl Crowd {
-    /// Has `callers` callers send to `address` at once, each as one of `kinds` in turn; `head` is the
-    /// start of a head up to the headers of the body.
-    pub async fn send(address: SocketAddr, head: &str, kinds: &[Sending], callers: usize) -> Self {
+    /// Has callers send `requests` to `address` at once.
+    pub async fn send(address: SocketAddr, requests: Requests<'_>) -> Self {
+        let Requests {
+            head,
+            kinds,
+            callers,
+            body,
+            limit,
+        } = requests;
+        // The callers of a kind share what they send.
+        let kinds: Vec<_> = kinds
+            .iter()
+            .map(|kind| (*kind, Bytes::from(kind.bytes(head, body))))
+            .collect();
         let mut sending = JoinSet::new();
-        for kind in kinds.iter().cycle().take(callers) {
-            sending.spawn(kind.send(address, head.to_owned()));
+        for (kind, bytes) in kinds.iter().cycle().take(callers) {
+            sending.spawn(kind.send(address, bytes.clone(), limit));
         }
         Self {
             _open: sending.join_all().await,
--- a/tests/crowd_platform.rs
+++ b/tests/crowd_platform.rs
@@ -2,18 +2,13 @@
 
 use {
     super::{
-        crowd::{BODY_BYTES, CALLERS, Crowd, Sending, alone, assert_unharmed, ordinary, settle},
-        process::Process,
-        process_site::until,
+        crowd::{
+            BODY_BYTES, CALLERS, Crowd, LIMIT, Requests, Sending, alone, assert_unharmed, ordinary,
+            settle,
+        },
+        crowd_daemon::{CrowdDaemon, HEAD, ORDINARY},
     },
-    lentillead_soak::{StoreStandIn, operator_config},
     serde_json::json,
-    std::{fs::write, net::SocketAddr},
-    tempfile::TempDir,
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
-    },
 };
 
 /// Most descriptors of a daemon whose number is not limited by its test.
@@ -26,98 +21,22 @@
 /// Number of callers that hold connections.
 const HOLDERS: usize = 90;
 
-/// Start of the heads that a crowd sends.
-const HEAD: &str = "POST /read/crowd HTTP/1.1\r\nHost: a.example\r\nRequest-Id: crowd\r\n";
-
-/// An ordinary request.
-const ORDINARY: &str = "POST /read/one HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n\
-    Connection: close\r\nContent-Length: 5\r\n\r\nhello";
-
-/// Returns a loopback address that was free a moment ago.
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
-/// Starts a service that answers each request once its head has arrived.
-async fn start_service() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream));
-        }
-    });
-    address
-}
-
-/// Serves one request of a connection.
-async fn serve(mut stream: TcpStream) -> Option<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8(head).ok()?.to_lowercase();
-    let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-    let length = value("content-length: ").map_or(0, |length| length.parse().unwrap());
-    stream.read_exact(&mut vec![0; length]).await.ok()?;
-    let response = format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: s\r\nConnection: close\r\n\
-         Content-Length: 2\r\n\r\nok",
-        value("request-id: ").unwrap_or_default(),
-    );
-    stream.write_all(response.as_bytes()).await.ok()
-}
-
-/// Fills a store with one route and the service at `address`.
-fn configure(store: &StoreStandIn, address: SocketAddr) {
-    let route = json!({
-        "Name": "read", "Hostname": "a.example", "PathPrefix": "/read/", "Kind": "safe",
-        "TimeoutMs": 4000, "TargetLatencyMs": 2000, "Priority": 1, "Service": "ledger",
-        "MaxAttempts": 3, "Resumable": false,
-    });
-    let mut config = operator_config(1, &[route], BODY_BYTES as u64);
-    // Else the time limit would end the crowd's requests during the test.
-    config["Limits"]["IdleTimeoutMs"] = json!(120_000);
-    store.put("config", "main", &config);
-    let worker = json!({
-        "Service": "ledger", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1",
-        "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
-    });
-    store.put("servers", "s1", &worker);
-}
-
 /// Has a daemon with `limit` descriptors serve a crowd, and then an ordinary request beside it.
 async fn face(kinds: &[Sending], callers: usize, limit: Option<u32>) {
     let _alone = alone().await;
-    let store = StoreStandIn::start().await.unwrap();
-    configure(&store, start_service().await);
-    let address = free_address().await;
-    let settings = json!({
-        "host": "front-1", "zone": "zone-a", "store": store.address(), "peer_key": "key",
-        "grace_s": 8, "retry_slack": 50,
-        "listen": {
-            "callers": address, "readiness": free_address().await,
-            "peers": free_address().await, "metrics": free_address().await,
-        },
-    });
-    let folder = TempDir::new().unwrap();
-    let path = folder.path().join("settings.yaml");
-    write(&path, settings.to_string()).unwrap();
-    let arguments = ["platform", "serve", "--settings", path.to_str().unwrap()];
-    let mut daemon = match limit {
-        Some(limit) => Process::start_limited(&arguments, "\"started\"", limit),
-        None => Process::start(&arguments, "\"started\""),
+    let mut daemon = CrowdDaemon::start(json!({}), BODY_BYTES, limit).await;
+    let requests = Requests {
+        head: HEAD,
+        kinds,
+        callers,
+        body: BODY_BYTES,
+        limit: LIMIT,
     };
-    until("the daemon serves requests", async || {
-        ordinary(address, ORDINARY).await.contains("200")
-    })
-    .await;
-    let crowd = Crowd::send(address, HEAD, kinds, callers).await;
-    settle(&daemon).await;
-    let answer = ordinary(address, ORDINARY).await;
+    let crowd = Crowd::send(daemon.address, requests).await;
+    settle(&daemon.process).await;
+    let answer = ordinary(daemon.address, ORDINARY).await;
     let bound = limit.map_or(DESCRIPTORS, |limit| limit as usize - FREE_DESCRIPTORS);
-    assert_unharmed(&mut daemon, bound, &answer);
+    assert_unharmed(&mut daemon.process, bound, &answer);
     drop(crowd);
 }
 
--- a/tests/crowd_serve.rs
+++ b/tests/crowd_serve.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{
-        crowd::{CALLERS, Crowd, Sending, alone, assert_unharmed, ordinary, settle},
+        crowd::{
+            BODY_BYTES, CALLERS, Crowd, LIMIT, Requests, Sending, alone, assert_unharmed, ordinary,
+            settle,
+        },
         process_site::{PROFILE, ProcessSite},
     },
     lentillead::emulator::Site,
@@ -34,7 +37,14 @@
         "{}Connection: close\r\nContent-Length: 5\r\n\r\nhello",
         head("one")
     );
-    let crowd = Crowd::send(address, &head("crowd"), kinds, callers).await;
+    let requests = Requests {
+        head: &head("crowd"),
+        kinds,
+        callers,
+        body: BODY_BYTES,
+        limit: LIMIT,
+    };
+    let crowd = Crowd::send(address, requests).await;
     settle(&site.daemons[0].process).await;
     let answer = ordinary(address, &request).await;
     assert_unharmed(&mut site.daemons[0].process, DESCRIPTORS, &answer);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -94,6 +94,11 @@
         Self::spawn(command, mark)
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
