Split the account of callers into memory, connection and body

Change: moves only; the account stays in caller_memory.rs, the handles of a connection and its requests are in caller_connection.rs, the body in caller_body.rs.

--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -6,9 +6,11 @@
     bounded_output::BoundedOutput,
     budgeted_platform::BudgetedPlatform,
     call_counters::CallCounters,
+    caller_body::{CallerBody, MEMORY_RETRY_WAIT},
+    caller_connection::{CallerConnection, CallerWork},
     caller_context::CallerContext,
     caller_listener::CallerListener,
-    caller_memory::{CallerBody, CallerConnection, CallerMemory, CallerWork, MEMORY_RETRY_WAIT},
+    caller_memory::CallerMemory,
     claim_objects::ClaimObjects,
     completion_wire::{CompletionBody, CompletionResponse},
     descriptor_limit::descriptor_limit,
@@ -47,6 +49,8 @@
 mod bounded_body;
 mod bounded_output;
 mod caller_api;
+mod caller_body;
+mod caller_connection;
 mod caller_context;
 mod caller_listener;
 mod caller_memory;
