Give connections a receive buffer that the process chose, and charge for it

What callers saw: a daemon whose host has 64 MiB rose to 68 to 78 MB under 300 callers, with what it had received and not read; a process that passes its memory is killed with every request that it works on.

Cause: the account charged 24 KiB for the buffers of a connection. The kernel's receive buffer, which grows by itself to megabytes for a fast sender, was in no account, nor was the queue of 1,024 connections that nobody has accepted. And a connection takes more than 24 KiB: the head keeps the buffer it came in, beside its decoded form, the buffers of the body and those towards the endpoint.

Change: a listener sets the size of receive buffers before it listens, since a connection takes it over and receives before it is accepted, and bounds its queue. Both follow from the memory of the host (caller_bounds): half of what the process leaves is for connections, 64 KiB and a receive buffer of 32 to 256 KiB each, an eighth of that half for the queue; bodies and responses get a fifth each.

Ways weighed: letting the kernel adapt the size and charging what is unread costs a system call a connection and comes too late for a fast sender; a buffer set on the accepted connection leaves 64 KiB each in the queue, and the window scale of the handshake; fewer connections with larger buffers turn ordinary callers away. A window of 16 to 32 KiB carries 2.7 to 5.3 MB a second over a round trip of 6 ms, so a body of 4 MiB takes up to 1.5 s there on the smallest hosts; computed, not measured.

--- a/src/board/caller_account.rs
+++ b/src/board/caller_account.rs
@@ -12,8 +12,12 @@
 /// Most that a process holds for its callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerBounds {
-    /// Open connections; each is accounted with the size of its buffers.
+    /// Open connections.
     pub connections: usize,
+    /// Bytes accounted for each of them, with its receive buffer.
+    pub connection_bytes: usize,
+    /// What the kernel may receive for them.
+    pub receive: ReceiveBounds,
     /// Bytes of request bodies.
     pub body_bytes: usize,
     /// Part of `body_bytes` that only small requests use.
@@ -22,6 +26,22 @@
     pub response_bytes: usize,
 }
 
+/// Most that the kernel receives for connections and the process has not read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReceiveBounds {
+    /// Receive buffer of each connection, in bytes.
+    pub buffer_bytes: usize,
+    /// Connections that wait to be accepted; they receive as well.
+    pub queued: usize,
+}
+
+impl ReceiveBounds {
+    /// Returns the bytes that the connections hold that wait to be accepted.
+    pub fn queue_bytes(&self) -> usize {
+        self.queued * self.buffer_bytes
+    }
+}
+
 /// What a connection waits for, as the choice of the one that gives way needs it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionStanding {
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -6,7 +6,7 @@
     arena::Arena,
     blackboard::{Blackboard, Writers},
     branch::{Branch, Secret},
-    caller_account::{CallerAccount, CallerBounds, ConnectionStanding},
+    caller_account::{CallerAccount, CallerBounds, ConnectionStanding, ReceiveBounds},
     counters::Counters,
     digests::{Digest, Digests},
     endpoint::{Endpoint, Role},
--- a/src/border/caller_connection.rs
+++ b/src/border/caller_connection.rs
@@ -1,10 +1,6 @@
 use {
     super::{CallerBody, CallerMemory, caller_memory::Inner},
-    crate::{
-        decide::{CONNECTION_BYTES, PROGRESS_BYTES},
-        key::ConnectionKey,
-        port::Clock,
-    },
+    crate::{decide::PROGRESS_BYTES, key::ConnectionKey, port::Clock},
     std::{
         io,
         task::{Context, Poll},
@@ -37,7 +33,9 @@
             ..
         } = &*self.memory.0;
         if account.leave(self.key) {
-            metrics.connection_bytes.dec_by(CONNECTION_BYTES as i64);
+            metrics
+                .connection_bytes
+                .dec_by(account.bounds().connection_bytes as i64);
             freed.notify_waiters();
         }
     }
--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -2,11 +2,12 @@
     super::{
         CallerContext, LimitedAcceptor, Limits, NodelayAcceptor,
         caller_api::{completions, services},
+        listen,
     },
     crate::request::Parts,
     poem::{
         EndpointExt, Route, Server, endpoint,
-        listener::{Acceptor, Listener, TcpListener},
+        listener::{Acceptor, TcpAcceptor},
     },
     std::{
         fmt::{self, Debug, Formatter},
@@ -34,11 +35,10 @@
 where
     P: Parts,
 {
-    /// Binds `address`, `ip:port`; fails if the address is invalid or in use.
-    pub async fn bind(address: &str, ctx: CallerContext<P>, limits: Limits) -> io::Result<Self> {
-        let acceptor = TcpListener::bind(address.to_owned())
-            .into_acceptor()
-            .await?;
+    /// Binds `address`; fails if it is in use or not an address of this host.
+    pub fn bind(address: SocketAddr, ctx: CallerContext<P>, limits: Limits) -> io::Result<Self> {
+        let listener = listen(address, limits.caller_bounds().receive)?;
+        let acceptor = TcpAcceptor::from_tokio(listener)?;
         let acceptor = LimitedAcceptor::new(
             NodelayAcceptor::new(acceptor),
             ctx.memory().clone(),
--- a/src/border/caller_memory.rs
+++ b/src/border/caller_memory.rs
@@ -2,7 +2,7 @@
     super::CallerConnection,
     crate::{
         board::{CallerAccount, CallerBounds},
-        decide::{CONNECTION_BYTES, Shortage, TokenBucket, gives_way, is_nearly_full},
+        decide::{Shortage, TokenBucket, gives_way, is_nearly_full},
         key::ConnectionKey,
         port::{Clock, MonoClock},
     },
@@ -105,7 +105,7 @@
                 inner
                     .metrics
                     .connection_bytes
-                    .inc_by(CONNECTION_BYTES as i64);
+                    .inc_by(inner.account.bounds().connection_bytes as i64);
                 if is_nearly_full(inner.account.bounds(), inner.account.connections()) {
                     self.give_way(Shortage::Connections);
                 }
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -23,6 +23,7 @@
     head_timer::HeadTimer,
     http_client::http_client,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
+    listening_socket::listen,
     logs::{start_bounded_logs, start_logs},
     nodelay_acceptor::NodelayAcceptor,
     operator_api::REVISION_HEADER,
@@ -30,7 +31,7 @@
     operator_listener::OperatorListener,
     operator_problem::OperatorProblem,
     peer_client::PeerClient,
-    peer_limits::PeerLimits,
+    peer_limits::{PEER_RECEIVE, PeerLimits},
     peer_listener::PeerListener,
     peer_traffic::PeerTraffic,
     platform_client::{MAX_OBJECT_BYTES, PlatformClient},
@@ -76,6 +77,7 @@
 mod head_timer;
 mod http_client;
 mod limited_acceptor;
+mod listening_socket;
 mod logs;
 mod nodelay_acceptor;
 mod operator_api;
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CallerMemory, LimitedAcceptor, NodelayAcceptor, OperatorContext, operator_api::handle,
+        CallerMemory, LimitedAcceptor, NodelayAcceptor, OperatorContext, listen,
+        operator_api::handle,
     },
     crate::{
         board::CallerBounds,
@@ -8,7 +9,7 @@
     },
     poem::{
         EndpointExt, Server, endpoint,
-        listener::{Acceptor, Listener, TcpListener},
+        listener::{Acceptor, TcpAcceptor},
     },
     prometheus_client::registry::Registry,
     std::{
@@ -40,13 +41,13 @@
     C: Clock,
 {
     /// Binds `address`; fails if it is in use or not an address of this host.
-    pub async fn bind(address: SocketAddr, ctx: OperatorContext<S, P, C>) -> io::Result<Self> {
-        let acceptor = TcpListener::bind(address).into_acceptor().await?;
+    pub fn bind(address: SocketAddr, ctx: OperatorContext<S, P, C>) -> io::Result<Self> {
         let limits = ctx.limits;
         let bounds = CallerBounds {
             connections: MAX_CONNECTIONS.min(limits.connections as usize),
             ..limits.caller_bounds()
         };
+        let acceptor = TcpAcceptor::from_tokio(listen(address, bounds.receive)?)?;
         let memory = CallerMemory::new(bounds, &mut Registry::default());
         Ok(Self {
             acceptor: LimitedAcceptor::new(
--- a/src/border/peer_limits.rs
+++ b/src/border/peer_limits.rs
@@ -1,4 +1,10 @@
-use std::time::Duration;
+use {crate::board::ReceiveBounds, std::time::Duration};
+
+/// What the kernel receives for connections of other daemons; hundreds of them may connect at once.
+pub const PEER_RECEIVE: ReceiveBounds = ReceiveBounds {
+    buffer_bytes: 64 << 10,
+    queued: 1_024,
+};
 
 /// Limits of the peer listener.
 #[derive(Clone, Copy, Debug)]
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -31,7 +31,7 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         start_logs(&settings.log)?;
-        let daemon = Daemon::start(&settings).await;
+        let daemon = Daemon::start(&settings);
         let daemon = daemon.map_err(|e| CommandError::failed(e.to_string()))?;
         let addresses = daemon.addresses();
         log::info!(
--- a/src/daemon/running.rs
+++ b/src/daemon/running.rs
@@ -3,8 +3,8 @@
     crate::{
         board::{Arena, Blackboard, Counters, Writers},
         border::{
-            CallerContext, CallerListener, OperatorContext, OperatorListener, PeerClient,
-            PeerListener, Settings,
+            self, CallerContext, CallerListener, OperatorContext, OperatorListener, PEER_RECEIVE,
+            PeerClient, PeerListener, Settings,
         },
         port::MonoClock,
         request::{Entry, PathOptions, Shared},
@@ -69,7 +69,7 @@
     /// # Errors
     ///
     /// Fails if a client cannot be created or a listener cannot be bound.
-    pub async fn start(settings: &Settings) -> Result<Self, DaemonError> {
+    pub fn start(settings: &Settings) -> Result<Self, DaemonError> {
         let mut registry = Registry::with_prefix("lentillead");
         let counters = Counters::new(&mut registry);
         let (board, mut writers) = Blackboard::new();
@@ -80,7 +80,7 @@
             counters.stray_chunks.clone(),
             &mut registry,
         )?;
-        let peers = bind(settings.listen.peers).await?;
+        let peers = bind(settings.listen.peers)?;
         let address = settings.advertise.unwrap_or(local_addr(&peers)?);
         let mut tasks = JoinSet::new();
         let control = ControlPlane::start(&ctx, writers, address, &mut tasks);
@@ -92,7 +92,7 @@
         let shared = Shared::new(parts, ctx.board.clone(), counters, options);
         let registry = Arc::new(registry);
         let operator = operator(&ctx, &control, &registry);
-        let (listeners, addresses) = listen(&ctx, &control, &shared, operator, peers).await?;
+        let (listeners, addresses) = listen(&ctx, &control, &shared, operator, peers)?;
         Ok(Self {
             addresses,
             ctx,
@@ -170,7 +170,7 @@
 }
 
 /// Binds the remaining listeners and spawns the tasks of all three.
-async fn listen(
+fn listen(
     ctx: &DaemonContext,
     control: &ControlPlane,
     shared: &Shared<DaemonParts>,
@@ -180,11 +180,13 @@
     let settings = &ctx.settings;
     let entry = Entry::new(shared, &settings.host, ctx.incarnation);
     let caller = CallerContext::new(shared.clone(), entry, settings.limits, ctx.memory.clone());
-    let address = settings.listen.callers.to_string();
-    let callers = CallerListener::bind(&address, caller, settings.limits).await;
-    let callers = callers.map_err(|source| DaemonError::Bind { address, source })?;
+    let callers = CallerListener::bind(settings.listen.callers, caller, settings.limits);
+    let callers = callers.map_err(|source| DaemonError::Bind {
+        address: settings.listen.callers.to_string(),
+        source,
+    })?;
     let drain = operator.drain.clone();
-    let operators = OperatorListener::bind(settings.listen.operators, operator).await;
+    let operators = OperatorListener::bind(settings.listen.operators, operator);
     let operators = operators.map_err(|source| DaemonError::Bind {
         address: settings.listen.operators.to_string(),
         source,
@@ -240,8 +242,8 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bound = TcpListener::bind(address).await;
+fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bound = border::listen(address, PEER_RECEIVE);
     bound.map_err(|source| DaemonError::Bind {
         address: address.to_string(),
         source,
--- a/src/decide/caller_room.rs
+++ b/src/decide/caller_room.rs
@@ -1,12 +1,25 @@
 use {
-    crate::board::{CallerBounds, ConnectionStanding, Tick},
-    std::time::Duration,
+    crate::board::{CallerBounds, ConnectionStanding, ReceiveBounds, Tick},
+    std::{ops::RangeInclusive, time::Duration},
 };
 
-/// Bytes accounted for the buffers of one connection.
+/// Bytes accounted for what a process allocates for one connection and its request, beyond the body.
 ///
-/// The listeners read and write at most 24 KiB of a connection beyond a body, with heads of 16 KiB.
-pub const CONNECTION_BYTES: usize = 24 << 10;
+/// A head of 16 KiB takes a buffer of 32 KiB while it arrives; it is kept with its decoded form while other
+/// buffers receive the body and the response and carry the request to an endpoint.
+pub const CONNECTION_BYTES: usize = 64 << 10;
+
+/// Smallest receive buffer of a connection, in bytes: some segments of a network link.
+const MIN_RECEIVE_BYTES: usize = 32 << 10;
+
+/// Largest receive buffer of a connection, in bytes.
+const MAX_RECEIVE_BYTES: usize = 256 << 10;
+
+/// Connections that a host has room for before they get more than the smallest receive buffer.
+const MANY_CONNECTIONS: usize = 2_048;
+
+/// Range of the connections that may wait to be accepted.
+const QUEUED_CONNECTIONS: RangeInclusive<usize> = 16..=1_024;
 
 /// Largest request that may use the reserved part of the account, in bytes.
 pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
@@ -39,17 +52,37 @@
 
 /// Returns the bounds for a host with `memory` bytes on which a process may open `descriptors`.
 ///
-/// Of what the process itself leaves, a quarter is for connections, a quarter for bodies and a third, within
-/// 24 MiB, for responses; the rest covers fragmentation and the connections to other hosts. Half of the
-/// descriptors are left to the latter.
+/// Of what the process itself leaves, half is for connections, with what the kernel has received for them, a
+/// fifth for bodies and a fifth, within 24 MiB, for responses; the rest covers fragmentation and the
+/// connections to other hosts. Half of the descriptors are left to the latter.
 pub fn caller_bounds(memory: usize, descriptors: usize) -> CallerBounds {
     let usable = memory.saturating_sub(PROCESS_BYTES).max(memory / 4);
-    let body_bytes = usable / 4;
+    let room = usable / 2;
+    let receive = receive_bounds(room);
+    let open_bytes = room.saturating_sub(receive.queue_bytes());
+    let connection_bytes = CONNECTION_BYTES + receive.buffer_bytes;
+    let connections = open_bytes / connection_bytes;
+    let body_bytes = usable / 5;
     CallerBounds {
-        connections: (usable / 4 / CONNECTION_BYTES).min(descriptors / 2).max(1),
+        connections: connections.min(descriptors / 2).max(1),
+        connection_bytes,
+        receive,
         body_bytes,
         reserved_bytes: body_bytes / 4,
-        response_bytes: (usable / 3).min(MAX_RESPONSE_BYTES),
+        response_bytes: (usable / 5).min(MAX_RESPONSE_BYTES),
+    }
+}
+
+/// Returns the bounds on what the kernel receives for connections that have `room` bytes; an eighth of it is
+/// for those that wait to be accepted.
+fn receive_bounds(room: usize) -> ReceiveBounds {
+    let buffer_bytes = (room / MANY_CONNECTIONS)
+        .saturating_sub(CONNECTION_BYTES)
+        .clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
+    let queued = room / 8 / buffer_bytes;
+    ReceiveBounds {
+        buffer_bytes,
+        queued: queued.clamp(*QUEUED_CONNECTIONS.start(), *QUEUED_CONNECTIONS.end()),
     }
 }
 
--- a/src/emulator/site_daemon.rs
+++ b/src/emulator/site_daemon.rs
@@ -44,7 +44,7 @@
             .thread_name(&settings.host)
             .enable_all()
             .build()?;
-        let starting = runtime.spawn(async move { Daemon::start(&settings).await });
+        let starting = runtime.spawn(async move { Daemon::start(&settings) });
         let runtime = AbruptRuntime(Some(runtime));
         let daemon = starting.await.map_err(io::Error::other)??;
         Ok(Self { runtime, daemon })
--- a/tests/caller_room.rs
+++ b/tests/caller_room.rs
@@ -3,7 +3,7 @@
 use {
     insta::{assert_json_snapshot, assert_yaml_snapshot},
     lentillead::{
-        board::{CallerAccount, CallerBounds, ConnectionStanding, Tick},
+        board::{CallerAccount, CallerBounds, ConnectionStanding, ReceiveBounds, Tick},
         border::CallerMemory,
         decide::{
             PROGRESS_BYTES, SMALL_REQUEST_BYTES, Shortage, body_limit, caller_bounds, gives_way,
@@ -18,6 +18,11 @@
 /// Bounds with room for a few connections and bodies.
 const BOUNDS: CallerBounds = CallerBounds {
     connections: 4,
+    connection_bytes: 96 << 10,
+    receive: ReceiveBounds {
+        buffer_bytes: 32 << 10,
+        queued: 16,
+    },
     body_bytes: 512 << 10,
     reserved_bytes: 128 << 10,
     response_bytes: 0,
@@ -30,7 +35,15 @@
 /// The parts of small hosts must leave room for the process, and those of large ones must not be tiny.
 #[test]
 fn bounds_follow_from_the_limits_of_the_host() {
-    let hosts = [(16, 32), (88, 3_075), (256, 1_024), (512, 10_250), (512, 1)];
+    let hosts = [
+        (16, 32),
+        (64, 800),
+        (88, 3_075),
+        (110, 4_100),
+        (256, 1_024),
+        (512, 10_250),
+        (512, 1),
+    ];
     let seen = hosts.map(|(memory_mb, descriptors)| {
         let bounds = caller_bounds(memory_mb << 20, descriptors);
         let large = body_limit(&bounds, SMALL_REQUEST_BYTES + 1);
@@ -38,6 +51,9 @@
             "memory_mb": memory_mb,
             "descriptors": descriptors,
             "connections": bounds.connections,
+            "connection_kb": bounds.connection_bytes >> 10,
+            "receive_kb": bounds.receive.buffer_bytes >> 10,
+            "queued": bounds.receive.queued,
             "body_kb": bounds.body_bytes >> 10,
             "large_body_kb": large >> 10,
             "small_body_kb": body_limit(&bounds, SMALL_REQUEST_BYTES) >> 10,
--- a/tests/operator_listener.rs
+++ b/tests/operator_listener.rs
@@ -84,9 +84,7 @@
             key: settings.keys.operators,
             limits: settings.limits,
         };
-        let listener = OperatorListener::bind(settings.listen.operators, operator)
-            .await
-            .unwrap();
+        let listener = OperatorListener::bind(settings.listen.operators, operator).unwrap();
         let base = format!("http://{}", listener.address().unwrap());
         tokio::spawn(listener.serve(CancellationToken::new()));
         Self {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -256,7 +256,7 @@
             .branch("south", "south-key")
             .orders(orders)
             .build();
-        let daemon = Daemon::start(&settings).await.unwrap();
+        let daemon = Daemon::start(&settings).unwrap();
         Self {
             engines,
             daemon,
