Bound what the responses of services hold together at the own interface

What callers saw: the process of our own API rises by tens of megabytes, now and then beyond its host, when several callers send the largest bodies to a service that responds in kind.

Cause: each response of a service was bounded (16 MiB), all together were not.

Change: ResponseMemory, which bounds responses on the users' platform, moves to src/border, and ServiceClient charges it for what it keeps until the response is written to its caller. An announced length is charged at once and allocated exactly; a response without room counts as broken (502 promises nothing).

--- a/src/border/bounded_body.rs
+++ b/src/border/bounded_body.rs
@@ -1,4 +1,5 @@
 use {
+    super::{MemoryCharge, ResponseBuffer},
     bytes::{Bytes, BytesMut},
     reqwest::{Error, Response},
     thiserror::Error as ThisError,
@@ -13,6 +14,9 @@
     /// The body is longer than what is read of it, perhaps without end.
     #[error("the response exceeds {0} bytes")]
     TooLong(usize),
+    /// Other responses hold the memory for responses.
+    #[error("other responses hold the memory for responses")]
+    NoMemory,
 }
 
 /// Reads the body of `response`, of at most `limit` bytes.
@@ -42,3 +46,32 @@
     }
     Ok(body.freeze())
 }
+
+/// Reads the body of `response`, of at most `limit` bytes, into memory that `charge` accounts for until the body
+/// is dropped.
+///
+/// Fails as soon as the body is longer, breaks off or finds no memory; dropping the response closes its
+/// connection.
+pub async fn charged_body(
+    mut response: Response,
+    limit: usize,
+    charge: MemoryCharge,
+) -> Result<Bytes, BoundedBodyError> {
+    let mut body = ResponseBuffer::new(charge);
+    let announced = response.content_length().unwrap_or_default() as usize;
+    if announced > limit {
+        return Err(BoundedBodyError::TooLong(limit));
+    }
+    if !body.reserve(announced) {
+        return Err(BoundedBodyError::NoMemory);
+    }
+    while let Some(data) = response.chunk().await? {
+        if body.size() + data.len() > limit {
+            return Err(BoundedBodyError::TooLong(limit));
+        }
+        if !body.extend(&data) {
+            return Err(BoundedBodyError::NoMemory);
+        }
+    }
+    Ok(body.freeze())
+}
--- a/src/border/endpoint_response.rs
+++ b/src/border/endpoint_response.rs
@@ -43,7 +43,7 @@
 pub(super) fn body_error(error: BoundedBodyError) -> EngineError {
     let text = match error {
         BoundedBodyError::Broken(error) => error.without_url().to_string(),
-        error @ BoundedBodyError::TooLong(_) => error.to_string(),
+        error @ (BoundedBodyError::TooLong(_) | BoundedBodyError::NoMemory) => error.to_string(),
     };
     EngineError::Broken(text)
 }
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -2,7 +2,7 @@
 //! daemons, the formats of settings and sheets, and log output.
 
 pub use self::{
-    bounded_body::{BoundedBodyError, bounded_body, observed_body},
+    bounded_body::{BoundedBodyError, bounded_body, charged_body, observed_body},
     bounded_output::BoundedOutput,
     budgeted_platform::BudgetedPlatform,
     call_counters::CallCounters,
@@ -36,6 +36,7 @@
     peer_traffic::PeerTraffic,
     platform_client::{MAX_OBJECT_BYTES, PlatformClient},
     problem::Problem,
+    response_memory::{MemoryCharge, ResponseBuffer, ResponseMemory},
     service_client::ServiceClient,
     settings::{
         Claims, Keys, Limits, Listen, LogLevel, LogSettings, OrderLimits, PlatformSettings,
@@ -94,6 +95,7 @@
 pub mod peer_wire;
 mod platform_client;
 mod problem;
+mod response_memory;
 mod service_client;
 mod settings;
 mod settings_builder;
--- a/platform/response_memory.rs
+++ b/src/border/response_memory.rs
@@ -96,6 +96,22 @@
         }
     }
 
+    /// Makes room for `bytes` in all; returns `false`, and changes nothing, if there is no memory for them.
+    pub fn reserve(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes.capacity() {
+            return true;
+        }
+        // The old buffer exists until it is copied.
+        if !self.charge.set(self.bytes.capacity() + bytes) {
+            return false;
+        }
+        let mut grown = BytesMut::with_capacity(bytes);
+        grown.extend_from_slice(&self.bytes);
+        self.bytes = grown;
+        self.charge.set(bytes);
+        true
+    }
+
     /// Returns the number of bytes read.
     pub fn size(&self) -> usize {
         self.bytes.len()
@@ -104,17 +120,8 @@
     /// Appends `data`; returns `false`, without the data, if there is no memory for it.
     pub fn extend(&mut self, data: &[u8]) -> bool {
         let needed = self.bytes.len() + data.len();
-        let capacity = self.bytes.capacity();
-        if needed > capacity {
-            let next = needed.next_power_of_two();
-            // The old buffer exists until it is copied.
-            if !self.charge.set(capacity + next) {
-                return false;
-            }
-            let mut grown = BytesMut::with_capacity(next);
-            grown.extend_from_slice(&self.bytes);
-            self.bytes = grown;
-            self.charge.set(next);
+        if needed > self.bytes.capacity() && !self.reserve(needed.next_power_of_two()) {
+            return false;
         }
         self.bytes.extend_from_slice(data);
         true
--- a/src/border/service_client.rs
+++ b/src/border/service_client.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        bounded_body::bounded_body,
+        MemoryCharge, ResponseMemory,
+        bounded_body::charged_body,
         endpoint_response::{body_error, call_error},
         endpoint_wire::{RefusalBody, RefusalBodyRan},
     },
@@ -35,12 +36,24 @@
 #[derive(Clone, Debug)]
 pub struct ServiceClient {
     client: Client,
+    memory: ResponseMemory,
 }
 
 impl ServiceClient {
-    /// Creates a client that uses `client` for all connections.
+    /// Creates a client that uses `client` for all connections, and does not bound the memory of all responses
+    /// together.
     pub fn new(client: Client) -> Self {
-        Self { client }
+        Self {
+            client,
+            memory: ResponseMemory::new(usize::MAX),
+        }
+    }
+
+    /// Charges what is kept of responses to `memory`.
+    #[must_use]
+    pub fn memory(mut self, memory: ResponseMemory) -> Self {
+        self.memory = memory;
+        self
     }
 }
 
@@ -52,7 +65,7 @@
     ) -> Result<ServiceResponse, EngineError> {
         let request = request(address, call)?;
         let response = self.client.execute(request).await.map_err(call_error)?;
-        let response = read_response(response).await?;
+        let response = read_response(response, self.memory.charge()).await?;
         match refusal_reason(&response) {
             Some(reason) => Err(EngineError::Refused(reason)),
             None => Ok(response),
@@ -81,11 +94,15 @@
     Some(map)
 }
 
-/// Reads the complete response; fails with `EngineError::Broken` if it breaks off.
-async fn read_response(response: Response) -> Result<ServiceResponse, EngineError> {
+/// Reads the complete response, which keeps its part of `charge`; fails with `EngineError::Broken` if it breaks
+/// off, is too long, or there is no memory for it.
+async fn read_response(
+    response: Response,
+    charge: MemoryCharge,
+) -> Result<ServiceResponse, EngineError> {
     let status = response.status().as_u16();
     let headers = header_list(response.headers());
-    let body = bounded_body(response, MAX_BODY_BYTES).await;
+    let body = charged_body(response, MAX_BODY_BYTES, charge).await;
     let body = body.map_err(body_error)?;
     Ok(ServiceResponse {
         status,
--- a/src/daemon/daemon_context.rs
+++ b/src/daemon/daemon_context.rs
@@ -4,7 +4,7 @@
         board::Blackboard,
         border::{
             BudgetedPlatform, CallCounters, CallerMemory, EngineClient, PeerClient, PeerTraffic,
-            PlatformClient, ServiceClient, Settings, http_client,
+            PlatformClient, ResponseMemory, ServiceClient, Settings, http_client,
         },
         key::name_hash,
         port::{Clock, MonoClock},
@@ -62,6 +62,7 @@
         let incarnation = clock.unix_ms();
         let traffic = PeerTraffic::new(registry);
         let client = http_client(CONNECT_TIMEOUT)?;
+        let bounds = settings.limits.caller_bounds();
         let seed = name_hash(&settings.host) ^ incarnation;
         Ok(Self {
             settings: settings.clone(),
@@ -69,11 +70,11 @@
             clock,
             incarnation,
             engine: EngineClient::new(client.clone(), stray),
-            service: ServiceClient::new(client),
+            service: ServiceClient::new(client).memory(ResponseMemory::new(bounds.response_bytes)),
             peer: PeerClient::new(&settings.keys.peers, seed, traffic.clone())?,
             traffic,
             platform: platform(settings, clock, registry)?,
-            memory: CallerMemory::new(settings.limits.caller_bounds(), registry),
+            memory: CallerMemory::new(bounds, registry),
         })
     }
 
