Count responses with an undefined status as broken

What callers saw: a worker's response with status 600 or 999 was passed on with its signature, at calls, streams and our own API.

Cause: the HTTP library takes 100 to 999 for a status; 000, 099, and texts that are no three digits already failed.

--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -22,6 +22,7 @@
     engine_tokens::EngineTokens,
     head_timer::HeadTimer,
     http_client::http_client,
+    http_status::is_defined,
     limited_acceptor::{LimitedAcceptor, LimitedIo},
     listening_socket::listen,
     logs::{start_bounded_logs, start_logs},
@@ -77,6 +78,7 @@
 mod engine_tokens;
 mod head_timer;
 mod http_client;
+mod http_status;
 mod limited_acceptor;
 mod listening_socket;
 mod logs;
--- a/src/border/service_client.rs
+++ b/src/border/service_client.rs
@@ -4,6 +4,7 @@
         bounded_body::charged_body,
         endpoint_response::{body_error, call_error},
         endpoint_wire::{RefusalBody, RefusalBodyRan},
+        is_defined,
     },
     crate::port::{EngineError, Service, ServiceCall, ServiceResponse},
     http::{HeaderMap, HeaderName, HeaderValue, Method},
@@ -65,6 +66,11 @@
     ) -> Result<ServiceResponse, EngineError> {
         let request = request(address, call)?;
         let response = self.client.execute(request).await.map_err(call_error)?;
+        if !is_defined(response.status()) {
+            let status = response.status().as_u16();
+            let text = format!("the status {status} is not defined in HTTP");
+            return Err(EngineError::Broken(text));
+        }
         let response = read_response(response, self.memory.charge()).await?;
         match refusal_reason(&response) {
             Some(reason) => Err(EngineError::Refused(reason)),
--- a/tests/integration.rs
+++ b/tests/integration.rs
@@ -11,6 +11,7 @@
 mod cluster;
 mod command_line;
 mod crash_causes;
+mod early_replies;
 mod emulator;
 mod endless_replies;
 mod engine;
