Serve the own interface on connections whose buffers the process chose

What callers saw: the process of our own API, on a host of 64 MiB, rises to 284,784 KiB under 150 HTTP/2 connections with 16 unfinished bodies each, and to 116,343 KiB under 300 callers that send requests in a row and read nothing.

Cause: the server of the HTTP framework sets no size for the buffers of the HTTP library. Those are 408 KiB for each direction of an HTTP/1 connection and 1 MiB that a caller may send ahead on an HTTP/2 one, with no limit of requests.

Change: HttpServer runs the same library with its own sizes: a head and 16 KiB in HTTP/1, 64 KiB ahead and 64 requests in HTTP/2, and reads of 7 KiB, below the size at which the library takes larger buffers. While a part of a response waits for its caller, nothing more is read. A connection of our own API counts with 128 KiB and its receive buffer, and each request beside another one on it with 32 KiB, from the room for bodies; without room it is refused as caller-memory. A connection that is shut down with unread bytes stays half open for its caller, as on the platform (CloseWait, moved out of CallerStream). Idle connections, planned stops and limits of heads are as before.

Ways weighed: charging 1 MiB for an HTTP/2 connection would leave four of them on a small host; the framework's server has no setting for the sizes.

--- a/src/board/caller_account.rs
+++ b/src/board/caller_account.rs
@@ -185,11 +185,12 @@
         }
     }
 
-    /// Records that the connection `key` begins to receive a body.
-    pub fn begin_body(&self, key: ConnectionKey, now: Tick) {
+    /// Records that the connection `key` begins to receive a body; returns whether it carries another request.
+    pub fn begin_body(&self, key: ConnectionKey, now: Tick) -> bool {
         let slot = &self.slots[key.index as usize];
         slot.progress.store(now.0, Ordering::Release);
-        slot.receiving.fetch_add(1, Ordering::AcqRel);
+        let receiving = slot.receiving.fetch_add(1, Ordering::AcqRel);
+        receiving > 0 || slot.working.load(Ordering::Acquire) > 0
     }
 
     /// Records that the connection `key` receives a body no more.
--- a/src/border/caller_body.rs
+++ b/src/border/caller_body.rs
@@ -50,9 +50,9 @@
     wait: Duration,
 }
 
-/// Bytes charged for a body, released when it is dropped.
+/// Bytes charged for a request, released when it is dropped.
 #[derive(Debug)]
-struct BodyCharge {
+pub(super) struct BodyCharge {
     memory: CallerMemory,
     bytes: usize,
 }
@@ -66,10 +66,7 @@
             segments: VecDeque::new(),
             size: 0,
             longest,
-            charge: BodyCharge {
-                memory: connection.memory.clone(),
-                bytes: 0,
-            },
+            charge: BodyCharge::new(&connection.memory),
             wait: memory_wait(connection.key),
         }
     }
@@ -154,30 +151,46 @@
 }
 
 impl BodyCharge {
-    /// Charges for `bytes` more, waiting up to `wait`; returns whether they are charged.
-    async fn grow(&mut self, bytes: usize, wait: Duration) -> bool {
+    /// Creates a charge of no bytes.
+    pub(super) fn new(memory: &CallerMemory) -> Self {
+        Self {
+            memory: memory.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Charges for `bytes` more; returns whether there is room for them. Else a connection without progress
+    /// gives way.
+    pub(super) fn try_grow(&mut self, bytes: usize) -> bool {
         let inner = &self.memory.0;
         let limit = body_limit(inner.account.bounds(), self.bytes + bytes);
+        let fits = inner.account.charge(bytes, limit);
+        if fits {
+            inner.metrics.body_bytes.inc_by(bytes as i64);
+            self.bytes += bytes;
+        } else {
+            self.memory.give_way(Shortage::Memory);
+        }
+        fits
+    }
+
+    /// Charges for `bytes` more, waiting up to `wait`; returns whether they are charged.
+    async fn grow(&mut self, bytes: usize, wait: Duration) -> bool {
+        let memory = self.memory.clone();
         let deadline = Instant::now() + wait;
         loop {
-            let freed = inner.freed.notified();
-            if inner.account.charge(bytes, limit) {
-                inner.metrics.body_bytes.inc_by(bytes as i64);
-                self.bytes += bytes;
+            let freed = memory.0.freed.notified();
+            if self.try_grow(bytes) {
                 return true;
             }
-            self.memory.give_way(Shortage::Memory);
             if timeout_at(deadline, freed).await.is_err() {
-                inner.metrics.refused.inc();
-                self.memory
-                    .log("no memory for the body of a request; refusing it");
+                memory.0.metrics.refused.inc();
+                memory.log("no memory for the body of a request; refusing it");
                 return false;
             }
         }
     }
-}
 
-impl BodyCharge {
     /// Releases `bytes` of the charge.
     fn release(&mut self, bytes: usize) {
         let inner = &self.memory.0;
--- a/src/border/caller_connection.rs
+++ b/src/border/caller_connection.rs
@@ -1,6 +1,10 @@
 use {
-    super::{CallerBody, CallerMemory, caller_memory::Inner},
-    crate::{decide::PROGRESS_BYTES, key::ConnectionKey, port::Clock},
+    super::{CallerBody, CallerMemory, caller_body::BodyCharge, caller_memory::Inner},
+    crate::{
+        decide::{PROGRESS_BYTES, REQUEST_BYTES},
+        key::ConnectionKey,
+        port::Clock,
+    },
     std::{
         io,
         task::{Context, Poll},
@@ -84,14 +88,18 @@
         }
     }
 
-    /// Records a request whose body has not arrived.
-    pub fn begin_request(&self) -> CallerWork {
+    /// Records a request whose body has not arrived; `None` if the connection carries another one, and there
+    /// is no memory for both.
+    pub fn begin_request(&self) -> Option<CallerWork> {
         let Inner { account, clock, .. } = &*self.memory.0;
-        account.begin_body(self.key, clock.now());
-        CallerWork {
+        let shared = account.begin_body(self.key, clock.now());
+        let mut work = CallerWork {
             connection: self.clone(),
             receiving: true,
-        }
+            charge: BodyCharge::new(&self.memory),
+        };
+        let fits = !shared || work.charge.try_grow(REQUEST_BYTES);
+        fits.then_some(work)
     }
 }
 
@@ -100,6 +108,8 @@
 pub struct CallerWork {
     connection: CallerConnection,
     receiving: bool,
+    /// What the request takes beside others of its connection.
+    charge: BodyCharge,
 }
 
 impl CallerWork {
--- a/src/border/caller_context.rs
+++ b/src/border/caller_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallerMemory, CallerWork, Limits, limited_acceptor::connection_key},
+    super::{CallerMemory, CallerWork, Limits, MEMORY_RETRY_WAIT, http_server::connection_key},
     crate::{
         board::{Refusal, Secret},
         key::BranchKey,
@@ -60,14 +60,18 @@
 
     /// Records that the body of `request` is about to be read.
     ///
-    /// Fails with `Refusal::CallerMemory` if its connection was just closed.
+    /// Fails with `Refusal::CallerMemory` if its connection was just closed, or there is no memory for it beside
+    /// the other requests of its connection.
     pub fn begin_request(&self, request: &Request) -> Result<CallerWork, Refused> {
         let key = connection_key(request.remote_addr());
         let connection = key.and_then(|key| self.memory.connection(key));
-        let work = connection.map(|connection| connection.begin_request());
-        work.ok_or_else(|| {
+        let connection = connection.ok_or_else(|| {
             let detail = "the connection was closed; open another one";
             Refused::not_run(Refusal::CallerMemory, detail)
+        })?;
+        connection.begin_request().ok_or_else(|| {
+            let detail = "no memory for one more request of the connection; send it again later";
+            Refused::not_run(Refusal::CallerMemory, detail).after(MEMORY_RETRY_WAIT)
         })
     }
 
--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -1,14 +1,12 @@
 use {
     super::{
-        CallerContext, LimitedAcceptor, Limits, NodelayAcceptor,
+        CallerContext, LimitedAcceptor, Limits,
         caller_api::{completions, services},
+        http_server::HttpServer,
         listen,
     },
     crate::request::Parts,
-    poem::{
-        EndpointExt, Route, Server, endpoint,
-        listener::{Acceptor, TcpAcceptor},
-    },
+    poem::{EndpointExt, Route, endpoint},
     std::{
         fmt::{self, Debug, Formatter},
         io,
@@ -19,16 +17,15 @@
 };
 
 /// Time without traffic after which a connection without a request in progress is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+const IDLE_TIME: Duration = Duration::from_mins(2);
 
 /// HTTP listener for callers.
 pub struct CallerListener<P>
 where
     P: Parts,
 {
-    acceptor: LimitedAcceptor<NodelayAcceptor>,
+    server: HttpServer,
     ctx: CallerContext<P>,
-    limits: Limits,
 }
 
 impl<P> CallerListener<P>
@@ -38,32 +35,23 @@
     /// Binds `address`; fails if it is in use or not an address of this host.
     pub fn bind(address: SocketAddr, ctx: CallerContext<P>, limits: Limits) -> io::Result<Self> {
         let listener = listen(address, limits.caller_bounds().receive)?;
-        let acceptor = TcpAcceptor::from_tokio(listener)?;
-        let acceptor = LimitedAcceptor::new(
-            NodelayAcceptor::new(acceptor),
-            ctx.memory().clone(),
-            limits.header_time,
-            limits.header_bytes as usize,
-        );
-        Ok(Self {
+        let acceptor = LimitedAcceptor::new(listener, ctx.memory().clone(), limits.io_limits());
+        let server = HttpServer {
             acceptor,
-            ctx,
-            limits,
-        })
+            header_bytes: limits.header_bytes as usize,
+            idle_time: IDLE_TIME,
+        };
+        Ok(Self { server, ctx })
     }
 
-    /// Returns the bound address.
-    pub fn address(&self) -> Option<SocketAddr> {
-        let addresses = self.acceptor.local_addr();
-        addresses
-            .first()
-            .and_then(|address| address.as_socket_addr())
-            .copied()
+    /// Returns the bound address; fails if the operating system does not report it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.server.address()
     }
 
     /// Serves until `stop` is cancelled, then waits up to `drain` for the requests in progress.
     ///
-    /// Fails if the acceptor fails.
+    /// Fails if the operating system does not report the bound address.
     pub async fn serve(self, stop: CancellationToken, drain: Duration) -> io::Result<()> {
         let completion_ctx = self.ctx.clone();
         let service_ctx = self.ctx;
@@ -77,11 +65,7 @@
                 endpoint::make(move |request| services(service_ctx.clone(), request)),
             )
             .map_to_response();
-        Server::new_with_acceptor(self.acceptor)
-            .idle_timeout(IDLE_TIMEOUT)
-            .http2_max_header_list_size(self.limits.header_bytes as u32)
-            .run_with_graceful_shutdown(app, stop.cancelled_owned(), Some(drain))
-            .await
+        self.server.serve(app, stop, drain).await
     }
 }
 
@@ -91,7 +75,7 @@
 {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.debug_struct("CallerListener")
-            .field("address", &self.address())
+            .field("server", &self.server)
             .finish_non_exhaustive()
     }
 }
--- a/src/border/head_timer.rs
+++ b/src/border/head_timer.rs
@@ -85,6 +85,11 @@
         matches!(self.phase, Phase::Head { .. })
     }
 
+    /// Returns whether the connection uses HTTP/2.
+    pub fn is_http2(&self) -> bool {
+        self.phase == Phase::Http2
+    }
+
     /// Completes when a head has begun and its time limit has passed.
     pub fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match self.phase {
--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -1,12 +1,5 @@
 use {
-    super::{CallerConnection, CallerMemory, HeadTimer},
-    crate::key::ConnectionKey,
-    poem::{
-        Addr,
-        http::uri::Scheme,
-        listener::Acceptor,
-        web::{LocalAddr, RemoteAddr},
-    },
+    super::{CallerConnection, CallerMemory, CloseWait, HeadTimer, IdleTimer},
     std::{
         io,
         pin::Pin,
@@ -15,6 +8,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::{TcpListener, TcpStream},
         time::sleep,
     },
 };
@@ -22,83 +16,65 @@
 /// Delay before the next accept after a failed one, for file descriptors to become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Most bytes that are read at once: the HTTP library grows the buffer of a connection as long as reads fill
-/// it, up to 400 KiB.
-const READ_BYTES: usize = 8 << 10;
+/// Most bytes that are read at once: the HTTP library begins with a buffer of 8 KiB, and takes larger ones as
+/// long as reads fill them.
+const READ_BYTES: usize = 7 << 10;
 
 /// Bytes that a head may have beyond its limit, for its request line and for the refusal to be sent.
 const EXTRA_HEAD_BYTES: usize = 8 << 10;
 
-/// Scheme of the remote address that holds the key of a connection.
-const ADDRESS_SCHEME: &str = "connection";
-
-/// Returns the key of the connection whose requests have the remote address `address`.
-pub(super) fn connection_key(address: &RemoteAddr) -> Option<ConnectionKey> {
-    match &address.0 {
-        Addr::Custom(ADDRESS_SCHEME, key) => key.parse().ok(),
-        _ => None,
-    }
-}
-
 /// Acceptor that accounts for open connections, and closes a connection on which a request head takes
 /// too long or is too large.
 ///
-/// If too many are open, one without progress is closed, or else the new one. The remote address of a
-/// connection is its key in the account.
+/// If too many are open, one without progress is closed, or else the new one.
 #[derive(Debug)]
-pub struct LimitedAcceptor<A> {
-    inner: A,
+pub struct LimitedAcceptor {
+    listener: TcpListener,
     memory: CallerMemory,
-    head_timeout: Duration,
-    head_bytes: usize,
+    limits: IoLimits,
+}
+
+/// Limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct IoLimits {
+    /// Time from the first byte of a request head in which the complete head must arrive.
+    pub head_time: Duration,
+    /// Maximum size of a head in bytes.
+    pub head_bytes: usize,
+    /// Longest wait for a caller to close a connection on which it has sent what was not read.
+    pub close_time: Duration,
 }
 
-impl<A> LimitedAcceptor<A> {
-    /// Wraps `inner`, whose connections are accounted for in `memory`; a request head must arrive
-    /// within `head_timeout` of its first byte, and has at most `head_bytes`.
-    pub fn new(inner: A, memory: CallerMemory, head_timeout: Duration, head_bytes: usize) -> Self {
+impl LimitedAcceptor {
+    /// Wraps `listener`, whose connections are accounted for in `memory` and have `limits`.
+    pub fn new(listener: TcpListener, memory: CallerMemory, limits: IoLimits) -> Self {
         Self {
-            inner,
+            listener,
             memory,
-            head_timeout,
-            head_bytes: head_bytes + EXTRA_HEAD_BYTES,
+            limits,
         }
     }
-}
-
-impl<A> Acceptor for LimitedAcceptor<A>
-where
-    A: Acceptor,
-{
-    type Io = LimitedIo<A::Io>;
 
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        self.inner.local_addr()
+    /// Returns the listener.
+    pub fn listener(&self) -> &TcpListener {
+        &self.listener
     }
 
-    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+    /// Returns the next connection; fails if the system has none to give at the moment.
+    pub async fn accept(&self) -> io::Result<LimitedIo> {
         loop {
-            let (inner, local, _, scheme) = match self.inner.accept().await {
-                Ok(accepted) => accepted,
+            let stream = match self.listener.accept().await {
+                Ok((stream, _)) => stream,
                 Err(error) => {
                     sleep(ACCEPT_RETRY_DELAY).await;
                     return Err(error);
                 }
             };
-            let Some(connection) = self.memory.open().await else {
-                continue;
-            };
-            let key = Addr::custom(ADDRESS_SCHEME, connection.key().to_string());
-            let io = LimitedIo {
-                inner,
-                connection,
-                read_closed: false,
-                head: HeadTimer::new(self.head_timeout),
-                head_bytes: 0,
-                max_head_bytes: self.head_bytes,
-                has_written: false,
-            };
-            return Ok((io, local, RemoteAddr(key), scheme));
+            // Without it, a streamed chunk waits for the delayed acknowledgement of the chunk before it, 40 ms.
+            stream.set_nodelay(true)?;
+            if let Some(connection) = self.memory.open().await {
+                return Ok(LimitedIo::new(stream, connection, self.limits));
+            }
         }
     }
 }
@@ -109,18 +85,71 @@
 /// has read the end of the stream; without this error it would keep a response open that has
 /// nothing to send at that moment.
 #[derive(Debug)]
-pub struct LimitedIo<I> {
-    inner: I,
+pub struct LimitedIo {
+    stream: TcpStream,
     connection: CallerConnection,
     read_closed: bool,
     head: HeadTimer,
     /// Bytes of the head that has begun.
     head_bytes: usize,
-    max_head_bytes: usize,
+    limits: IoLimits,
     has_written: bool,
+    writing: Writing,
+    idle: IdleTimer,
+    closing: CloseWait,
+}
+
+/// Whether more of a response can be written.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Writing {
+    /// Nothing waits to be written.
+    Ready,
+    /// A part of a response waits until the caller has read more.
+    Blocked,
+    /// A part waits, and a read was put off until it is written.
+    BlockedWithRead,
 }
 
-impl<I> LimitedIo<I> {
+impl LimitedIo {
+    fn new(stream: TcpStream, connection: CallerConnection, limits: IoLimits) -> Self {
+        Self {
+            stream,
+            connection,
+            read_closed: false,
+            head: HeadTimer::new(limits.head_time),
+            head_bytes: 0,
+            limits,
+            has_written: false,
+            writing: Writing::Ready,
+            idle: IdleTimer::start(),
+            closing: CloseWait::default(),
+        }
+    }
+
+    /// Returns the connection in the account.
+    pub fn connection(&self) -> &CallerConnection {
+        &self.connection
+    }
+
+    /// Returns the time without traffic.
+    pub fn idle(&self) -> &IdleTimer {
+        &self.idle
+    }
+
+    /// Records whether a part of a response has to wait; wakes the task for a read that was put off.
+    fn record_write(&mut self, is_blocked: bool, cx: &Context<'_>) {
+        let before = self.writing;
+        if is_blocked {
+            self.connection.sent(None);
+            self.writing = before.max(Writing::Blocked);
+        } else {
+            self.writing = Writing::Ready;
+        }
+        if !is_blocked && before == Writing::BlockedWithRead {
+            cx.waker().wake_by_ref();
+        }
+    }
+
     /// Counts bytes of a head; fails if it has too many.
     fn count_head(&mut self, bytes: usize) -> io::Result<()> {
         if !self.head.is_in_head() {
@@ -128,7 +157,7 @@
             return Ok(());
         }
         self.head_bytes += bytes;
-        if self.head_bytes <= self.max_head_bytes {
+        if self.head_bytes <= self.limits.head_bytes + EXTRA_HEAD_BYTES {
             return Ok(());
         }
         let message = "request head is too large";
@@ -136,10 +165,7 @@
     }
 }
 
-impl<I> AsyncRead for LimitedIo<I>
-where
-    I: AsyncRead + Unpin,
-{
+impl AsyncRead for LimitedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -147,9 +173,14 @@
     ) -> Poll<io::Result<()>> {
         self.connection.check_evicted(cx)?;
         let this = &mut *self;
+        if this.writing != Writing::Ready && !this.head.is_http2() {
+            // Else the responses to requests in a row would pile up behind the one that waits.
+            this.writing = Writing::BlockedWithRead;
+            return Poll::Pending;
+        }
         let room = buf.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(room));
-        match Pin::new(&mut this.inner).poll_read(cx, &mut part) {
+        match Pin::new(&mut this.stream).poll_read(cx, &mut part) {
             Poll::Ready(result) => {
                 let bytes = part.filled();
                 let count = bytes.len();
@@ -157,6 +188,7 @@
                 this.head.on_read(bytes, !this.has_written);
                 buf.advance(count);
                 if count > 0 {
+                    this.idle.reset();
                     this.connection.received(count);
                 }
                 Poll::Ready(result.and_then(|()| this.count_head(count)))
@@ -170,10 +202,7 @@
     }
 }
 
-impl<I> AsyncWrite for LimitedIo<I>
-where
-    I: AsyncWrite + Unpin,
-{
+impl AsyncWrite for LimitedIo {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -181,11 +210,10 @@
     ) -> Poll<io::Result<usize>> {
         self.connection.check_evicted(cx)?;
         let this = &mut *self;
-        let written = Pin::new(&mut this.inner).poll_write(cx, buf);
-        if written.is_pending() {
-            this.connection.sent(None);
-        }
+        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.record_write(written.is_pending(), cx);
         let written = ready!(written)?;
+        this.idle.reset();
         this.connection.sent(Some(written));
         this.head.on_written(&buf[..written]);
         this.has_written = true;
@@ -196,10 +224,15 @@
         if self.read_closed {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        Pin::new(&mut self.inner).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        let this = &mut *self;
+        if !this.closing.has_begun() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        let limit = this.limits.close_time;
+        this.closing.poll(&this.stream, &this.connection, limit, cx)
     }
 }
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -12,6 +12,7 @@
     caller_listener::CallerListener,
     caller_memory::CallerMemory,
     claim_objects::ClaimObjects,
+    close_wait::CloseWait,
     completion_wire::{CompletionBody, CompletionResponse},
     descriptor_limit::descriptor_limit,
     endpoint_response::{
@@ -23,7 +24,8 @@
     head_timer::HeadTimer,
     http_client::http_client,
     http_status::is_defined,
-    limited_acceptor::{LimitedAcceptor, LimitedIo},
+    idle_timer::IdleTimer,
+    limited_acceptor::{IoLimits, LimitedAcceptor, LimitedIo},
     listening_socket::listen,
     logs::{start_bounded_logs, start_logs},
     nodelay_acceptor::NodelayAcceptor,
@@ -60,6 +62,7 @@
 mod caller_request;
 mod caller_response;
 mod claim_objects;
+mod close_wait;
 mod completion_wire;
 mod counted_stream;
 mod descriptor_limit;
@@ -78,7 +81,9 @@
 mod engine_tokens;
 mod head_timer;
 mod http_client;
+mod http_server;
 mod http_status;
+mod idle_timer;
 mod limited_acceptor;
 mod listening_socket;
 mod logs;
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -1,16 +1,13 @@
 use {
     super::{
-        CallerMemory, LimitedAcceptor, NodelayAcceptor, OperatorContext, listen,
+        CallerMemory, LimitedAcceptor, OperatorContext, http_server::HttpServer, listen,
         operator_api::handle,
     },
     crate::{
         board::CallerBounds,
         port::{Clock, Peer, Platform},
     },
-    poem::{
-        EndpointExt, Server, endpoint,
-        listener::{Acceptor, TcpAcceptor},
-    },
+    poem::{EndpointExt, endpoint},
     prometheus_client::registry::Registry,
     std::{
         fmt::{self, Debug, Formatter},
@@ -24,13 +21,13 @@
 /// Most connections of operators; a few tools and scrapes are expected.
 const MAX_CONNECTIONS: usize = 256;
 /// Time without traffic after which a connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const IDLE_TIME: Duration = Duration::from_secs(30);
 /// Time that requests in progress may take to end after a stop.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+const DRAIN_TIME: Duration = Duration::from_secs(1);
 
 /// HTTP listener for operators.
 pub struct OperatorListener<S, P, C> {
-    acceptor: LimitedAcceptor<NodelayAcceptor>,
+    server: HttpServer,
     ctx: OperatorContext<S, P, C>,
 }
 
@@ -47,45 +44,32 @@
             connections: MAX_CONNECTIONS.min(limits.connections as usize),
             ..limits.caller_bounds()
         };
-        let acceptor = TcpAcceptor::from_tokio(listen(address, bounds.receive)?)?;
         let memory = CallerMemory::new(bounds, &mut Registry::default());
-        Ok(Self {
-            acceptor: LimitedAcceptor::new(
-                NodelayAcceptor::new(acceptor),
-                memory,
-                limits.header_time,
-                limits.header_bytes as usize,
-            ),
-            ctx,
-        })
+        let listener = listen(address, bounds.receive)?;
+        let server = HttpServer {
+            acceptor: LimitedAcceptor::new(listener, memory, limits.io_limits()),
+            header_bytes: limits.header_bytes as usize,
+            idle_time: IDLE_TIME,
+        };
+        Ok(Self { server, ctx })
     }
 
-    /// Returns the bound address.
-    pub fn address(&self) -> Option<SocketAddr> {
-        let addresses = self.acceptor.local_addr();
-        let address = addresses.first()?.as_socket_addr()?;
-        Some(*address)
+    /// Returns the bound address; fails if the operating system does not report it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.server.address()
     }
 
     /// Serves until `stop` is cancelled, then waits 1 s for the requests in progress.
     ///
-    /// Fails if the acceptor fails.
+    /// Fails if the operating system does not report the bound address.
     pub async fn serve(self, stop: CancellationToken) -> io::Result<()> {
         let ctx = self.ctx;
-        let header_bytes = ctx.limits.header_bytes as u32;
         let app = endpoint::make(move |request| {
             let ctx = ctx.clone();
             async move { handle(&ctx, request).await }
         });
-        Server::new_with_acceptor(self.acceptor)
-            .idle_timeout(IDLE_TIMEOUT)
-            .http2_max_header_list_size(header_bytes)
-            .run_with_graceful_shutdown(
-                app.map_to_response(),
-                stop.cancelled_owned(),
-                Some(DRAIN_TIMEOUT),
-            )
-            .await
+        let server = self.server;
+        server.serve(app.map_to_response(), stop, DRAIN_TIME).await
     }
 }
 
--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -1,8 +1,8 @@
 use {
-    super::descriptor_limit,
+    super::{IoLimits, descriptor_limit},
     crate::{
         board::{Branch, CallerBounds, Secret},
-        decide::caller_bounds,
+        decide::{HTTP2_CONNECTION_BYTES, caller_bounds},
     },
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -131,9 +131,19 @@
 }
 
 impl Limits {
+    /// Returns the limits of a connection.
+    pub fn io_limits(&self) -> IoLimits {
+        IoLimits {
+            head_time: self.header_time,
+            head_bytes: self.header_bytes as usize,
+            close_time: self.body_time,
+        }
+    }
+
     /// Returns the bounds on what is held for callers, within the descriptors that the system allows.
     pub fn caller_bounds(&self) -> CallerBounds {
-        let bounds = caller_bounds((self.memory_mb as usize) << 20, descriptor_limit());
+        let memory = (self.memory_mb as usize) << 20;
+        let bounds = caller_bounds(memory, descriptor_limit(), HTTP2_CONNECTION_BYTES);
         CallerBounds {
             connections: bounds.connections.min(self.connections as usize),
             ..bounds
--- a/src/decide/caller_room.rs
+++ b/src/decide/caller_room.rs
@@ -3,11 +3,17 @@
     std::{ops::RangeInclusive, time::Duration},
 };
 
-/// Bytes accounted for what a process allocates for one connection and its request, beyond the body.
+/// Bytes that a process allocates for one HTTP/1 connection and its request, beyond the body.
 ///
 /// A head of 16 KiB takes a buffer of 32 KiB while it arrives; it is kept with its decoded form while other
 /// buffers receive the body and the response and carry the request to an endpoint.
-pub const CONNECTION_BYTES: usize = 64 << 10;
+pub const HTTP1_CONNECTION_BYTES: usize = 64 << 10;
+
+/// Bytes that a process allocates for one connection that may use HTTP/2, with what its caller sends ahead.
+pub const HTTP2_CONNECTION_BYTES: usize = 128 << 10;
+
+/// Bytes accounted for a request that its connection carries beside another one.
+pub const REQUEST_BYTES: usize = 32 << 10;
 
 /// Smallest receive buffer of a connection, in bytes: some segments of a network link.
 const MIN_RECEIVE_BYTES: usize = 32 << 10;
@@ -50,17 +56,18 @@
     Memory,
 }
 
-/// Returns the bounds for a host with `memory` bytes on which a process may open `descriptors`.
+/// Returns the bounds for a host with `memory` bytes on which a process may open `descriptors`, and allocates
+/// `allocated` bytes for each connection.
 ///
 /// Of what the process itself leaves, half is for connections, with what the kernel has received for them, a
 /// fifth for bodies and a fifth, within 24 MiB, for responses; the rest covers fragmentation and the
 /// connections to other hosts. Half of the descriptors are left to the latter.
-pub fn caller_bounds(memory: usize, descriptors: usize) -> CallerBounds {
+pub fn caller_bounds(memory: usize, descriptors: usize, allocated: usize) -> CallerBounds {
     let usable = memory.saturating_sub(PROCESS_BYTES).max(memory / 4);
     let room = usable / 2;
-    let receive = receive_bounds(room);
+    let receive = receive_bounds(room, allocated);
     let open_bytes = room.saturating_sub(receive.queue_bytes());
-    let connection_bytes = CONNECTION_BYTES + receive.buffer_bytes;
+    let connection_bytes = allocated + receive.buffer_bytes;
     let connections = open_bytes / connection_bytes;
     let body_bytes = usable / 5;
     CallerBounds {
@@ -75,9 +82,9 @@
 
 /// Returns the bounds on what the kernel receives for connections that have `room` bytes; an eighth of it is
 /// for those that wait to be accepted.
-fn receive_bounds(room: usize) -> ReceiveBounds {
+fn receive_bounds(room: usize, allocated: usize) -> ReceiveBounds {
     let buffer_bytes = (room / MANY_CONNECTIONS)
-        .saturating_sub(CONNECTION_BYTES)
+        .saturating_sub(allocated)
         .clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
     let queued = room / 8 / buffer_bytes;
     ReceiveBounds {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,8 +6,9 @@
     backoff::{Backoff, jitter},
     call_class::CallClass,
     caller_room::{
-        CONNECTION_BYTES, PROGRESS_BYTES, SMALL_REQUEST_BYTES, STALLED_TIME, Shortage, body_limit,
-        caller_bounds, gives_way, is_nearly_full,
+        HTTP1_CONNECTION_BYTES, HTTP2_CONNECTION_BYTES, PROGRESS_BYTES, REQUEST_BYTES,
+        SMALL_REQUEST_BYTES, STALLED_TIME, Shortage, body_limit, caller_bounds, gives_way,
+        is_nearly_full,
     },
     chunk_check::{ChunkCheck, ChunkDrop, ChunkError, ChunkVerdict},
     claim_table::{ClaimGroup, ClaimTable, ClaimTime, MAX_RESPONSE_BYTES, claim_key, record_bytes},
--- a/tests/caller_room.rs
+++ b/tests/caller_room.rs
@@ -6,8 +6,8 @@
         board::{CallerAccount, CallerBounds, ConnectionStanding, ReceiveBounds, Tick},
         border::CallerMemory,
         decide::{
-            PROGRESS_BYTES, SMALL_REQUEST_BYTES, Shortage, body_limit, caller_bounds, gives_way,
-            is_nearly_full,
+            HTTP1_CONNECTION_BYTES, PROGRESS_BYTES, SMALL_REQUEST_BYTES, Shortage, body_limit,
+            caller_bounds, gives_way, is_nearly_full,
         },
     },
     prometheus_client::registry::Registry,
@@ -45,7 +45,7 @@
         (512, 1),
     ];
     let seen = hosts.map(|(memory_mb, descriptors)| {
-        let bounds = caller_bounds(memory_mb << 20, descriptors);
+        let bounds = caller_bounds(memory_mb << 20, descriptors, HTTP1_CONNECTION_BYTES);
         let large = body_limit(&bounds, SMALL_REQUEST_BYTES + 1);
         json!({
             "memory_mb": memory_mb,
@@ -120,7 +120,7 @@
         let line = text.lines().find(|line| line.contains("bodies")).unwrap();
         line.split(' ').next_back().unwrap().to_owned()
     };
-    let work = connection.begin_request();
+    let work = connection.begin_request().unwrap();
     let mut large = work.body(1 << 20);
     let mut taken = 0;
     while large.extend(&[7; 10_000]).await {
--- a/tests/small_host.rs
+++ b/tests/small_host.rs
@@ -52,7 +52,9 @@
 /// What the thread of a `ProcessPeak` has seen.
 #[derive(Default)]
 struct Peaks {
+    /// Allocated memory with unread bytes.
     kb: AtomicU64,
+    allocated_kb: AtomicU64,
     descriptors: AtomicU64,
     stop: AtomicBool,
 }
@@ -66,7 +68,9 @@
         let seen = Arc::clone(&peaks);
         let thread = thread::spawn(move || {
             while !seen.stop.load(Ordering::Relaxed) {
-                let kb = anonymous_kb(id) + (unread_bytes(&ports) >> 10);
+                let allocated = anonymous_kb(id);
+                let kb = allocated + (unread_bytes(&ports) >> 10);
+                seen.allocated_kb.fetch_max(allocated, Ordering::Relaxed);
                 seen.kb.fetch_max(kb, Ordering::Relaxed);
                 seen.descriptors
                     .fetch_max(descriptor_count(id), Ordering::Relaxed);
@@ -84,7 +88,11 @@
         let running = process.is_running();
         let kb = self.peaks.kb.load(Ordering::Relaxed);
         let descriptors = self.peaks.descriptors.load(Ordering::Relaxed);
-        println!("running {running}, peak {kb} KiB, descriptors {descriptors}, answer {answer}");
+        let allocated = self.peaks.allocated_kb.load(Ordering::Relaxed);
+        println!(
+            "running {running}, peak {kb} KiB ({allocated} allocated), descriptors {descriptors}, \
+             answer {answer}"
+        );
         assert!(running, "the process exited");
         assert!(
             kb <= MEMORY_MB << 10,
