Have the slowest sender make room when every connection makes progress

Cause: only a connection without progress for a second gives way, and progress is counted in absolute bytes. Nothing made callers with fast requests leave.

Change: if no connection is left and none is without progress, the one gives way whose body has arrived most slowly so far, after 250 ms of it; for memory after 1 s. While fewer than an eighth of the connections are left, responses announce the end of their connection, so that busy ones are handed on after a response. A request that waits for an endpoint still never gives way.

Ways weighed: the oldest body would be a large one about to end; a share of connections kept for new callers is taken by the crowd as well.

--- a/src/board/caller_account.rs
+++ b/src/board/caller_account.rs
@@ -49,6 +49,10 @@
     pub key: ConnectionKey,
     /// Last time at which the caller sent or read a sizeable part.
     pub progress: Tick,
+    /// Time at which the body began that is being received.
+    pub body_start: Tick,
+    /// Bytes received since then.
+    pub body_bytes: usize,
     /// Whether a body is being received.
     pub receiving: bool,
     /// Whether a request is complete and its response is not.
@@ -79,6 +83,9 @@
     progress: AtomicU64,
     /// Bytes that moved since `progress`.
     moved: AtomicUsize,
+    body_start: AtomicU64,
+    /// Bytes received since `body_start`.
+    body_bytes: AtomicUsize,
     receiving: AtomicU32,
     working: AtomicU32,
     blocked: AtomicBool,
@@ -185,11 +192,21 @@
         }
     }
 
+    /// Records that the connection `key` received `bytes`.
+    pub fn received(&self, key: ConnectionKey, bytes: usize) {
+        let slot = &self.slots[key.index as usize];
+        slot.body_bytes.fetch_add(bytes, Ordering::AcqRel);
+    }
+
     /// Records that the connection `key` begins to receive a body; returns whether it carries another request.
     pub fn begin_body(&self, key: ConnectionKey, now: Tick) -> bool {
         let slot = &self.slots[key.index as usize];
         slot.progress.store(now.0, Ordering::Release);
         let receiving = slot.receiving.fetch_add(1, Ordering::AcqRel);
+        if receiving == 0 {
+            slot.body_start.store(now.0, Ordering::Release);
+            slot.body_bytes.store(0, Ordering::Release);
+        }
         receiving > 0 || slot.working.load(Ordering::Acquire) > 0
     }
 
@@ -223,7 +240,7 @@
     }
 
     /// Returns the open connections that do not have to give way yet.
-    pub fn standings(&self) -> impl Iterator<Item = ConnectionStanding> {
+    pub fn standings(&self) -> impl Iterator<Item = ConnectionStanding> + Clone {
         let slots = self.slots.iter().zip(0..);
         slots.filter_map(|(slot, index)| {
             let generation = slot.generation.load(Ordering::Acquire);
@@ -232,6 +249,8 @@
             (open && !evicted).then(|| ConnectionStanding {
                 key: ConnectionKey { index, generation },
                 progress: Tick(slot.progress.load(Ordering::Acquire)),
+                body_start: Tick(slot.body_start.load(Ordering::Acquire)),
+                body_bytes: slot.body_bytes.load(Ordering::Acquire),
                 receiving: slot.receiving.load(Ordering::Acquire) > 0,
                 working: slot.working.load(Ordering::Acquire) > 0,
                 blocked: slot.blocked.load(Ordering::Acquire),
--- a/src/border/caller_connection.rs
+++ b/src/border/caller_connection.rs
@@ -1,7 +1,7 @@
 use {
     super::{CallerBody, CallerMemory, caller_body::BodyCharge, caller_memory::Inner},
     crate::{
-        decide::{PROGRESS_BYTES, REQUEST_BYTES},
+        decide::{PROGRESS_BYTES, REQUEST_BYTES, is_nearly_full},
         key::ConnectionKey,
         port::Clock,
     },
@@ -59,9 +59,17 @@
     /// Records that the caller sent `bytes`.
     pub fn received(&self, bytes: usize) {
         let Inner { account, clock, .. } = &*self.memory.0;
+        account.received(self.key, bytes);
         account.moved(self.key, bytes, PROGRESS_BYTES, clock.now());
     }
 
+    /// Returns whether the connection is to be closed after its response, since few others are left for new
+    /// callers.
+    pub fn should_close(&self) -> bool {
+        let account = &self.memory.0.account;
+        is_nearly_full(account.bounds(), account.connections())
+    }
+
     /// Records that the caller took `bytes` of a response; `None` if it has to read more first.
     pub fn sent(&self, bytes: Option<usize>) {
         let Inner { account, clock, .. } = &*self.memory.0;
--- a/src/border/caller_memory.rs
+++ b/src/border/caller_memory.rs
@@ -111,7 +111,7 @@
                 }
                 return Some(CallerConnection::new(self.clone(), key));
             }
-            if !self.give_way(Shortage::Connections) {
+            if !self.give_way(Shortage::AllConnections) {
                 break;
             }
             let _ = timeout(CLOSE_WAIT, freed).await;
--- a/src/border/http_server.rs
+++ b/src/border/http_server.rs
@@ -2,7 +2,7 @@
     super::{CallerConnection, IdleTimer, LimitedAcceptor, LimitedIo},
     crate::key::ConnectionKey,
     bytes::Bytes,
-    http::{Request, uri::Scheme},
+    http::{HeaderValue, Request, Version, header::CONNECTION, uri::Scheme},
     http_body_util::combinators::BoxBody,
     hyper::{body::Incoming, service::service_fn},
     hyper_util::{
@@ -188,6 +188,13 @@
     E: Endpoint<Output = Response>,
 {
     let remote = RemoteAddr(Addr::custom(ADDRESS_SCHEME, caller.key().to_string()));
-    let request = (request, local, remote, Scheme::HTTP).into();
-    Ok(app.get_response(request).await.into())
+    let is_http2 = request.version() == Version::HTTP_2;
+    let mut response = app
+        .get_response((request, local, remote, Scheme::HTTP).into())
+        .await;
+    if !is_http2 && caller.should_close() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response.into())
 }
--- a/src/decide/caller_room.rs
+++ b/src/decide/caller_room.rs
@@ -38,7 +38,7 @@
 pub const STALLED_TIME: Duration = Duration::from_secs(1);
 
 /// Time without progress after which a connection without a request gives way; a request whose connection
-/// was just opened arrives sooner.
+/// was just opened arrives sooner. If no connection is left, a body that takes longer may give way.
 const UNUSED_TIME: Duration = Duration::from_millis(250);
 
 /// Memory of a process that holds nothing for callers, with its copies of the configuration, in bytes.
@@ -50,8 +50,10 @@
 /// What is short.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
-    /// Connections.
+    /// Few connections are left.
     Connections,
+    /// No connection is left.
+    AllConnections,
     /// Bytes of bodies.
     Memory,
 }
@@ -108,20 +110,43 @@
 }
 
 /// Returns the connection that gives way: of those that wait for their callers, the one longest without
-/// progress; `None` if each of them has made progress recently.
+/// progress.
 ///
-/// For memory, only connections that hold some give way.
+/// For memory, only connections that hold some give way. If no other way is left, the one gives way whose body
+/// has arrived most slowly so far. `None` if each of them has made progress recently.
 pub fn gives_way<I>(standings: I, shortage: Shortage, now: Tick) -> Option<ConnectionStanding>
 where
-    I: Iterator<Item = ConnectionStanding>,
+    I: Iterator<Item = ConnectionStanding> + Clone,
 {
-    let stalled = standings.filter(|standing| {
+    let stalled = standings.clone().filter(|standing| {
         let holds = standing.receiving || standing.blocked;
         let waits = standing.blocked || !standing.working;
         let limit = if holds { STALLED_TIME } else { UNUSED_TIME };
-        waits
-            && (holds || shortage == Shortage::Connections)
-            && now.since(standing.progress) >= limit
+        waits && (holds || shortage != Shortage::Memory) && now.since(standing.progress) >= limit
     });
-    stalled.min_by_key(|standing| standing.progress)
+    let stalled = stalled.min_by_key(|standing| standing.progress);
+    let limit = match shortage {
+        Shortage::Connections => return stalled,
+        Shortage::AllConnections => UNUSED_TIME,
+        Shortage::Memory => STALLED_TIME,
+    };
+    stalled.or_else(|| slowest_sender(standings, limit, now))
+}
+
+/// Returns the connection whose body arrives most slowly, of those that have been receiving one for `limit`.
+fn slowest_sender<I>(standings: I, limit: Duration, now: Tick) -> Option<ConnectionStanding>
+where
+    I: Iterator<Item = ConnectionStanding>,
+{
+    let slow = standings.filter(|standing| {
+        let time = now.since(standing.body_start);
+        standing.receiving && !standing.working && time >= limit
+    });
+    slow.min_by_key(|standing| bytes_per_second(standing, now))
+}
+
+/// Returns the mean rate at which the body of a connection arrives.
+fn bytes_per_second(standing: &ConnectionStanding, now: Tick) -> u128 {
+    let time = now.since(standing.body_start);
+    standing.body_bytes as u128 * 1_000 / time.as_millis().max(1)
 }
