Announce the close after a response that leaves a body unread

What callers saw: our own API answers an over-long body with 413 and closes the connection 0.2 to 0.3 ms later, without saying so; a client that uses the connection at once loses its next request (process_input::bad_requests_are_refused, listed as red).

Cause: the HTTP library closes a connection whose body was not read, after the head of the response was made without that in mind; and the socket was closed with unread bytes, which resets it.

--- a/src/board/refusal.rs
+++ b/src/board/refusal.rs
@@ -81,6 +81,11 @@
         Self::CallerMemory,
     ];
 
+    /// Returns whether a request that is refused for it may not have been read to its end.
+    pub fn leaves_body_unread(self) -> bool {
+        matches!(self, Self::TooLarge | Self::CallerMemory)
+    }
+
     /// Returns the name of the reason, which stays the same in every release.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/border/caller_response.rs
+++ b/src/border/caller_response.rs
@@ -8,7 +8,10 @@
     },
     bytes::Bytes,
     futures_util::stream,
-    poem::{Body, Response, http::StatusCode},
+    poem::{
+        Body, Response,
+        http::{HeaderValue, StatusCode, header::CONNECTION},
+    },
     std::io,
     tokio::sync::mpsc,
 };
@@ -146,12 +149,19 @@
 }
 
 /// Converts a refusal to an HTTP response, and counts it by its reason.
+///
+/// The response announces the end of the connection if the request may not have been read to its end.
 pub(super) fn refuse<P>(shared: &Shared<P>, refused: &Refused) -> Response
 where
     P: Parts,
 {
     shared.counters().count_refusal(refused.reason);
-    Problem::from(refused).into_response()
+    let mut response = Problem::from(refused).into_response();
+    if refused.reason.leaves_body_unread() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
 }
 
 /// Refusal for a request whose events ended without a result.
--- a/src/border/operator_api.rs
+++ b/src/border/operator_api.rs
@@ -9,7 +9,10 @@
     poem::{
         Body, Request, Response,
         error::ReadBodyError,
-        http::{HeaderMap, Method, StatusCode, header::AUTHORIZATION},
+        http::{
+            HeaderMap, HeaderValue, Method, StatusCode,
+            header::{AUTHORIZATION, CONNECTION},
+        },
     },
     prometheus_client::encoding::text::encode,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -70,7 +73,15 @@
 {
     match route(ctx, request).await {
         Ok(response) => response,
-        Err(problem) => problem.into_response(),
+        Err(problem) => {
+            let is_unread = problem.status == StatusCode::PAYLOAD_TOO_LARGE;
+            let mut response = problem.into_response();
+            if is_unread {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
+        }
     }
 }
 
