--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -28,7 +28,6 @@
     limited_acceptor::{IoLimits, LimitedAcceptor, LimitedIo},
     listening_socket::listen,
     logs::{start_bounded_logs, start_logs},
-    nodelay_acceptor::NodelayAcceptor,
     operator_api::REVISION_HEADER,
     operator_context::OperatorContext,
     operator_listener::OperatorListener,
@@ -87,7 +86,6 @@
 mod limited_acceptor;
 mod listening_socket;
 mod logs;
-mod nodelay_acceptor;
 mod operator_api;
 mod operator_context;
 mod operator_listener;
--- a/src/fake/endpoint_server.rs
+++ b/src/fake/endpoint_server.rs
@@ -1,6 +1,5 @@
 use {
-    super::held_address::HeldAddress,
-    crate::border::NodelayAcceptor,
+    super::{held_address::HeldAddress, nodelay_acceptor::NodelayAcceptor},
     poem::{IntoEndpoint, Server, listener::TcpAcceptor},
     std::time::Duration,
     tokio::sync::watch,
--- a/src/fake/mod.rs
+++ b/src/fake/mod.rs
@@ -53,6 +53,7 @@
 mod held_address;
 mod link;
 mod memory_platform;
+mod nodelay_acceptor;
 mod pause;
 mod peer_network;
 mod platform;
--- a/src/border/nodelay_acceptor.rs
+++ b/src/fake/nodelay_acceptor.rs
@@ -15,13 +15,13 @@
 ///
 /// Without this option a streamed chunk waits for the delayed acknowledgement of the chunk before
 /// it, 40 ms.
-pub struct NodelayAcceptor {
+pub(super) struct NodelayAcceptor {
     inner: TcpAcceptor,
 }
 
 impl NodelayAcceptor {
     /// Wraps `inner`, whose connections get the option when they are accepted.
-    pub fn new(inner: TcpAcceptor) -> Self {
+    pub(super) fn new(inner: TcpAcceptor) -> Self {
         Self { inner }
     }
 }
--- a/tests/caller_room.rs
+++ b/tests/caller_room.rs
@@ -107,6 +107,42 @@
     assert_json_snapshot!("caller_room_gives_way", seen);
 }
 
+/// A caller that sends just fast enough must not keep the last connection from others, nor a fast one lose it.
+#[test]
+fn the_slowest_sender_gives_way_if_every_connection_makes_progress() {
+    let account = CallerAccount::new(BOUNDS);
+    let keys = [0; 4].map(|at| account.open(ms(at)).unwrap());
+    let [slow, fast, working, _unused] = keys;
+    for key in [slow, fast, working] {
+        account.begin_body(key, ms(0));
+    }
+    account.begin_work(working);
+    account.end_body(working);
+    let name = |standing: ConnectionStanding| {
+        let names = ["slow", "fast", "working", "unused"];
+        names[keys.iter().position(|key| *key == standing.key).unwrap()]
+    };
+    let shortages = [
+        Shortage::Connections,
+        Shortage::AllConnections,
+        Shortage::Memory,
+    ];
+    let mut seen = Vec::new();
+    for at in [100, 200, 260, 900, 1_100] {
+        for (key, bytes) in keys
+            .into_iter()
+            .zip([PROGRESS_BYTES, 64 << 10, 0, PROGRESS_BYTES])
+        {
+            account.received(key, bytes);
+            account.moved(key, bytes, PROGRESS_BYTES, ms(at));
+        }
+        let chosen =
+            shortages.map(|shortage| gives_way(account.standings(), shortage, ms(at)).map(name));
+        seen.push(json!([at, chosen]));
+    }
+    assert_json_snapshot!("caller_room_slowest", seen);
+}
+
 /// Large bodies must leave the reserved part to small ones, and every byte must be released again.
 #[tokio::test(start_paused = true)]
 async fn bodies_share_a_bounded_memory() {
