Wake nobody at the end of a request that charged nothing

Cause: since a request may charge for itself beside others of its connection, each one holds a charge, and dropping an empty one notified every request that waits for memory, on the path of each request.

Change: an empty charge is dropped without that. Nothing was freed by it, so what waits is woken as before by the charges and connections that free something.

--- a/src/border/caller_body.rs
+++ b/src/border/caller_body.rs
@@ -203,7 +203,10 @@
 
 impl Drop for BodyCharge {
     fn drop(&mut self) {
-        self.release(self.bytes);
+        // Most requests charge nothing beside their body; their ends free nothing that others wait for.
+        if self.bytes > 0 {
+            self.release(self.bytes);
+        }
     }
 }
 
