Count a further request that is refused for memory like any other

Cause: a request that a connection carries beside another one is refused when there is no memory for both, but neither caller_ended_total{cause="memory"} nor the log said so, while a body without memory does both.

Change: one function counts and logs both. What is refused is unchanged; clippy is clean.

--- a/src/border/caller_body.rs
+++ b/src/border/caller_body.rs
@@ -184,8 +184,7 @@
                 return true;
             }
             if timeout_at(deadline, freed).await.is_err() {
-                memory.0.metrics.refused.inc();
-                memory.log("no memory for the body of a request; refusing it");
+                memory.count_refused("no memory for the body of a request; refusing it");
                 return false;
             }
         }
--- a/src/border/caller_connection.rs
+++ b/src/border/caller_connection.rs
@@ -106,8 +106,12 @@
             receiving: true,
             charge: BodyCharge::new(&self.memory),
         };
-        let fits = !shared || work.charge.try_grow(REQUEST_BYTES);
-        fits.then_some(work)
+        if shared && !work.charge.try_grow(REQUEST_BYTES) {
+            let message = "no memory for one more request of a connection; refusing it";
+            self.memory.count_refused(message);
+            return None;
+        }
+        Some(work)
     }
 }
 
--- a/src/border/caller_memory.rs
+++ b/src/border/caller_memory.rs
@@ -46,7 +46,7 @@
     pub(super) connection_bytes: Gauge,
     pub(super) body_bytes: Gauge,
     closed: Counter,
-    pub(super) refused: Counter,
+    refused: Counter,
     evicted: Counter,
 }
 
@@ -140,8 +140,14 @@
         true
     }
 
+    /// Counts a request that is refused for memory, and logs `message`.
+    pub(super) fn count_refused(&self, message: &str) {
+        self.0.metrics.refused.inc();
+        self.log(message);
+    }
+
     /// Writes a line about a shortage, unless there was one within the last second.
-    pub(super) fn log(&self, message: &str) {
+    fn log(&self, message: &str) {
         let Inner {
             account,
             clock,
