--- a/src/border/caller_listener.rs
+++ b/src/border/caller_listener.rs
@@ -38,7 +38,6 @@
         let acceptor = LimitedAcceptor::new(listener, ctx.memory().clone(), limits.io_limits());
         let server = HttpServer {
             acceptor,
-            header_bytes: limits.header_bytes as usize,
             idle_time: IDLE_TIME,
         };
         Ok(Self { server, ctx })
--- a/src/border/caller_response.rs
+++ b/src/border/caller_response.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CallerContext, CallerWork, CompletionResponse, Problem, caller_request::is_hop_by_hop,
+        CallerContext, CallerWork, CompletionResponse, Problem, announce_close,
+        caller_request::is_hop_by_hop,
     },
     crate::{
         board::Refusal,
@@ -8,10 +9,7 @@
     },
     bytes::Bytes,
     futures_util::stream,
-    poem::{
-        Body, Response,
-        http::{HeaderValue, StatusCode, header::CONNECTION},
-    },
+    poem::{Body, Response, http::StatusCode},
     std::io,
     tokio::sync::mpsc,
 };
@@ -158,8 +156,7 @@
     shared.counters().count_refusal(refused.reason);
     let mut response = Problem::from(refused).into_response();
     if refused.reason.leaves_body_unread() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        announce_close(response.headers_mut());
     }
     response
 }
--- a/src/border/http_server.rs
+++ b/src/border/http_server.rs
@@ -1,8 +1,8 @@
 use {
-    super::{CallerConnection, IdleTimer, LimitedAcceptor, LimitedIo},
+    super::{CallerConnection, IdleTimer, LimitedAcceptor, LimitedIo, announce_close},
     crate::key::ConnectionKey,
     bytes::Bytes,
-    http::{HeaderValue, Request, Version, header::CONNECTION, uri::Scheme},
+    http::{Request, Version, uri::Scheme},
     http_body_util::combinators::BoxBody,
     hyper::{body::Incoming, service::service_fn},
     hyper_util::{
@@ -39,8 +39,6 @@
 pub(super) struct HttpServer {
     /// Source of its connections.
     pub acceptor: LimitedAcceptor,
-    /// Maximum size of all headers of a request in bytes.
-    pub header_bytes: usize,
     /// Time without traffic after which a connection without a request in progress is closed.
     pub idle_time: Duration,
 }
@@ -89,7 +87,7 @@
         let _abort_in_the_end = abort.clone().drop_guard();
         let connections = Arc::new(Connections {
             app: Arc::new(app),
-            header_bytes: self.header_bytes,
+            header_bytes: self.acceptor.limits().head_bytes,
             idle_time: self.idle_time,
             local: LocalAddr(local.into()),
             stop: stop.clone(),
@@ -193,8 +191,7 @@
         .get_response((request, local, remote, Scheme::HTTP).into())
         .await;
     if !is_http2 && caller.should_close() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        announce_close(response.headers_mut());
     }
     Ok(response.into())
 }
--- a/src/border/limited_acceptor.rs
+++ b/src/border/limited_acceptor.rs
@@ -60,6 +60,11 @@
         &self.listener
     }
 
+    /// Returns the limits of its connections.
+    pub fn limits(&self) -> IoLimits {
+        self.limits
+    }
+
     /// Returns the next connection; fails if the system has none to give at the moment.
     pub async fn accept(&self) -> io::Result<LimitedIo> {
         loop {
--- a/src/border/mod.rs
+++ b/src/border/mod.rs
@@ -14,6 +14,7 @@
     claim_objects::ClaimObjects,
     close_wait::CloseWait,
     completion_wire::{CompletionBody, CompletionResponse},
+    connection_close::announce_close,
     descriptor_limit::descriptor_limit,
     endpoint_response::{
         CACHE_EVICTED_REASON, CACHE_EVICTED_STATUS, REFUSED_STATUS, UNKNOWN_ATTEMPT_REASON,
@@ -63,6 +64,7 @@
 mod claim_objects;
 mod close_wait;
 mod completion_wire;
+mod connection_close;
 mod counted_stream;
 mod descriptor_limit;
 mod endpoint_response;
--- a/src/border/operator_api.rs
+++ b/src/border/operator_api.rs
@@ -1,5 +1,7 @@
 use {
-    super::{MAX_SHEET_BYTES, OperatorContext, OperatorProblem, read_sheet, write_sheet},
+    super::{
+        MAX_SHEET_BYTES, OperatorContext, OperatorProblem, announce_close, read_sheet, write_sheet,
+    },
     crate::{
         board::{FleetStatus, Secret},
         control::{Submission, fleet_status},
@@ -9,10 +11,7 @@
     poem::{
         Body, Request, Response,
         error::ReadBodyError,
-        http::{
-            HeaderMap, HeaderValue, Method, StatusCode,
-            header::{AUTHORIZATION, CONNECTION},
-        },
+        http::{HeaderMap, Method, StatusCode, header::AUTHORIZATION},
     },
     prometheus_client::encoding::text::encode,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -77,8 +76,7 @@
             let is_unread = problem.status == StatusCode::PAYLOAD_TOO_LARGE;
             let mut response = problem.into_response();
             if is_unread {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
+                announce_close(response.headers_mut());
             }
             response
         }
--- a/src/border/operator_listener.rs
+++ b/src/border/operator_listener.rs
@@ -48,7 +48,6 @@
         let listener = listen(address, bounds.receive)?;
         let server = HttpServer {
             acceptor: LimitedAcceptor::new(listener, memory, limits.io_limits()),
-            header_bytes: limits.header_bytes as usize,
             idle_time: IDLE_TIME,
         };
         Ok(Self { server, ctx })
